Lay out the build, the shared types and the protocols

Cause: an empty repository; everything after this is written against these types and pages. Ruled out: one module for all programs, since decisions must stay free of I/O and the stand-ins must not ship. Change: six Maven modules, the types of the edges, HTTP and command-line scaffolding, the protobuf frames, docs/design/protocols.md. Conclusion: the parts can be written side by side.

--- /dev/null
+++ b/controller/src/main/java/org/sardinebay/controller/package-info.java
@@ -0,0 +1,2 @@
+/** The program {@code sardinebay-controller}. */
+package org.sardinebay.controller;
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/CallerId.java
@@ -0,0 +1,28 @@
+package org.sardinebay;
+
+import java.util.Objects;
+
+/**
+ * The name of a caller, as its requests state it.
+ *
+ * @param value the name, never empty
+ */
+public record CallerId(String value) implements Comparable<CallerId> {
+  /** Checks that the name is present. */
+  public CallerId {
+    Objects.requireNonNull(value, "value");
+    if (value.isEmpty()) {
+      throw new IllegalArgumentException("CallerId must not be empty");
+    }
+  }
+
+  @Override
+  public int compareTo(CallerId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/FailureDomain.java
@@ -0,0 +1,28 @@
+package org.sardinebay;
+
+import java.util.Objects;
+
+/**
+ * The name of a failure domain.
+ *
+ * @param value the name, never empty
+ */
+public record FailureDomain(String value) implements Comparable<FailureDomain> {
+  /** Checks that the name is present. */
+  public FailureDomain {
+    Objects.requireNonNull(value, "value");
+    if (value.isEmpty()) {
+      throw new IllegalArgumentException("FailureDomain must not be empty");
+    }
+  }
+
+  @Override
+  public int compareTo(FailureDomain other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/internal/connection/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions whose state lives as long as one connection. */
+package org.sardinebay.internal.connection;
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/internal/request/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions whose state lives as long as one request. */
+package org.sardinebay.internal.request;
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/package-info.java
@@ -0,0 +1,2 @@
+/** What callers and processes exchange: positions, identifiers, requests and typed answers. */
+package org.sardinebay;
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/record/FieldReader.java
@@ -0,0 +1,347 @@
+package org.sardinebay.record;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import org.sardinebay.Address;
+
+/**
+ * Reads the fields of a JSON object and collects what is wrong with them.
+ *
+ * <pre>{@code
+ * FieldReader reader = FieldReader.of(tree);
+ * String host = reader.text("host");
+ * long limit = reader.number("connectionLimit", 1, 1000);
+ * if (!reader.problems().isEmpty()) { ... }
+ * }</pre>
+ *
+ * <p>A wrong field yields a placeholder, so that all problems are found in one pass; the values are
+ * meaningful only if {@link #problems()} stays empty.
+ */
+public final class FieldReader {
+  private static final String ABSENT = "absent";
+  private static final int MAX_SHOWN_VALUE_LENGTH = 80;
+  private static final Address PLACEHOLDER_ADDRESS = new Address("0.0.0.0", 1);
+
+  private final JsonNode node;
+  private final String path;
+  private final List<FieldProblem> problems;
+  private final Set<String> known = new HashSet<>();
+
+  private FieldReader(JsonNode node, String path, List<FieldProblem> problems) {
+    this.node = node;
+    this.path = path;
+    this.problems = problems;
+  }
+
+  /**
+   * Starts reading an object.
+   *
+   * @param root the object; anything else is a problem
+   * @return a reader with its own list of problems
+   */
+  public static FieldReader of(JsonNode root) {
+    FieldReader reader = new FieldReader(root, "", new ArrayList<>());
+    if (!root.isObject()) {
+      reader.report("", root, "an object");
+    }
+    return reader;
+  }
+
+  /**
+   * All problems found so far, nested objects included.
+   *
+   * @return the problems, in the order in which they were met
+   */
+  public List<FieldProblem> problems() {
+    return List.copyOf(problems);
+  }
+
+  /**
+   * Whether a field is present.
+   *
+   * @param field its name
+   * @return true unless it is absent or null
+   */
+  public boolean has(String field) {
+    return node.hasNonNull(field);
+  }
+
+  /**
+   * Reads a text that must not be empty.
+   *
+   * @param field its name
+   * @return the text
+   */
+  public String text(String field) {
+    JsonNode value = value(field);
+    if (!value.isTextual() || value.textValue().isEmpty()) {
+      report(field, value, "a text that is not empty");
+      return "?";
+    }
+    return value.textValue();
+  }
+
+  /**
+   * Reads a text that may be absent.
+   *
+   * @param field its name
+   * @param fallback the value if it is absent
+   * @return the text
+   */
+  public String text(String field, String fallback) {
+    known.add(field);
+    if (!has(field)) {
+      return fallback;
+    }
+    JsonNode value = node.path(field);
+    if (!value.isTextual()) {
+      report(field, value, "a text");
+      return fallback;
+    }
+    return value.textValue();
+  }
+
+  /**
+   * Reads a whole number.
+   *
+   * @param field its name
+   * @param min the least value allowed
+   * @param max the greatest value allowed
+   * @return the number
+   */
+  public long number(String field, long min, long max) {
+    JsonNode value = value(field);
+    if (!value.isIntegralNumber() || !value.canConvertToLong()) {
+      report(field, value, range(min, max));
+      return min;
+    }
+    if (value.longValue() < min || value.longValue() > max) {
+      report(field, value, range(min, max));
+      return min;
+    }
+    return value.longValue();
+  }
+
+  /**
+   * Reads a whole number that may be absent.
+   *
+   * @param field its name
+   * @param min the least value allowed
+   * @param max the greatest value allowed
+   * @param fallback the value if it is absent
+   * @return the number
+   */
+  public long number(String field, long min, long max, long fallback) {
+    known.add(field);
+    return has(field) ? number(field, min, max) : fallback;
+  }
+
+  /**
+   * Reads a truth value that may be absent.
+   *
+   * @param field its name
+   * @param fallback the value if it is absent
+   * @return the truth value
+   */
+  public boolean flag(String field, boolean fallback) {
+    known.add(field);
+    if (!has(field)) {
+      return fallback;
+    }
+    JsonNode value = node.path(field);
+    if (!value.isBoolean()) {
+      report(field, value, "true or false");
+      return fallback;
+    }
+    return value.booleanValue();
+  }
+
+  /**
+   * Reads an address.
+   *
+   * @param field its name
+   * @return the address
+   */
+  public Address address(String field) {
+    JsonNode value = value(field);
+    Optional<Address> address =
+        value.isTextual() ? Address.parse(value.textValue()) : Optional.empty();
+    if (address.isEmpty()) {
+      report(field, value, "an address such as 127.0.0.1:7000");
+    }
+    return address.orElse(PLACEHOLDER_ADDRESS);
+  }
+
+  /**
+   * Reads an address that may be absent.
+   *
+   * @param field its name
+   * @return the address, empty if absent
+   */
+  public Optional<Address> optionalAddress(String field) {
+    known.add(field);
+    return has(field) ? Optional.of(address(field)) : Optional.empty();
+  }
+
+  /**
+   * Reads a list of addresses.
+   *
+   * @param field its name
+   * @return the addresses, none if the field is absent
+   */
+  public List<Address> addresses(String field) {
+    JsonNode value = has(field) ? value(field) : optionalValue(field);
+    List<Address> addresses = new ArrayList<>();
+    for (JsonNode element : value) {
+      Optional<Address> address =
+          element.isTextual() ? Address.parse(element.textValue()) : Optional.empty();
+      address.ifPresentOrElse(
+          addresses::add, () -> report(field, value, "a list of addresses such as 127.0.0.1:7000"));
+    }
+    return addresses;
+  }
+
+  /**
+   * Reads one constant of an enum, written in lower case with hyphens.
+   *
+   * @param field its name
+   * @param fallback the value if it is absent
+   * @param <E> the enum
+   * @return the constant
+   */
+  public <E extends Enum<E>> E constant(String field, E fallback) {
+    known.add(field);
+    if (!has(field)) {
+      return fallback;
+    }
+    JsonNode value = node.path(field);
+    E[] constants = fallback.getDeclaringClass().getEnumConstants();
+    for (E constant : constants) {
+      if (value.isTextual() && value.textValue().equals(spelling(constant))) {
+        return constant;
+      }
+    }
+    report(field, value, "one of " + Arrays.stream(constants).map(FieldReader::spelling).toList());
+    return fallback;
+  }
+
+  /**
+   * How an enum's constant is written in JSON.
+   *
+   * @param constant the constant
+   * @return its name in lower case with hyphens
+   */
+  public static String spelling(Enum<?> constant) {
+    return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
+  /**
+   * Reads an object inside this one.
+   *
+   * @param field its name
+   * @return a reader that adds to the same list of problems
+   */
+  public FieldReader object(String field) {
+    JsonNode value = value(field);
+    if (!value.isObject()) {
+      report(field, value, "an object");
+    }
+    return new FieldReader(value, path(field), problems);
+  }
+
+  /**
+   * Reads a list of objects.
+   *
+   * @param field its name
+   * @param minSize how many it must have at least
+   * @return a reader for each, adding to the same list of problems
+   */
+  public List<FieldReader> objects(String field, int minSize) {
+    JsonNode value = minSize == 0 && !has(field) ? optionalValue(field) : value(field);
+    if (!value.isArray() && !(minSize == 0 && value.isMissingNode())) {
+      report(field, value, "a list of objects");
+      return List.of();
+    }
+    if (value.size() < minSize) {
+      report(field, value, "a list of at least " + minSize + " objects");
+    }
+    List<FieldReader> readers = new ArrayList<>();
+    for (int i = 0; i < value.size(); i++) {
+      String element = field + "[" + i + "]";
+      if (!value.get(i).isObject()) {
+        report(element, value.get(i), "an object");
+      }
+      readers.add(new FieldReader(value.get(i), path(element), problems));
+    }
+    return readers;
+  }
+
+  /**
+   * The underlying node, for fields that are kept as they are.
+   *
+   * @return the object this reader reads, or an empty one if it is none
+   */
+  public ObjectNode tree() {
+    return node instanceof ObjectNode object ? object : JsonNodeFactory.instance.objectNode();
+  }
+
+  /** Reports each field that no call has asked for. Call it last. */
+  public void rejectUnknownFields() {
+    Iterator<String> names = node.fieldNames();
+    while (names.hasNext()) {
+      String name = names.next();
+      if (!known.contains(name)) {
+        report(name, node.path(name), "one of the fields " + known.stream().sorted().toList());
+      }
+    }
+  }
+
+  /**
+   * Adds a problem that a caller found itself.
+   *
+   * @param field the field's name
+   * @param allowed what would be accepted
+   */
+  public void problem(String field, String allowed) {
+    report(field, node.path(field), allowed);
+  }
+
+  private JsonNode value(String field) {
+    known.add(field);
+    return node.hasNonNull(field) ? node.path(field) : MissingNode.getInstance();
+  }
+
+  private JsonNode optionalValue(String field) {
+    known.add(field);
+    return MissingNode.getInstance();
+  }
+
+  private void report(String field, JsonNode value, String allowed) {
+    String shown = value.isMissingNode() ? ABSENT : value.toString();
+    if (shown.length() > MAX_SHOWN_VALUE_LENGTH) {
+      shown = shown.substring(0, MAX_SHOWN_VALUE_LENGTH) + "...";
+    }
+    problems.add(new FieldProblem(path(field), shown, allowed));
+  }
+
+  private String path(String field) {
+    if (path.isEmpty()) {
+      return field;
+    }
+    return field.isEmpty() ? path : path + "." + field;
+  }
+
+  private static String range(long min, long max) {
+    return "a whole number from " + min + " to " + max;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/record/package-info.java
@@ -0,0 +1,2 @@
+/** The records operators write: databases, proxies and staleness rules. */
+package org.sardinebay.record;
--- /dev/null
+++ b/ctl/src/main/java/org/sardinebay/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The program {@code sardinebay-ctl}. */
+package org.sardinebay.ctl;
--- /dev/null
+++ b/net/src/main/java/org/sardinebay/net/AdminRoutes.java
@@ -0,0 +1,51 @@
+package org.sardinebay.net;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.sardinebay.net.http.HttpReply;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.net.http.Route;
+
+/**
+ * The routes that every process serves: {@code /health}, {@code /ready}, {@code /metrics} and
+ * {@code /dump}.
+ *
+ * <pre>{@code
+ * List<Route> routes = AdminRoutes.of(process, registry);
+ * }</pre>
+ */
+public final class AdminRoutes {
+  private static final int UNAVAILABLE = 503;
+
+  private AdminRoutes() {}
+
+  /**
+   * Builds the routes.
+   *
+   * @param process the running process
+   * @param registry its metrics
+   * @return the routes
+   */
+  public static List<Route> of(RunningProcess process, PrometheusMeterRegistry registry) {
+    return List.of(
+        Route.get("/health", call -> done(HttpReply.json(HttpReply.OK, state("healthy", true)))),
+        Route.get("/ready", call -> done(ready(process))),
+        Route.get("/metrics", call -> done(HttpReply.plain(HttpReply.OK, registry.scrape()))),
+        Route.get("/dump", call -> done(HttpReply.json(HttpReply.OK, process.dump()))));
+  }
+
+  private static HttpReply ready(RunningProcess process) {
+    boolean ready = process.ready();
+    return HttpReply.json(ready ? HttpReply.OK : UNAVAILABLE, state("ready", ready));
+  }
+
+  private static ObjectNode state(String name, boolean value) {
+    return Json.newObject().put(name, value);
+  }
+
+  private static CompletableFuture<HttpReply> done(HttpReply reply) {
+    return CompletableFuture.completedFuture(reply);
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/sardinebay/net/BinaryMain.java
@@ -0,0 +1,158 @@
+package org.sardinebay.net;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.record.FieldProblem;
+import org.sardinebay.record.FieldReader;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The command line that all programs share.
+ *
+ * <pre>{@code
+ * System.exit(BinaryMain.run(new ProxyBinary(), args));
+ * }</pre>
+ */
+public final class BinaryMain {
+  /** The exit status of a success. */
+  public static final int EXIT_OK = 0;
+
+  /** The exit status of a failure while running. */
+  public static final int EXIT_FAILURE = 1;
+
+  /** The exit status of wrong arguments or settings. */
+  public static final int EXIT_USAGE = 2;
+
+  /** The version that {@code --version} prints. */
+  public static final String VERSION = "0.1.0";
+
+  private static final Logger LOG = LoggerFactory.getLogger(BinaryMain.class);
+
+  private BinaryMain() {}
+
+  /**
+   * Runs a program until it is told to stop.
+   *
+   * @param binary the program
+   * @param args its command line
+   * @param <S> its settings
+   * @return the exit status
+   */
+  public static <S> int run(Binary<S> binary, String... args) {
+    return run(binary, System.out, System.err, args);
+  }
+
+  static <S> int run(Binary<S> binary, PrintStream out, PrintStream err, String... args) {
+    OptionParser parser = new OptionParser();
+    OptionSpec<Void> help = parser.accepts("help");
+    OptionSpec<Void> version = parser.accepts("version");
+    OptionSpec<Void> check = parser.accepts("check-settings");
+    OptionSpec<String> file = parser.accepts("settings").withRequiredArg();
+    OptionSet options;
+    try {
+      options = parser.parse(args);
+    } catch (OptionException e) {
+      err.println(binary.name() + ": " + e.getMessage() + "; see --help");
+      return EXIT_USAGE;
+    }
+    if (options.has(help)) {
+      printHelp(binary, out);
+      return EXIT_OK;
+    }
+    if (options.has(version)) {
+      out.println(binary.name() + " " + VERSION);
+      return EXIT_OK;
+    }
+    if (!options.has(file)) {
+      err.println(binary.name() + ": --settings FILE is missing; see --help");
+      return EXIT_USAGE;
+    }
+    Optional<S> settings = load(binary, Path.of(options.valueOf(file)), err);
+    if (settings.isEmpty()) {
+      return EXIT_USAGE;
+    }
+    if (options.has(check)) {
+      out.println("settings ok");
+      return EXIT_OK;
+    }
+    return serve(binary, settings.get());
+  }
+
+  private static <S> Optional<S> load(Binary<S> binary, Path file, PrintStream err) {
+    JsonNode tree;
+    try {
+      tree = Json.parseWithComments(Files.readString(file));
+    } catch (JsonProcessingException e) {
+      err.println(
+          binary.name()
+              + ": settings file "
+              + file
+              + " is not JSON at line "
+              + e.getLocation().getLineNr()
+              + ", column "
+              + e.getLocation().getColumnNr());
+      return Optional.empty();
+    } catch (IOException e) {
+      err.println(binary.name() + ": settings file " + file + " can't be read");
+      return Optional.empty();
+    }
+    FieldReader reader = FieldReader.of(tree);
+    S settings = binary.settings(reader);
+    reader.rejectUnknownFields();
+    List<FieldProblem> problems = reader.problems();
+    problems.forEach(problem -> err.println(binary.name() + ": " + file + ": " + problem));
+    return problems.isEmpty() ? Optional.of(settings) : Optional.empty();
+  }
+
+  private static <S> int serve(Binary<S> binary, S settings) {
+    RunningProcess process;
+    try {
+      process = binary.start(settings);
+    } catch (IOException e) {
+      LOG.atError()
+          .setMessage("start_failed")
+          .addKeyValue("program", binary.name())
+          .addKeyValue("cause", e.getMessage())
+          .log();
+      return EXIT_FAILURE;
+    }
+    LOG.atInfo().setMessage("started").addKeyValue("program", binary.name()).log();
+    Runtime.getRuntime().addShutdownHook(new Thread(process::shutdown, "shutdown"));
+    awaitForever();
+    return EXIT_OK;
+  }
+
+  private static void awaitForever() {
+    try {
+      new CountDownLatch(1).await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static <S> void printHelp(Binary<S> binary, PrintStream out) {
+    out.println(binary.name() + ": " + binary.summary());
+    out.println();
+    out.println("usage: " + binary.name() + " --settings FILE [--check-settings]");
+    out.println("  --settings FILE   settings, JSON with comments");
+    out.println("  --check-settings  checks the settings and exits");
+    out.println("  --version         prints the version and exits");
+    out.println("  --help            prints this page and exits");
+    out.println();
+    out.println("settings:");
+    binary.settingsHelp().forEach(line -> out.println("  " + line));
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
@@ -0,0 +1,151 @@
+package org.sardinebay.net.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import io.activej.bytebuf.ByteBuf;
+import io.activej.dns.IDnsClient;
+import io.activej.dns.protocol.DnsQuery;
+import io.activej.dns.protocol.DnsResponse;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.sardinebay.Address;
+
+/**
+ * Calls JSON services over HTTP/1.1 on several event loops.
+ *
+ * <pre>{@code
+ * JsonHttpClient client = JsonHttpClient.start("endpoints", 2);
+ * client.call(HttpMethod.POST, address, "/v1/progress", Optional.of(body), 500)
+ *     .thenAccept(result -> ...);
+ * }</pre>
+ */
+public final class JsonHttpClient {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration READ_WRITE_TIMEOUT = Duration.ofSeconds(65);
+  private static final Duration KEEP_ALIVE = Duration.ofSeconds(20);
+  private static final int MAX_BODY_BYTES = 16 << 20;
+
+  private final List<Eventloop> loops;
+  private final List<HttpClient> clients;
+  private final AtomicInteger next = new AtomicInteger();
+
+  private JsonHttpClient(List<Eventloop> loops, List<HttpClient> clients) {
+    this.loops = loops;
+    this.clients = clients;
+  }
+
+  /**
+   * Starts a client.
+   *
+   * @param name the beginning of its threads' names
+   * @param workers how many event loops it has
+   * @return the running client
+   */
+  public static JsonHttpClient start(String name, int workers) {
+    List<Eventloop> loops = new ArrayList<>();
+    List<HttpClient> clients = new ArrayList<>();
+    for (int i = 0; i < workers; i++) {
+      Eventloop loop = JsonHttpServer.startLoop(name + "-" + i);
+      loops.add(loop);
+      clients.add(
+          HttpClient.builder(loop, new NoDns())
+              .withConnectTimeout(CONNECT_TIMEOUT)
+              .withReadWriteTimeout(READ_WRITE_TIMEOUT)
+              .withKeepAliveTimeout(KEEP_ALIVE)
+              .withMaxBodySize(MAX_BODY_BYTES)
+              .build());
+    }
+    return new JsonHttpClient(loops, clients);
+  }
+
+  /**
+   * Sends one request.
+   *
+   * @param method the HTTP method
+   * @param address the server
+   * @param pathAndQuery the path, with the query if there is one
+   * @param body the JSON body, if any
+   * @param timeoutMillis how long to wait for the response
+   * @return the result; never completes with an exception
+   */
+  public CompletableFuture<HttpResult> call(
+      HttpMethod method,
+      Address address,
+      String pathAndQuery,
+      Optional<JsonNode> body,
+      long timeoutMillis) {
+    int slot = Math.floorMod(next.getAndIncrement(), loops.size());
+    CompletableFuture<HttpResult> result = new CompletableFuture<>();
+    loops
+        .get(slot)
+        .execute(
+            () -> {
+              HttpRequest request = request(method, address, pathAndQuery, body);
+              Promises.timeout(timeoutMillis, exchange(clients.get(slot), request))
+                  .whenComplete((reply, e) -> result.complete(e == null ? reply : failure(e)));
+            });
+    return result;
+  }
+
+  /** Stops the event loops; requests in progress get no answer. */
+  public void stop() {
+    loops.forEach(Eventloop::breakEventloop);
+  }
+
+  private static HttpRequest request(
+      HttpMethod method, Address address, String pathAndQuery, Optional<JsonNode> body) {
+    HttpRequest.Builder builder = HttpRequest.builder(method, "http://" + address + pathAndQuery);
+    if (body.isPresent()) {
+      builder.withHeader(HttpHeaders.CONTENT_TYPE, "application/json");
+      builder.withBody(Json.bytes(body.get()));
+    }
+    return builder.build();
+  }
+
+  private static Promise<HttpResult> exchange(HttpClient client, HttpRequest request) {
+    return client.request(request).then(JsonHttpClient::load);
+  }
+
+  private static Promise<HttpResult> load(HttpResponse response) {
+    int status = response.getCode();
+    return response.loadBody(MAX_BODY_BYTES).map(body -> toResponse(status, body));
+  }
+
+  private static HttpResult toResponse(int status, ByteBuf body) {
+    JsonNode tree = Json.parse(body.getArray()).orElse(MissingNode.getInstance());
+    return new HttpResult.Response(status, tree);
+  }
+
+  private static HttpResult failure(Exception e) {
+    for (Throwable cause = e; cause != null; cause = cause.getCause()) {
+      if (cause instanceof ConnectException) {
+        return new HttpResult.NotSent();
+      }
+    }
+    return new HttpResult.NoResponse();
+  }
+
+  /** Addresses are IP numbers; nothing is resolved. */
+  private static final class NoDns implements IDnsClient {
+    @Override
+    public Promise<DnsResponse> resolve(DnsQuery query) {
+      return Promise.ofException(new IllegalArgumentException("addresses must be IP numbers"));
+    }
+
+    @Override
+    public void close() {}
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/sardinebay/net/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Netty with protobuf between the system's own processes. */
+package org.sardinebay.net.peer;
--- /dev/null
+++ b/proxy/src/main/java/org/sardinebay/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** The program {@code sardinebay-proxy}. */
+package org.sardinebay.proxy;
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/package-info.java
@@ -0,0 +1,2 @@
+/** The program {@code sardinebay-standins}. */
+package org.sardinebay.standins;
