Add the transport and the configuration feed between processes

Cause: proxies and controllers need one connection per pair of processes that tells a call that never left from one that may have arrived, and a way to learn configuration from one another while the platform is away.

Ruled out: closing a connection on the first call without an answer, since calls in progress on it would become unknown; it is retired instead, and closes when they ended. Naming all versions in each ConfigCall, since that grows with the number of records; a matching digest stands for them.

--- /dev/null
+++ b/net/src/main/java/org/sardinebay/net/peer/PeerConnection.java
@@ -0,0 +1,180 @@
+package org.sardinebay.net.peer;
+
+import io.micrometer.core.instrument.Counter;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.sardinebay.Clock;
+import org.sardinebay.net.peer.generated.Frame;
+
+/**
+ * One connection of a {@link PeerClient}.
+ *
+ * <p>The calls in progress are touched by the connection's event loop only.
+ */
+final class PeerConnection {
+  private static final long MIN_AGE_TO_RETIRE_MILLIS = 1_000;
+
+  private final Clock clock;
+  private final Counter droppedAnswers;
+  private final long openedMillis;
+  private final Map<Long, Pending> calls = new HashMap<>();
+  private ChannelFuture connecting;
+  private long lastCorrelation;
+  private long lastReceivedMillis;
+  private volatile boolean retired;
+
+  PeerConnection(Clock clock, Counter droppedAnswers) {
+    this.clock = clock;
+    this.droppedAnswers = droppedAnswers;
+    this.openedMillis = clock.millis();
+    this.lastReceivedMillis = openedMillis;
+  }
+
+  /** Must be called once, before the first call. */
+  void attach(ChannelFuture future) {
+    connecting = future;
+    future.addListener(done -> connected(done.isSuccess()));
+    future.channel().closeFuture().addListener(closed -> fail());
+  }
+
+  /** Whether new calls may use it. */
+  boolean usable() {
+    return !retired;
+  }
+
+  CompletableFuture<PeerResult> call(Frame frame, long timeoutMillis) {
+    Pending pending = new Pending(frame, new CompletableFuture<>());
+    channel().eventLoop().execute(() -> start(pending, timeoutMillis));
+    return pending.result;
+  }
+
+  ChannelHandler inbound() {
+    return new Inbound();
+  }
+
+  private Channel channel() {
+    return connecting.channel();
+  }
+
+  private void start(Pending pending, long timeoutMillis) {
+    if (connecting.isDone() && !channel().isActive()) {
+      retired = true;
+      pending.result.complete(new PeerResult.NotSent());
+      return;
+    }
+    long correlation = ++lastCorrelation;
+    calls.put(correlation, pending);
+    pending.expiry =
+        channel()
+            .eventLoop()
+            .schedule(() -> expire(correlation), timeoutMillis, TimeUnit.MILLISECONDS);
+    if (connecting.isDone()) {
+      write(correlation, pending);
+    }
+  }
+
+  private void connected(boolean success) {
+    if (success) {
+      calls.forEach(this::write);
+    } else {
+      fail();
+    }
+  }
+
+  private void write(long correlation, Pending pending) {
+    if (pending.sent) {
+      return;
+    }
+    pending.sent = true;
+    pending.sentMillis = clock.millis();
+    Frame frame = pending.frame.toBuilder().setCorrelation(correlation).build();
+    ChannelFuture unused = channel().writeAndFlush(frame, channel().voidPromise());
+  }
+
+  private void expire(long correlation) {
+    Pending pending = calls.remove(correlation);
+    if (pending == null) {
+      return;
+    }
+    if (silentSince(pending)) {
+      retired = true;
+    }
+    closeIfDrained();
+    pending.result.complete(pending.failure());
+  }
+
+  private boolean silentSince(Pending pending) {
+    boolean silent = pending.sent && lastReceivedMillis <= pending.sentMillis;
+    boolean young = clock.millis() - openedMillis < MIN_AGE_TO_RETIRE_MILLIS;
+    return silent && !(pending.frame.hasConfigCall() && young);
+  }
+
+  private void received(Frame frame) {
+    lastReceivedMillis = clock.millis();
+    Pending pending = calls.remove(frame.getCorrelation());
+    if (pending == null) {
+      droppedAnswers.increment();
+      return;
+    }
+    pending.expiry.cancel(false);
+    closeIfDrained();
+    pending.result.complete(new PeerResult.Reply(frame));
+  }
+
+  private void closeIfDrained() {
+    if (retired && calls.isEmpty()) {
+      ChannelFuture unused = channel().close();
+    }
+  }
+
+  private void fail() {
+    retired = true;
+    List<Pending> failed = List.copyOf(calls.values());
+    calls.clear();
+    failed.forEach(
+        pending -> {
+          pending.expiry.cancel(false);
+          pending.result.complete(pending.failure());
+        });
+  }
+
+  /** A call that waits for its answer. */
+  private static final class Pending {
+    private final Frame frame;
+    private final CompletableFuture<PeerResult> result;
+    private boolean sent;
+    private long sentMillis;
+    private Future<?> expiry;
+
+    Pending(Frame frame, CompletableFuture<PeerResult> result) {
+      this.frame = frame;
+      this.result = result;
+    }
+
+    PeerResult failure() {
+      return sent ? new PeerResult.NoReply() : new PeerResult.NotSent();
+    }
+  }
+
+  /** Hands frames to the connection. */
+  private final class Inbound extends SimpleChannelInboundHandler<Frame> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+      received(frame);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      ChannelFuture unused = context.close();
+    }
+  }
+}
--- /dev/null
+++ b/net/src/test/java/org/sardinebay/net/peer/ConfigFeedTest.java
@@ -0,0 +1,122 @@
+package org.sardinebay.net.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.Address;
+import org.sardinebay.Clock;
+import org.sardinebay.net.AddressTranslation;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.net.peer.generated.ConfigCall;
+import org.sardinebay.net.peer.generated.Frame;
+import org.sardinebay.platform.ObjectKey;
+import org.sardinebay.platform.PlatformObject;
+
+class ConfigFeedTest {
+  private static final long LONG_MILLIS = 10_000;
+
+  private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+  private final MapFeedStore source = new MapFeedStore();
+  private final ConfigFeedServer server = new ConfigFeedServer(source, timer);
+
+  @AfterEach
+  void stop() {
+    timer.shutdownNow();
+  }
+
+  @Nested
+  class Server {
+    @Test
+    void should_answer_with_the_newer_records_only() {
+      source.merge(record("old", 3));
+      source.merge(record("new", 4));
+      MapFeedStore asker = new MapFeedStore();
+      asker.merge(record("old", 3));
+
+      CompletableFuture<Frame> answer = server.handle(named(asker));
+
+      assertThat(answer.join().getConfigReply().getRecordsList())
+          .extracting("name")
+          .containsExactly("new");
+    }
+
+    @Test
+    void should_hold_a_call_with_the_same_digest_until_something_changes() {
+      source.merge(record("a", 1));
+      CompletableFuture<Frame> answer = server.handle(digestOnly(source.digest()));
+      assertThat(answer).isNotDone();
+
+      source.merge(record("b", 2));
+
+      assertThat(answer.join().getConfigReply().getRecordsList())
+          .extracting("name")
+          .containsExactly("b");
+    }
+
+    @Test
+    void should_answer_another_digest_at_once_without_records() {
+      source.merge(record("a", 1));
+
+      CompletableFuture<Frame> answer = server.handle(digestOnly(source.digest() + 1));
+
+      assertThat(answer).isDone();
+      assertThat(answer.join().getConfigReply().getRecordsList()).isEmpty();
+    }
+  }
+
+  @Nested
+  class Client {
+    @Test
+    void should_take_records_from_a_fallback_when_no_preferred_source_answers() throws Exception {
+      PeerClient peers =
+          PeerClient.start(AddressTranslation.none(), Clock.system(), new SimpleMeterRegistry());
+      Address dead = PeerTransportTest.freeAddress();
+      Address live = PeerTransportTest.freeAddress();
+      PeerServer transport = PeerServer.start(live, call -> server.handle(call.getConfigCall()));
+      MapFeedStore store = new MapFeedStore();
+      ConfigFeedClient client =
+          new ConfigFeedClient(
+              "waco-1",
+              peers,
+              store,
+              () -> List.of(dead),
+              () -> List.of(live),
+              Clock.system(),
+              timer);
+      source.merge(record("a", 1));
+
+      client.start();
+
+      PeerTransportTest.await(() -> store.versions().equals(source.versions()));
+      source.merge(record("a", 2));
+      PeerTransportTest.await(() -> store.versions().equals(source.versions()));
+      client.stop();
+      peers.stop();
+      transport.stop();
+    }
+  }
+
+  private static PlatformObject record(String name, long version) {
+    return new PlatformObject(
+        new ObjectKey("databases", name), version, false, Json.newObject().put("n", version));
+  }
+
+  private static ConfigCall named(FeedStore asker) {
+    return ConfigCall.newBuilder()
+        .setDigest(asker.digest())
+        .addAllApplied(FeedCodec.messages(asker.versions()))
+        .setWaitMillis(LONG_MILLIS)
+        .build();
+  }
+
+  private static ConfigCall digestOnly(long digest) {
+    return ConfigCall.newBuilder().setDigest(digest).setWaitMillis(LONG_MILLIS).build();
+  }
+}
--- /dev/null
+++ b/net/src/test/java/org/sardinebay/net/peer/PeerTransportTest.java
@@ -0,0 +1,175 @@
+package org.sardinebay.net.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.Address;
+import org.sardinebay.Clock;
+import org.sardinebay.net.AddressTranslation;
+import org.sardinebay.net.peer.generated.Frame;
+import org.sardinebay.net.peer.generated.SuspicionCall;
+import org.sardinebay.net.peer.generated.SuspicionReply;
+
+class PeerTransportTest {
+  private static final long LONG_MILLIS = 10_000;
+  private static final long SHORT_MILLIS = 50;
+
+  private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
+  private final PeerClient client =
+      PeerClient.start(AddressTranslation.none(), Clock.system(), registry);
+  private final List<PeerServer> servers = new ArrayList<>();
+
+  @AfterEach
+  void stop() {
+    client.stop();
+    servers.forEach(PeerServer::stop);
+  }
+
+  @Nested
+  class Answers {
+    @Test
+    void should_reach_their_own_calls_when_they_come_in_another_order() throws Exception {
+      List<CompletableFuture<Frame>> answers = new CopyOnWriteArrayList<>();
+      Address address = serve(call -> hold(answers));
+      CompletableFuture<PeerResult> first = client.call(address, call(1), LONG_MILLIS);
+      await(() -> answers.size() == 1);
+      CompletableFuture<PeerResult> second = client.call(address, call(2), LONG_MILLIS);
+      await(() -> answers.size() == 2);
+
+      answers.get(1).complete(reply(22));
+      answers.get(0).complete(reply(11));
+
+      assertThat(term(first)).isEqualTo(11);
+      assertThat(term(second)).isEqualTo(22);
+    }
+
+    @Test
+    void should_be_dropped_and_counted_when_nobody_waits_for_them() throws Exception {
+      List<CompletableFuture<Frame>> answers = new CopyOnWriteArrayList<>();
+      Address address = serve(call -> hold(answers));
+      CompletableFuture<PeerResult> patient = client.call(address, call(1), LONG_MILLIS);
+      CompletableFuture<PeerResult> hasty = client.call(address, call(2), SHORT_MILLIS);
+      assertThat(hasty.get(LONG_MILLIS, TimeUnit.MILLISECONDS))
+          .isInstanceOf(PeerResult.NoReply.class);
+
+      answers.get(1).complete(reply(22));
+      answers.get(0).complete(reply(11));
+
+      assertThat(term(patient)).isEqualTo(11);
+      assertThat(registry.counter(PeerClient.DROPPED_ANSWERS).count()).isEqualTo(1);
+    }
+  }
+
+  @Nested
+  class Connections {
+    @Test
+    void should_report_a_call_as_not_sent_when_nobody_listens() throws Exception {
+      Address address = freeAddress();
+
+      PeerResult result =
+          client.call(address, call(1), LONG_MILLIS).get(LONG_MILLIS, TimeUnit.MILLISECONDS);
+
+      assertThat(result).isInstanceOf(PeerResult.NotSent.class);
+    }
+
+    @Test
+    void should_be_reopened_when_the_server_comes_back() throws Exception {
+      Address address = freeAddress();
+      PeerServer before = PeerServer.start(address, call -> done(reply(1)));
+      assertThat(term(client.call(address, call(1), LONG_MILLIS))).isEqualTo(1);
+      before.stop();
+
+      servers.add(PeerServer.start(address, call -> done(reply(2))));
+
+      await(() -> answered(address));
+    }
+
+    @Test
+    void should_be_replaced_after_a_call_met_only_silence() throws Exception {
+      try (ServerSocket silent = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+        Address address = new Address("127.0.0.1", silent.getLocalPort());
+        CompletableFuture<PeerResult> first = client.call(address, call(1), SHORT_MILLIS);
+        try (Socket before = silent.accept()) {
+          assertThat(first.get(LONG_MILLIS, TimeUnit.MILLISECONDS))
+              .isInstanceOf(PeerResult.NoReply.class);
+
+          CompletableFuture<PeerResult> second = client.call(address, call(2), SHORT_MILLIS);
+
+          silent.setSoTimeout((int) LONG_MILLIS);
+          try (Socket after = silent.accept()) {
+            assertThat(after.getPort()).isNotEqualTo(before.getPort());
+            assertThat(second.get(LONG_MILLIS, TimeUnit.MILLISECONDS))
+                .isInstanceOf(PeerResult.NoReply.class);
+          }
+        }
+      }
+    }
+  }
+
+  private Address serve(PeerHandler handler) throws IOException {
+    Address address = freeAddress();
+    servers.add(PeerServer.start(address, handler));
+    return address;
+  }
+
+  private boolean answered(Address address) throws Exception {
+    PeerResult result =
+        client.call(address, call(1), LONG_MILLIS).get(LONG_MILLIS, TimeUnit.MILLISECONDS);
+    return result instanceof PeerResult.Reply reply
+        && reply.frame().getSuspicionReply().getTerm() == 2;
+  }
+
+  private static CompletableFuture<Frame> hold(List<CompletableFuture<Frame>> answers) {
+    CompletableFuture<Frame> answer = new CompletableFuture<>();
+    answers.add(answer);
+    return answer;
+  }
+
+  static Address freeAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new Address("127.0.0.1", socket.getLocalPort());
+    }
+  }
+
+  static void await(Condition condition) throws Exception {
+    long deadline = Clock.system().millis() + LONG_MILLIS;
+    while (!condition.holds()) {
+      assertThat(Clock.system().millis()).as("deadline").isLessThan(deadline);
+      Thread.sleep(5);
+    }
+  }
+
+  private static Frame call(long term) {
+    return Frame.newBuilder().setSuspicionCall(SuspicionCall.newBuilder().setTerm(term)).build();
+  }
+
+  private static Frame reply(long term) {
+    return Frame.newBuilder().setSuspicionReply(SuspicionReply.newBuilder().setTerm(term)).build();
+  }
+
+  private static CompletableFuture<Frame> done(Frame frame) {
+    return CompletableFuture.completedFuture(frame);
+  }
+
+  private static long term(CompletableFuture<PeerResult> result) throws Exception {
+    PeerResult.Reply reply = (PeerResult.Reply) result.get(LONG_MILLIS, TimeUnit.MILLISECONDS);
+    return reply.frame().getSuspicionReply().getTerm();
+  }
+
+  /** A condition that may take a while to hold. */
+  interface Condition {
+    boolean holds() throws Exception;
+  }
+}
