--- /dev/null
+++ b/core/src/main/java/org/sardinebay/internal/version/Promotion.java
@@ -0,0 +1,439 @@
+package org.sardinebay.internal.version;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.sardinebay.MemberId;
+import org.sardinebay.Position;
+import org.sardinebay.endpoint.EndpointCall;
+import org.sardinebay.endpoint.EndpointReply;
+import org.sardinebay.platform.ObjectKey;
+import org.sardinebay.platform.PlatformFailure;
+import org.sardinebay.platform.PlatformObject;
+import org.sardinebay.platform.PlatformResult;
+import org.sardinebay.record.MemberRecord;
+
+/**
+ * Drives one attempt to give a database a new primary.
+ *
+ * <pre>{@code
+ * Promotion promotion = new Promotion(plan, new DriverName("waco-1", 7));
+ * List<PromotionEffect> effects = promotion.handle(new PromotionEvent.Started(), now);
+ * }</pre>
+ *
+ * <p>It claims a term by a conditional write, fences a majority of the members at that term,
+ * promotes the most advanced of them, publishes it, and has the others follow. Every step may be
+ * repeated, and another driver may take over at any point by claiming a higher term. A member's
+ * fence has one owner for each term, so that two drivers can't both fence a majority in one term,
+ * whatever the platform does.
+ */
+public final class Promotion {
+  /** How long a call to a member may take. */
+  public static final long MEMBER_TIMEOUT_MILLIS = 300;
+
+  /** How long a call to the platform may take. */
+  public static final long PLATFORM_TIMEOUT_MILLIS = 500;
+
+  /** How long another driver may take before its claim is overridden. */
+  public static final long TAKEOVER_AFTER_MILLIS = 1_500;
+
+  private static final long CLAIM_POLL_MILLIS = 150;
+  private static final long READ_RETRY_MILLIS = 100;
+  private static final int MAX_READ_RETRIES = 4;
+  private static final long FENCE_RETRY_MILLIS = 100;
+  private static final long FENCE_GRACE_MILLIS = 150;
+  private static final long FENCE_GIVE_UP_MILLIS = 3_000;
+  private static final int MAX_PROMOTE_CALLS = 2;
+  private static final long PUBLISH_RETRY_MILLIS = 500;
+
+  private final PromotionPlan plan;
+  private final DriverName driver;
+  private final ObjectKey key;
+  private final FenceRound fences;
+  private final List<PromotionEffect> effects = new ArrayList<>();
+  private Phase phase = Phase.NEW;
+  private long highestTerm;
+  private long term;
+  private long version;
+  private long operation;
+  private long timer;
+  private long fencingSinceMillis;
+  private Optional<Long> majoritySinceMillis = Optional.empty();
+  private Optional<Claim> otherClaim = Optional.empty();
+  private boolean claimMayHaveEffect;
+  private int readRetries;
+  private int promoteCalls;
+  private Optional<MemberId> chosen = Optional.empty();
+
+  /**
+   * Creates an attempt.
+   *
+   * @param plan what it starts from
+   * @param driver its name, unique for each attempt
+   */
+  public Promotion(PromotionPlan plan, DriverName driver) {
+    this.plan = plan;
+    this.driver = driver;
+    this.key = PromotionRecord.key(plan.database().id());
+    this.fences = new FenceRound(plan.database());
+    this.highestTerm = plan.highestTerm();
+  }
+
+  /**
+   * Takes an event.
+   *
+   * @param event the event
+   * @param nowMillis the time
+   * @return what to do, in this order
+   */
+  public List<PromotionEffect> handle(PromotionEvent event, long nowMillis) {
+    effects.clear();
+    if (phase != Phase.DONE) {
+      dispatch(event, nowMillis);
+    }
+    return List.copyOf(effects);
+  }
+
+  /**
+   * Whether the new primary leads its term. From then on only publishing is left, and a newer
+   * promotion may replace this one.
+   *
+   * @return true once a member confirmed its promotion
+   */
+  public boolean promoted() {
+    return phase == Phase.PUBLISHING || phase == Phase.DONE;
+  }
+
+  /**
+   * How far this attempt has come.
+   *
+   * @return its phase
+   */
+  public Phase phase() {
+    return phase;
+  }
+
+  private void dispatch(PromotionEvent event, long nowMillis) {
+    if (event instanceof PromotionEvent.Started) {
+      read();
+    } else if (event instanceof PromotionEvent.PlatformReplied replied) {
+      if (replied.operation() == operation) {
+        platformReplied(replied.result(), nowMillis);
+      }
+    } else if (event instanceof PromotionEvent.MemberReplied replied) {
+      memberReplied(replied, nowMillis);
+    } else if (event instanceof PromotionEvent.TimerEnded ended) {
+      timerEnded(ended.timer(), nowMillis);
+    }
+  }
+
+  private void platformReplied(PlatformResult result, long nowMillis) {
+    switch (phase) {
+      case READING -> readReplied(result, nowMillis);
+      case CLAIMING -> claimReplied(result, nowMillis);
+      case PUBLISHING -> publishReplied(result);
+      default -> {
+        // A late answer that no step waits for.
+      }
+    }
+  }
+
+  private void timerEnded(long ended, long nowMillis) {
+    if (phase == Phase.FENCING) {
+      fenceMissing(nowMillis);
+      return;
+    }
+    if (ended != timer) {
+      return;
+    }
+    if (phase == Phase.READING) {
+      read();
+    } else if (phase == Phase.PUBLISHING) {
+      readForPublishing();
+    }
+  }
+
+  // Claiming a term.
+
+  private void read() {
+    phase = Phase.READING;
+    effects.add(new PromotionEffect.ReadObject(++operation, key, PLATFORM_TIMEOUT_MILLIS));
+  }
+
+  private void readReplied(PlatformResult result, long nowMillis) {
+    if (result instanceof PlatformResult.Found found) {
+      foundBeforeClaim(found.object(), nowMillis);
+    } else if (result instanceof PlatformResult.Absent) {
+      version = 0;
+      claim();
+    } else if (readRetries < MAX_READ_RETRIES && claimMayHaveEffect) {
+      readRetries++;
+      setTimer(READ_RETRY_MILLIS);
+    } else {
+      fail(PromotionFailure.PLATFORM_UNAVAILABLE);
+    }
+  }
+
+  private void foundBeforeClaim(PlatformObject object, long nowMillis) {
+    version = object.version();
+    Optional<PromotionRecord> found = PromotionRecord.read(object.body());
+    if (found.isEmpty()) {
+      fail(PromotionFailure.RECORD_UNREADABLE);
+      return;
+    }
+    PromotionRecord record = found.get();
+    if (record.driver().equals(driver.toString())) {
+      claimed(record.term(), nowMillis);
+      return;
+    }
+    highestTerm = Math.max(highestTerm, record.term());
+    boolean newer = record.term() > plan.ledTerm();
+    if (newer && record.step() == PromotionStep.PUBLISHED) {
+      finish(new PromotionOutcome.Superseded(record));
+    } else if (newer && inProgress(record, nowMillis)) {
+      setTimer(CLAIM_POLL_MILLIS);
+    } else {
+      claim();
+    }
+  }
+
+  private boolean inProgress(PromotionRecord record, long nowMillis) {
+    if (driver.sameProcess(record.driver())) {
+      return false;
+    }
+    Claim claim = new Claim(record.term(), record.driver(), nowMillis);
+    if (otherClaim.filter(claim::sameAs).isEmpty()) {
+      otherClaim = Optional.of(claim);
+    }
+    return nowMillis - otherClaim.get().firstSeenMillis < TAKEOVER_AFTER_MILLIS;
+  }
+
+  private void claim() {
+    phase = Phase.CLAIMING;
+    term = highestTerm + 1;
+    write(record(PromotionStep.FENCING, Optional.empty(), Optional.empty()));
+  }
+
+  private void claimReplied(PlatformResult result, long nowMillis) {
+    if (result instanceof PlatformResult.Found found) {
+      version = found.object().version();
+      claimed(term, nowMillis);
+    } else if (result instanceof PlatformResult.Conflict) {
+      read();
+    } else if (noAnswer(result)) {
+      claimMayHaveEffect = true;
+      read();
+    } else {
+      fail(PromotionFailure.PLATFORM_UNAVAILABLE);
+    }
+  }
+
+  // Fencing a majority.
+
+  private void claimed(long claimedTerm, long nowMillis) {
+    phase = Phase.FENCING;
+    term = claimedTerm;
+    highestTerm = Math.max(highestTerm, term);
+    fencingSinceMillis = nowMillis;
+    effects.add(new PromotionEffect.Claimed(term));
+    callDue();
+  }
+
+  private void callDue() {
+    EndpointCall.Fence fence = new EndpointCall.Fence(term, driver.toString());
+    fences.due().forEach(member -> call(member, fence));
+  }
+
+  private void memberReplied(PromotionEvent.MemberReplied replied, long nowMillis) {
+    if (phase == Phase.FENCING && replied.call() instanceof EndpointCall.Fence) {
+      fenceReplied(replied.member(), replied.reply(), nowMillis);
+    } else if (phase == Phase.PROMOTING && replied.call() instanceof EndpointCall.Promote) {
+      promoteReplied(replied.reply());
+    }
+  }
+
+  private void fenceReplied(MemberId member, EndpointReply reply, long nowMillis) {
+    if (reply instanceof EndpointReply.Obeyed obeyed && obeyed.term() == term) {
+      fences.fenced(member, obeyed.received());
+    } else if (reply instanceof EndpointReply.Refused refusal && refusal.term() >= term) {
+      highestTerm = Math.max(highestTerm, refusal.term());
+      fences.refused(member);
+    } else {
+      fences.failed(member);
+      setTimer(FENCE_RETRY_MILLIS);
+    }
+    decide(nowMillis);
+  }
+
+  private void fenceMissing(long nowMillis) {
+    if (fences.majority()) {
+      decide(nowMillis);
+    } else if (nowMillis - fencingSinceMillis >= FENCE_GIVE_UP_MILLIS) {
+      fail(PromotionFailure.NO_MAJORITY);
+    } else {
+      callDue();
+    }
+  }
+
+  private void decide(long nowMillis) {
+    if (fences.majority()) {
+      awaitStragglers(nowMillis);
+    } else if (fences.lost()) {
+      fail(PromotionFailure.OUTBID);
+    }
+  }
+
+  private void awaitStragglers(long nowMillis) {
+    if (majoritySinceMillis.isEmpty()) {
+      majoritySinceMillis = Optional.of(nowMillis);
+      setTimer(FENCE_GRACE_MILLIS);
+    }
+    boolean graceOver = nowMillis - majoritySinceMillis.get() >= FENCE_GRACE_MILLIS;
+    if (graceOver || fences.settled(plan.silent())) {
+      promote(fences.choose(plan.leaving(), plan.applyLags()));
+    }
+  }
+
+  // Promoting one member.
+
+  private void promote(MemberId member) {
+    phase = Phase.PROMOTING;
+    chosen = Optional.of(member);
+    promoteCalls++;
+    call(member, new EndpointCall.Promote(term, driver.toString()));
+  }
+
+  private void promoteReplied(EndpointReply reply) {
+    MemberId member = chosen.orElseThrow();
+    if (reply instanceof EndpointReply.Obeyed) {
+      promoted(member);
+    } else if (reply instanceof EndpointReply.Refused refusal) {
+      highestTerm = Math.max(highestTerm, refusal.term());
+      fail(PromotionFailure.OUTBID);
+    } else if (promoteCalls < MAX_PROMOTE_CALLS) {
+      promote(member);
+    } else {
+      // The member may lead the term already, so no other one may lead the same term.
+      fail(PromotionFailure.CANDIDATE_LOST);
+    }
+  }
+
+  private void promoted(MemberId primary) {
+    effects.add(new PromotionEffect.Promoted(term, primary, start(primary)));
+    publish();
+    plan.database().members().stream()
+        .map(MemberRecord::id)
+        .filter(member -> !member.equals(primary))
+        .forEach(member -> call(member, follow(primary)));
+  }
+
+  private EndpointCall follow(MemberId primary) {
+    MemberRecord record =
+        plan.database().members().stream()
+            .filter(member -> member.id().equals(primary))
+            .findFirst()
+            .orElseThrow();
+    return new EndpointCall.Follow(term, primary, record.address());
+  }
+
+  private Position start(MemberId primary) {
+    return new Position(term, fences.received(primary).index() + 1);
+  }
+
+  // Publishing the new primary.
+
+  private void publish() {
+    phase = Phase.PUBLISHING;
+    MemberId primary = chosen.orElseThrow();
+    write(record(PromotionStep.PUBLISHED, Optional.of(primary), Optional.of(start(primary))));
+  }
+
+  private void readForPublishing() {
+    effects.add(new PromotionEffect.ReadObject(++operation, key, PLATFORM_TIMEOUT_MILLIS));
+  }
+
+  private void publishReplied(PlatformResult result) {
+    if (result instanceof PlatformResult.Found found) {
+      foundWhilePublishing(found.object());
+    } else if (result instanceof PlatformResult.Conflict || noAnswer(result)) {
+      readForPublishing();
+    } else {
+      setTimer(PUBLISH_RETRY_MILLIS);
+    }
+  }
+
+  private void foundWhilePublishing(PlatformObject object) {
+    Optional<PromotionRecord> found = PromotionRecord.read(object.body());
+    if (found.isEmpty()) {
+      fail(PromotionFailure.RECORD_UNREADABLE);
+      return;
+    }
+    PromotionRecord record = found.get();
+    if (!record.driver().equals(driver.toString())) {
+      finish(new PromotionOutcome.Superseded(record));
+    } else if (record.step() == PromotionStep.PUBLISHED) {
+      finish(new PromotionOutcome.Published(record));
+    } else {
+      version = object.version();
+      publish();
+    }
+  }
+
+  private void write(PromotionRecord record) {
+    effects.add(
+        new PromotionEffect.WriteObject(
+            ++operation, key, version, record, PLATFORM_TIMEOUT_MILLIS));
+  }
+
+  private PromotionRecord record(
+      PromotionStep step, Optional<MemberId> primary, Optional<Position> start) {
+    return new PromotionRecord(term, driver.toString(), step, primary, start, plan.cause());
+  }
+
+  private void call(MemberId member, EndpointCall call) {
+    effects.add(new PromotionEffect.CallMember(member, call, MEMBER_TIMEOUT_MILLIS));
+  }
+
+  private void setTimer(long delayMillis) {
+    effects.add(new PromotionEffect.SetTimer(++timer, delayMillis));
+  }
+
+  private void fail(PromotionFailure reason) {
+    finish(new PromotionOutcome.Failed(reason, highestTerm));
+  }
+
+  private void finish(PromotionOutcome outcome) {
+    phase = Phase.DONE;
+    effects.add(new PromotionEffect.Finished(outcome));
+  }
+
+  private static boolean noAnswer(PlatformResult result) {
+    return result instanceof PlatformResult.Failed failed
+        && failed.failure() == PlatformFailure.NO_ANSWER;
+  }
+
+  /** The phases of an attempt. */
+  public enum Phase {
+    /** Not started. */
+    NEW,
+    /** Reads the state on the platform, or waits for another driver. */
+    READING,
+    /** Claims a term. */
+    CLAIMING,
+    /** Fences members. */
+    FENCING,
+    /** Promotes the chosen member. */
+    PROMOTING,
+    /** Publishes the new primary. */
+    PUBLISHING,
+    /** Over. */
+    DONE
+  }
+
+  /** Another driver's claim, with the time at which this attempt first saw it. */
+  private record Claim(long term, String driver, long firstSeenMillis) {
+    boolean sameAs(Claim other) {
+      return term == other.term && driver.equals(other.driver);
+    }
+  }
+}
