Test promotion by random runs, and publish what a dead driver promoted

Change: Publication, a machine that publishes such a primary; PromotionSimulation with fake members and platform, lost and late calls, crashes of members and drivers, outages.

--- a/core/src/main/java/org/sardinebay/internal/version/DatabaseWatch.java
+++ b/core/src/main/java/org/sardinebay/internal/version/DatabaseWatch.java
@@ -40,6 +40,8 @@
   private static final long FOLLOW_RANK_DELAY_MILLIS = 300;
   private static final long FOLLOW_REPEAT_MILLIS = 500;
   private static final long ABANDONED_AFTER_MILLIS = 1_000;
+  private static final long PUBLISH_AFTER_MILLIS = 2_000;
+  private static final long PUBLISH_RANK_DELAY_MILLIS = 3_000;
 
   private final FailureDomain ownDomain;
   private final InvariantListener invariants;
@@ -55,6 +57,8 @@
   private Position confirmed = Position.ZERO;
   private Optional<PromotionCause> cause = Optional.empty();
   private long causeSinceMillis;
+  private long publishedTerm;
+  private long publicationDueMillis;
   private Optional<Long> aheadSinceMillis = Optional.empty();
 
   /**
@@ -107,6 +111,7 @@
         dueFollows(rank, nowMillis),
         leader.isPresent() && silentMillis(nowMillis) >= ASK_WATCHERS_AFTER_MILLIS,
         due ? cause.map(why -> plan(why, nowMillis)) : Optional.empty(),
+        duePublication(rank, nowMillis),
         cause.isPresent());
   }
 
@@ -156,6 +161,23 @@
     lead(term, primary, nowMillis);
   }
 
+  /**
+   * Takes what the platform has published.
+   *
+   * @param record the state of the database's promotions
+   * @param nowMillis the time
+   */
+  public void published(PromotionRecord record, long nowMillis) {
+    if (record.step() == PromotionStep.PUBLISHED) {
+      publishedTerm = Math.max(publishedTerm, record.term());
+      promoted(
+          record.term(),
+          record.primary().orElseThrow(),
+          record.start().orElse(Position.ZERO),
+          nowMillis);
+    }
+  }
+
   /**
    * How long the primary has been silent towards this process.
    *
@@ -297,6 +319,24 @@
         views.applyLags());
   }
 
+  private Optional<Publication> duePublication(int rank, long nowMillis) {
+    long dueMillis = publicationDueMillis + rank * PUBLISH_RANK_DELAY_MILLIS;
+    if (leader.isEmpty() || leader.get().term() <= publishedTerm || nowMillis < dueMillis) {
+      return Optional.empty();
+    }
+    Leader known = leader.get();
+    return views
+        .fresh(known.member(), nowMillis)
+        .filter(view -> view.leads(known.term()))
+        .flatMap(view -> view.start(known.term()))
+        .map(start -> publication(known, start, nowMillis));
+  }
+
+  private Publication publication(Leader known, Position start, long nowMillis) {
+    publicationDueMillis = nowMillis + PUBLISH_AFTER_MILLIS;
+    return new Publication(database.id(), known.term(), known.member(), start);
+  }
+
   private void noteLeader(EndpointReply.Standing standing, long nowMillis) {
     if (standing.role() == MemberRole.PRIMARY) {
       lead(standing.term(), standing.member(), nowMillis);
@@ -308,6 +348,7 @@
   private void lead(long term, MemberId member, long nowMillis) {
     if (leader.isEmpty() || leader.get().term() < term) {
       leader = Optional.of(new Leader(term, member, nowMillis));
+      publicationDueMillis = nowMillis + PUBLISH_AFTER_MILLIS;
       detector.answered(member, nowMillis);
     } else if (leader.get().term() == term && !leader.get().member().equals(member)) {
       invariants.violated(
--- a/core/src/main/java/org/sardinebay/internal/version/MemberViews.java
+++ b/core/src/main/java/org/sardinebay/internal/version/MemberViews.java
@@ -93,6 +93,11 @@
           && standing.primary().filter(leader.member()::equals).isPresent();
     }
 
+    /** The position of the entry that opens a term. */
+    Optional<Position> start(long term) {
+      return standing.history().stream().filter(start -> start.term() == term).findFirst();
+    }
+
     private boolean confirms(long term) {
       boolean syncedReplica = standing.role() == MemberRole.REPLICA && standing.synced();
       boolean attached = leads(term) || syncedReplica;
--- a/core/src/main/java/org/sardinebay/internal/version/Promotion.java
+++ b/core/src/main/java/org/sardinebay/internal/version/Promotion.java
@@ -27,7 +27,7 @@
  * fence has one owner for each term, so that two drivers can't both fence a majority in one term,
  * whatever the platform does.
  */
-public final class Promotion {
+public final class Promotion implements PromotionMachine {
   /** How long a call to a member may take. */
   public static final long MEMBER_TIMEOUT_MILLIS = 300;
 
@@ -79,13 +79,7 @@
     this.highestTerm = plan.highestTerm();
   }
 
-  /**
-   * Takes an event.
-   *
-   * @param event the event
-   * @param nowMillis the time
-   * @return what to do, in this order
-   */
+  @Override
   public List<PromotionEffect> handle(PromotionEvent event, long nowMillis) {
     effects.clear();
     if (phase != Phase.DONE) {
@@ -94,13 +88,9 @@
     return List.copyOf(effects);
   }
 
-  /**
-   * Whether the new primary leads its term. From then on only publishing is left, and a newer
-   * promotion may replace this one.
-   *
-   * @return true once a member confirmed its promotion
-   */
-  public boolean promoted() {
+  /** From the moment when the new primary leads its term, only publishing is left. */
+  @Override
+  public boolean replaceable() {
     return phase == Phase.PUBLISHING || phase == Phase.DONE;
   }
 
--- a/core/src/main/java/org/sardinebay/internal/version/WatchStep.java
+++ b/core/src/main/java/org/sardinebay/internal/version/WatchStep.java
@@ -11,6 +11,7 @@
  * @param follows the members to set to follow the primary
  * @param askWatchers whether to ask the other watchers about the primary's silence
  * @param promotion the promotion to start, if one is due
+ * @param publication the primary to publish because its driver did not, if there is one
  * @param promotionNeeded whether there is cause for a promotion, due or not
  */
 public record WatchStep(
@@ -18,4 +19,5 @@
     List<FollowNeeded> follows,
     boolean askWatchers,
     Optional<PromotionPlan> promotion,
+    Optional<Publication> publication,
     boolean promotionNeeded) {}
--- /dev/null
+++ b/core/src/test/java/org/sardinebay/internal/version/PromotionSimulation.java
@@ -0,0 +1,387 @@
+package org.sardinebay.internal.version;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.sardinebay.Address;
+import org.sardinebay.DatabaseId;
+import org.sardinebay.FailureDomain;
+import org.sardinebay.MemberId;
+import org.sardinebay.Position;
+import org.sardinebay.endpoint.EndpointCall;
+import org.sardinebay.endpoint.EndpointReply;
+import org.sardinebay.endpoint.MemberRole;
+import org.sardinebay.platform.PlatformFailure;
+import org.sardinebay.platform.PlatformResult;
+import org.sardinebay.record.AckPolicyName;
+import org.sardinebay.record.DatabaseRecord;
+import org.sardinebay.record.MemberRecord;
+
+/**
+ * Runs several promotion drivers against fake members and a fake platform in virtual time.
+ *
+ * <p>While {@link #faults} is set, calls and answers are lost or late, members and drivers crash,
+ * and drivers start promotions without any cause.
+ */
+final class PromotionSimulation {
+  private static final int DRIVERS = 3;
+
+  private static final long STEP_MILLIS = 20;
+  private static final long MAX_LATE_MILLIS = 1_200;
+  private static final long MAX_LATENCY_MILLIS = 10;
+  private static final int MAX_DOWN_MILLIS = 3_000;
+  private static final int MAX_PULLED = 4;
+
+  private final Map<MemberId, FakeMember> members = new TreeMap<>();
+  private final Map<MemberId, Long> downUntilMillis = new HashMap<>();
+  private final Map<Long, Set<MemberId>> leaders = new HashMap<>();
+  private final Set<Position> confirmed = new HashSet<>();
+  private final FakePlatform platform = new FakePlatform();
+  private final DatabaseRecord database;
+  private final Random random;
+  private final PriorityQueue<Task> tasks =
+      new PriorityQueue<>(Comparator.comparingLong(Task::timeMillis).thenComparing(Task::order));
+  private final List<Driver> drivers = new ArrayList<>();
+  private final MemberViews observed = new MemberViews();
+  private boolean faults = true;
+  private long platformDownUntilMillis;
+  private int promotions;
+  private long nowMillis;
+  private long order;
+
+  PromotionSimulation(long seed, int memberCount) {
+    random = new Random(seed);
+    List<MemberRecord> records = new ArrayList<>();
+    for (int i = 0; i < memberCount; i++) {
+      MemberId id = new MemberId("m" + i);
+      records.add(
+          new MemberRecord(id, new Address("127.0.0.1", i + 1), new FailureDomain("hall-" + i)));
+      members.put(id, new FakeMember(id, this::promoted));
+    }
+    database =
+        new DatabaseRecord(
+            new DatabaseId("contracts-1"), "s", records, 20, 3, AckPolicyName.MAJORITY);
+    for (int i = 0; i < DRIVERS; i++) {
+      drivers.add(new Driver(i));
+    }
+  }
+
+  void run(long millis) {
+    long end = nowMillis + millis;
+    at(STEP_MILLIS, this::step);
+    while (!tasks.isEmpty() && tasks.peek().timeMillis <= end) {
+      Task task = tasks.poll();
+      nowMillis = task.timeMillis;
+      task.action.run();
+    }
+    nowMillis = end;
+    tasks.removeIf(task -> task.recurring);
+  }
+
+  void endFaults() {
+    faults = false;
+  }
+
+  int promotions() {
+    return promotions;
+  }
+
+  Set<Position> confirmed() {
+    return confirmed;
+  }
+
+  Collection<FakeMember> members() {
+    return members.values();
+  }
+
+  Optional<PromotionRecord> record() {
+    return platform.record();
+  }
+
+  Optional<FakeMember> leader() {
+    return members.values().stream()
+        .filter(member -> member.role() == MemberRole.PRIMARY)
+        .max(Comparator.comparingLong(FakeMember::term));
+  }
+
+  private void step() {
+    members.values().forEach(this::stepMember);
+    members.values().forEach(this::observe);
+    drivers.forEach(Driver::step);
+    tasks.add(new Task(nowMillis + STEP_MILLIS, order++, this::step, true));
+  }
+
+  private void stepMember(FakeMember member) {
+    if (faults && chance(0.003)) {
+      member.restart();
+      downUntilMillis.put(member.id(), nowMillis + random.nextInt(MAX_DOWN_MILLIS));
+    }
+    if (!up(member)) {
+      return;
+    }
+    if (member.role() == MemberRole.PRIMARY && chance(0.3)) {
+      member.append();
+    }
+    if (member.role() == MemberRole.REPLICA && (!faults || chance(0.6))) {
+      FakeMember source = members.get(member.primary().orElseThrow());
+      if (up(source)) {
+        member.pull(source, 1 + random.nextInt(MAX_PULLED));
+      }
+    }
+  }
+
+  private boolean up(FakeMember member) {
+    return nowMillis >= downUntilMillis.getOrDefault(member.id(), 0L);
+  }
+
+  private void observe(FakeMember member) {
+    if (!up(member) || (faults && chance(0.3))) {
+      return;
+    }
+    observed.put(member.standing(), nowMillis, nowMillis);
+    long term = member.term();
+    observed.receivedBy(database.majority(), term).ifPresent(position -> confirm(position, term));
+  }
+
+  private void confirm(Position position, long term) {
+    if (confirmed.add(position)) {
+      members.values().stream()
+          .filter(other -> other.role() == MemberRole.PRIMARY && other.term() > term)
+          .forEach(other -> assertHolds(other, position));
+    }
+  }
+
+  private void assertHolds(FakeMember primary, Position position) {
+    assertThat(primary.holds(position))
+        .as(
+            "confirmed entry %s in the log of %s, primary of term %d",
+            position, primary.id(), primary.term())
+        .isTrue();
+  }
+
+  private void promoted(FakeMember member) {
+    promotions++;
+    leaders.computeIfAbsent(member.term(), term -> new HashSet<>()).add(member.id());
+    assertThat(leaders.get(member.term())).as("primaries of term %d", member.term()).hasSize(1);
+    confirmed.stream()
+        .filter(position -> position.term() < member.term())
+        .forEach(position -> assertHolds(member, position));
+  }
+
+  private boolean chance(double probability) {
+    return random.nextDouble() < probability;
+  }
+
+  private void at(long delayMillis, Runnable action) {
+    tasks.add(new Task(nowMillis + delayMillis, order++, action, false));
+  }
+
+  private long latency() {
+    return 1L + random.nextInt((int) MAX_LATENCY_MILLIS);
+  }
+
+  private long lateness() {
+    return random.nextInt((int) MAX_LATE_MILLIS);
+  }
+
+  private record Task(long timeMillis, long order, Runnable action, boolean recurring) {}
+
+  /** The shell of one controller: starts attempts, carries out their effects, crashes. */
+  private final class Driver {
+    private final int number;
+    private int incarnation;
+    private long attempts;
+    private Optional<PromotionMachine> running = Optional.empty();
+    private long idleUntilMillis;
+    private long ledTerm;
+
+    Driver(int number) {
+      this.number = number;
+    }
+
+    void step() {
+      if (faults && chance(0.004)) {
+        running = Optional.empty();
+        incarnation++;
+      }
+      if (faults && chance(0.002)) {
+        platformDownUntilMillis = nowMillis + lateness();
+      }
+      boolean wanted = faults ? chance(0.05) : !healthy();
+      boolean free = running.isEmpty() || running.get().replaceable();
+      if (wanted && free && nowMillis >= idleUntilMillis) {
+        start();
+      }
+      if (!faults) {
+        follow();
+        publish();
+      }
+    }
+
+    private boolean healthy() {
+      long highest = members.values().stream().mapToLong(member -> member.term()).max().orElse(0);
+      return leader().filter(member -> member.term() == highest).isPresent();
+    }
+
+    private void start() {
+      String process = "driver-" + number + "-" + incarnation;
+      Promotion attempt = new Promotion(plan(), new DriverName(process, ++attempts));
+      running = Optional.of(attempt);
+      feed(attempt, new PromotionEvent.Started());
+    }
+
+    private PromotionPlan plan() {
+      ledTerm = Math.max(ledTerm, leader().map(FakeMember::term).orElse(0L));
+      return new PromotionPlan(
+          database,
+          PromotionCause.PRIMARY_SILENT,
+          ledTerm,
+          faults ? ledTerm : members.values().stream().mapToLong(m -> m.term()).max().orElse(0),
+          Optional.empty(),
+          faults && chance(0.2) ? Set.of(new MemberId("m0")) : Set.of(),
+          Map.of());
+    }
+
+    private void follow() {
+      leader()
+          .filter(PromotionSimulation.this::up)
+          .ifPresent(
+              primary ->
+                  members.values().stream()
+                      .filter(member -> member != primary && !follows(member, primary))
+                      .forEach(
+                          member ->
+                              member.take(
+                                  new EndpointCall.Follow(
+                                      primary.term(), primary.id(), new Address("127.0.0.1", 1)))));
+    }
+
+    private boolean follows(FakeMember member, FakeMember primary) {
+      return member.role() == MemberRole.REPLICA && member.term() == primary.term();
+    }
+
+    private void publish() {
+      Optional<FakeMember> leader = leader().filter(PromotionSimulation.this::up);
+      if (leader.isEmpty() || running.isPresent() || !healthy()) {
+        return;
+      }
+      long term = leader.get().term();
+      if (record().filter(record -> current(record, term)).isPresent()) {
+        return;
+      }
+      Position start =
+          leader.get().standing().history().stream()
+              .filter(position -> position.term() == term)
+              .findFirst()
+              .orElseThrow();
+      running = Optional.of(new Publication(database.id(), term, leader.get().id(), start));
+      feed(running.get(), new PromotionEvent.Started());
+    }
+
+    private boolean current(PromotionRecord record, long term) {
+      return record.term() > term || record.step() == PromotionStep.PUBLISHED;
+    }
+
+    private void feed(PromotionMachine attempt, PromotionEvent event) {
+      boolean current = running.filter(machine -> machine == attempt).isPresent();
+      if (current) {
+        attempt.handle(event, nowMillis).forEach(effect -> carryOut(attempt, effect));
+      }
+    }
+
+    private void carryOut(PromotionMachine attempt, PromotionEffect effect) {
+      if (effect instanceof PromotionEffect.CallMember call) {
+        callMember(attempt, call);
+      } else if (effect instanceof PromotionEffect.ReadObject read) {
+        callPlatform(attempt, read.operation(), () -> platform.read(read.key()));
+      } else if (effect instanceof PromotionEffect.WriteObject write) {
+        callPlatform(attempt, write.operation(), () -> platform.write(write));
+      } else if (effect instanceof PromotionEffect.SetTimer timer) {
+        at(timer.delayMillis(), () -> feed(attempt, new PromotionEvent.TimerEnded(timer.timer())));
+      } else if (effect instanceof PromotionEffect.Finished finished) {
+        learn(finished.outcome());
+        running = Optional.empty();
+        idleUntilMillis = nowMillis + random.nextInt(300);
+      }
+    }
+
+    private void learn(PromotionOutcome outcome) {
+      if (outcome instanceof PromotionOutcome.Superseded superseded) {
+        ledTerm = Math.max(ledTerm, superseded.record().term());
+      }
+    }
+
+    private void callMember(PromotionMachine attempt, PromotionEffect.CallMember effect) {
+      FakeMember member = members.get(effect.member());
+      boolean lateCall = faults && chance(0.15);
+      boolean lostReply = faults && chance(0.15);
+      if (!up(member) || (faults && chance(0.1))) {
+        reply(attempt, effect, effect.timeoutMillis(), new EndpointReply.NoReply());
+      } else if (lateCall) {
+        at(lateness(), () -> member.take(effect.call()));
+        reply(attempt, effect, effect.timeoutMillis(), new EndpointReply.NoReply());
+      } else {
+        at(
+            latency(),
+            () -> {
+              EndpointReply reply = member.take(effect.call());
+              boolean lost = lostReply;
+              reply(
+                  attempt,
+                  effect,
+                  lost ? effect.timeoutMillis() : latency(),
+                  lost ? new EndpointReply.NoReply() : reply);
+            });
+      }
+    }
+
+    private void reply(
+        PromotionMachine attempt,
+        PromotionEffect.CallMember effect,
+        long delayMillis,
+        EndpointReply reply) {
+      at(
+          delayMillis,
+          () ->
+              feed(
+                  attempt,
+                  new PromotionEvent.MemberReplied(effect.member(), effect.call(), reply)));
+    }
+
+    private void callPlatform(PromotionMachine attempt, long operation, PlatformCall call) {
+      if (nowMillis < platformDownUntilMillis) {
+        answer(attempt, operation, latency(), failed(PlatformFailure.UNAVAILABLE));
+      } else if (faults && chance(0.2)) {
+        at(lateness(), call::run);
+        answer(attempt, operation, 500, failed(PlatformFailure.NO_ANSWER));
+      } else {
+        at(latency(), () -> answer(attempt, operation, latency(), call.run()));
+      }
+    }
+
+    private void answer(
+        PromotionMachine attempt, long operation, long delayMillis, PlatformResult result) {
+      at(delayMillis, () -> feed(attempt, new PromotionEvent.PlatformReplied(operation, result)));
+    }
+
+    private PlatformResult failed(PlatformFailure failure) {
+      return new PlatformResult.Failed(failure);
+    }
+  }
+
+  /** A call that takes effect when it is run. */
+  private interface PlatformCall {
+    PlatformResult run();
+  }
+}
