Add the HTTP client of endpoints

Cause: proxies and controllers need to call members as docs/design/protocols.md states; EndpointClient had no implementation.

Ruled out: binding records by reflection (slower on the hot path, and a missing number would silently read as 0); the tree is read strictly instead, and anything unreadable is NoReply.

Each call has a correlation text of its own; another one in the reply is Crossed.

--- /dev/null
+++ b/net/src/main/java/org/sardinebay/net/endpoint/HttpEndpointClient.java
@@ -0,0 +1,84 @@
+package org.sardinebay.net.endpoint;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.activej.http.HttpMethod;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.sardinebay.Address;
+import org.sardinebay.endpoint.EndpointCall;
+import org.sardinebay.endpoint.EndpointClient;
+import org.sardinebay.endpoint.EndpointReply;
+import org.sardinebay.net.AddressTranslation;
+import org.sardinebay.net.http.HttpReply;
+import org.sardinebay.net.http.HttpResult;
+import org.sardinebay.net.http.JsonHttpClient;
+
+/**
+ * Sends endpoint calls as JSON over HTTP.
+ *
+ * <pre>{@code
+ * EndpointClient client = new HttpEndpointClient(http, AddressTranslation.none());
+ * client.call(member, new EndpointCall.Open("proxy-1"), 500).thenAccept(reply -> ...);
+ * }</pre>
+ *
+ * <p>Each call carries a correlation text of its own. A reply with another one is {@link
+ * EndpointReply.Crossed}; a reply that can't be read is {@link EndpointReply.NoReply}.
+ */
+public final class HttpEndpointClient implements EndpointClient {
+  private static final String CORRELATION = "correlation";
+
+  private final JsonHttpClient http;
+  private final AddressTranslation translation;
+  private final String correlationPrefix = UUID.randomUUID() + "-";
+  private final AtomicLong calls = new AtomicLong();
+
+  /**
+   * Creates a client.
+   *
+   * @param http what sends the requests
+   * @param translation how this host reaches the members' addresses
+   */
+  public HttpEndpointClient(JsonHttpClient http, AddressTranslation translation) {
+    this.http = http;
+    this.translation = translation;
+  }
+
+  @Override
+  public CompletableFuture<EndpointReply> call(
+      Address member, EndpointCall call, long timeoutMillis) {
+    String correlation = correlationPrefix + calls.incrementAndGet();
+    ObjectNode body = CallEncoder.encode(call);
+    body.put(CORRELATION, correlation).put("member", "");
+    return http.call(
+            HttpMethod.POST,
+            translation.translate(member),
+            CallEncoder.path(call),
+            Optional.of(body),
+            timeoutMillis)
+        .thenApply(result -> reply(call, correlation, result));
+  }
+
+  private static EndpointReply reply(EndpointCall call, String correlation, HttpResult result) {
+    if (result instanceof HttpResult.NotSent) {
+      return new EndpointReply.NotSent();
+    }
+    if (result instanceof HttpResult.Response response && response.status() == HttpReply.OK) {
+      return reply(call, correlation, response.body());
+    }
+    return new EndpointReply.NoReply();
+  }
+
+  private static EndpointReply reply(EndpointCall call, String correlation, JsonNode body) {
+    JsonNode echoed = body.path(CORRELATION);
+    if (echoed.isTextual() && !echoed.textValue().equals(correlation)) {
+      return new EndpointReply.Crossed();
+    }
+    if (!echoed.isTextual()) {
+      return new EndpointReply.NoReply();
+    }
+    return ReplyDecoder.decode(call, body).orElseGet(EndpointReply.NoReply::new);
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/sardinebay/net/endpoint/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP client of endpoints. */
+package org.sardinebay.net.endpoint;
