Add the stand-in of an endpoint

Cause: proxies, controllers and the driver need a member that speaks docs/design/protocols.md, replicates asynchronously and can be killed.

Ruled out: reporting synced as soon as the common prefix is found. A replica that holds a prefix but not the entry that opened the term could confirm an older entry, and a later promotion could prefer a log that ends in a term between; synced waits for the opening entry. Several requests to the primary at once were ruled out too: a late reply could drop entries received since. Branch-lost only when the log went on in a newer term without the position: a log that is merely old refuses as behind.

Change: Member is a state machine without I/O; EndpointProcess runs it behind HTTP with one lock, keeps its records before it replies, and loses or swaps replies on request. HttpEndpointClientContractTest runs the client against two real members on loopback.

--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/endpoint/CallDecoder.java
@@ -0,0 +1,106 @@
+package org.sardinebay.standins.endpoint;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.util.Optional;
+import java.util.function.Function;
+import org.sardinebay.MemberId;
+import org.sardinebay.Position;
+import org.sardinebay.endpoint.EndpointCall;
+import org.sardinebay.endpoint.IdempotencyKey;
+import org.sardinebay.endpoint.StatementKind;
+import org.sardinebay.record.FieldReader;
+
+/** Reads endpoint calls from JSON. */
+final class CallDecoder {
+  private static final long MAX_MILLIS = 3_600_000;
+  private static final String TERM = "term";
+  private static final String OWNER = "owner";
+  private static final String CONNECTION = "connection";
+
+  private CallDecoder() {}
+
+  /**
+   * A call as it arrived.
+   *
+   * @param correlation what the reply must echo
+   * @param call the call; empty if it can't be read or is meant for another member
+   */
+  record Decoded(String correlation, Optional<EndpointCall> call) {}
+
+  static Decoded decode(
+      MemberId self, Optional<JsonNode> body, Function<FieldReader, EndpointCall> fields) {
+    FieldReader reader = FieldReader.of(body.orElseGet(MissingNode::getInstance));
+    String correlation = reader.text("correlation", "");
+    String meant = reader.text("member", "");
+    EndpointCall call = fields.apply(reader);
+    boolean forSelf = meant.isEmpty() || meant.equals(self.value());
+    boolean readable = reader.problems().isEmpty() && forSelf;
+    return new Decoded(correlation, readable ? Optional.of(call) : Optional.empty());
+  }
+
+  static EndpointCall open(FieldReader reader) {
+    return new EndpointCall.Open(reader.text("client"));
+  }
+
+  static EndpointCall close(FieldReader reader) {
+    return new EndpointCall.Close(reader.text(CONNECTION));
+  }
+
+  static EndpointCall execute(FieldReader reader) {
+    if (!reader.has("kind")) {
+      reader.problem("kind", "a kind of statement");
+    }
+    return new EndpointCall.Execute(
+        reader.text(CONNECTION),
+        reader.constant("kind", StatementKind.READ),
+        reader.text("statement", ""),
+        number(reader, TERM),
+        least(reader),
+        millis(reader, "maxWaitMillis"),
+        key(reader),
+        millis(reader, "deadlineMillis"));
+  }
+
+  static EndpointCall progress(FieldReader reader) {
+    return new EndpointCall.Progress(
+        number(reader, TERM), number(reader, "afterIndex"), millis(reader, "waitMillis"));
+  }
+
+  static EndpointCall fence(FieldReader reader) {
+    return new EndpointCall.Fence(number(reader, TERM), reader.text(OWNER));
+  }
+
+  static EndpointCall promote(FieldReader reader) {
+    return new EndpointCall.Promote(number(reader, TERM), reader.text(OWNER));
+  }
+
+  static EndpointCall follow(FieldReader reader) {
+    return new EndpointCall.Follow(
+        reader.number(TERM, 1, Long.MAX_VALUE),
+        new MemberId(reader.text("primary")),
+        reader.address("address"));
+  }
+
+  private static Position least(FieldReader reader) {
+    if (!reader.has("least")) {
+      return Position.ZERO;
+    }
+    FieldReader least = reader.object("least");
+    return new Position(number(least, TERM), number(least, "index"));
+  }
+
+  private static Optional<IdempotencyKey> key(FieldReader reader) {
+    return reader.has("key")
+        ? Optional.of(new IdempotencyKey(reader.text("key"), reader.text("fingerprint", "")))
+        : Optional.empty();
+  }
+
+  private static long number(FieldReader reader, String field) {
+    return reader.number(field, 0, Long.MAX_VALUE);
+  }
+
+  private static long millis(FieldReader reader, String field) {
+    return reader.number(field, 0, MAX_MILLIS);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/endpoint/EndpointMain.java
@@ -0,0 +1,91 @@
+package org.sardinebay.standins.endpoint;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import org.sardinebay.MemberId;
+import org.sardinebay.net.AddressTranslation;
+import org.sardinebay.net.Binary;
+import org.sardinebay.net.BinaryMain;
+import org.sardinebay.net.RunningProcess;
+import org.sardinebay.record.FieldReader;
+
+/**
+ * The program that stands in for an endpoint.
+ *
+ * <pre>{@code
+ * java -cp sardinebay-standins-all.jar org.sardinebay.standins.endpoint.EndpointMain \
+ *     --settings member.json
+ * }</pre>
+ */
+public final class EndpointMain implements Binary<EndpointSettings> {
+  private static final long MAX_MILLIS = 600_000;
+  private static final long MAX_CONNECTIONS = 10_000;
+  private static final long MAX_SLOTS = 1_000;
+  private static final int PULL_BATCH = 500;
+
+  /**
+   * Runs the program.
+   *
+   * @param args the command line
+   */
+  public static void main(String[] args) {
+    System.exit(BinaryMain.run(new EndpointMain(), args));
+  }
+
+  @Override
+  public String name() {
+    return "sardinebay-endpoint-standin";
+  }
+
+  @Override
+  public String summary() {
+    return "stands in for one member of a database in tests";
+  }
+
+  @Override
+  public EndpointSettings settings(FieldReader reader) {
+    MemberSettings member =
+        new MemberSettings(
+            new MemberId(reader.text("member")),
+            (int) reader.number("connectionLimit", 1, MAX_CONNECTIONS, 20),
+            (int) reader.number("slots", 1, MAX_SLOTS, 3),
+            reader.number("openMillis", 0, MAX_MILLIS, 12),
+            reader.number("idleMillis", 1, MAX_MILLIS, 3_000),
+            reader.number("serviceMillis", 0, MAX_MILLIS, 1),
+            PULL_BATCH);
+    MemberFaults faults =
+        new MemberFaults(
+            reader.number("applyLagMillis", 0, MAX_MILLIS, 5),
+            reader.number("receiveLagMillis", 0, MAX_MILLIS, 0),
+            false,
+            false);
+    return new EndpointSettings(
+        reader.address("listen"),
+        Path.of(reader.text("dataFile")),
+        member,
+        faults,
+        AddressTranslation.read(reader));
+  }
+
+  @Override
+  public RunningProcess start(EndpointSettings settings) throws IOException {
+    return EndpointProcess.start(settings);
+  }
+
+  @Override
+  public List<String> settingsHelp() {
+    return List.of(
+        "member              the member's name",
+        "listen              where it serves, such as 127.0.0.1:7101",
+        "dataFile            the file that outlasts a restart",
+        "connectionLimit     connections at once (20)",
+        "slots               statements at once (3)",
+        "openMillis          how long a connection takes to open (12)",
+        "idleMillis          after how long a silent connection is closed (3000)",
+        "serviceMillis       how long a statement holds its slot (1)",
+        "applyLagMillis      how long after its receipt an entry is applied (5)",
+        "receiveLagMillis    how long entries take to be received (0)",
+        "addressTranslation  list of {from, to}: how it reaches other members");
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/endpoint/EndpointProcess.java
@@ -0,0 +1,347 @@
+package org.sardinebay.standins.endpoint;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.activej.http.HttpMethod;
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.LongConsumer;
+import org.sardinebay.Clock;
+import org.sardinebay.endpoint.EndpointCall;
+import org.sardinebay.endpoint.EndpointRefusal;
+import org.sardinebay.endpoint.EndpointReply;
+import org.sardinebay.net.AdminRoutes;
+import org.sardinebay.net.RunningProcess;
+import org.sardinebay.net.http.HttpCall;
+import org.sardinebay.net.http.HttpReply;
+import org.sardinebay.net.http.HttpResult;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.net.http.JsonHttpClient;
+import org.sardinebay.net.http.JsonHttpServer;
+import org.sardinebay.net.http.Route;
+import org.sardinebay.record.FieldReader;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Runs a {@link Member} behind HTTP: keeps its records, sends its replies and its requests. */
+final class EndpointProcess implements RunningProcess {
+  private static final Logger LOG = LoggerFactory.getLogger(EndpointProcess.class);
+  private static final int SERVER_WORKERS = 2;
+  private static final int CLIENT_WORKERS = 1;
+  private static final long PULL_MARGIN_MILLIS = 500;
+  private static final long ABANDON_MILLIS = 30_000;
+  private static final long MAX_LAG_MILLIS = 600_000;
+  private static final int BAD_REQUEST = 400;
+  private static final int UNAVAILABLE = 503;
+  private static final String REPLICATE = "/v1/replicate";
+
+  private final EndpointSettings settings;
+  private final Clock clock = Clock.system();
+  private final FileJournal journal;
+  private final ScheduledThreadPoolExecutor alarm;
+  private final JsonHttpClient http;
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final Counter violations = registry.counter("sardinebay_standin_violations");
+  private final Object lock = new Object();
+
+  // Guarded by the lock.
+  private final Member member;
+  private final ReplyFaults replyFaults = new ReplyFaults(this::abandonLater);
+  private final Map<Long, PendingReply> pending = new HashMap<>();
+  private final Map<Long, CompletableFuture<HttpReply>> pendingPulls = new HashMap<>();
+  private MemberFaults faults;
+  private long tickets;
+  private long alarmAt = Long.MAX_VALUE;
+  private Optional<ScheduledFuture<?>> nextAlarm = Optional.empty();
+  private boolean journalFailed;
+
+  private Optional<JsonHttpServer> server = Optional.empty();
+
+  private EndpointProcess(EndpointSettings settings, FileJournal journal) {
+    this.settings = settings;
+    this.journal = journal;
+    faults = settings.faults();
+    member = new Member(settings.member(), faults, journal.restored());
+    String name = settings.member().member().value();
+    http = JsonHttpClient.start("replication-" + name, CLIENT_WORKERS);
+    alarm = new ScheduledThreadPoolExecutor(1, task -> daemon(task, "alarm-" + name));
+    alarm.setRemoveOnCancelPolicy(true);
+  }
+
+  static EndpointProcess start(EndpointSettings settings) throws IOException {
+    EndpointProcess process = new EndpointProcess(settings, FileJournal.open(settings.dataFile()));
+    try {
+      process.server =
+          Optional.of(JsonHttpServer.start(settings.listen(), SERVER_WORKERS, process.routes()));
+    } catch (IOException e) {
+      process.shutdown();
+      throw e;
+    }
+    return process;
+  }
+
+  @Override
+  public JsonNode dump() {
+    ObjectNode tree = Json.newObject();
+    tree.put("member", settings.member().member().value());
+    tree.put("violations", (long) violations.count());
+    synchronized (lock) {
+      ReplyEncoder.putStanding(tree, member.standing());
+      tree.put("owner", member.state().owner())
+          .put("connectionsPeak", member.connections().peak())
+          .put("opensRefused", member.connections().refusedOpens())
+          .put("transactions", member.connections().transactions())
+          .put("slotsBusy", member.executor().running())
+          .put("statementsWaiting", member.executor().waiting())
+          .put("settledKeys", member.state().log().settledKeys())
+          .put("droppedEntries", member.state().log().droppedEntries())
+          .put("journalFailed", journalFailed)
+          .set("faults", dumpFaults());
+    }
+    return tree;
+  }
+
+  @Override
+  public boolean ready() {
+    synchronized (lock) {
+      return !faults.leaving();
+    }
+  }
+
+  @Override
+  public void shutdown() {
+    server.ifPresent(JsonHttpServer::stop);
+    http.stop();
+    alarm.shutdownNow();
+    synchronized (lock) {
+      try {
+        journal.close();
+      } catch (IOException e) {
+        LOG.atWarn().setMessage("journal_close_failed").setCause(e).log();
+      }
+    }
+  }
+
+  private List<Route> routes() {
+    List<Route> routes = new ArrayList<>(AdminRoutes.of(this, registry));
+    routes.add(route("/v1/open", CallDecoder::open));
+    routes.add(route("/v1/close", CallDecoder::close));
+    routes.add(route("/v1/execute", CallDecoder::execute));
+    routes.add(route("/v1/progress", CallDecoder::progress));
+    routes.add(route("/v1/fence", CallDecoder::fence));
+    routes.add(route("/v1/promote", CallDecoder::promote));
+    routes.add(route("/v1/follow", CallDecoder::follow));
+    routes.add(Route.post(REPLICATE, this::replicate));
+    routes.add(Route.post("/admin/faults", this::changeFaults));
+    return routes;
+  }
+
+  private Route route(String path, Function<FieldReader, EndpointCall> fields) {
+    return Route.post(path, call -> handle(call, fields));
+  }
+
+  private CompletableFuture<HttpReply> handle(
+      HttpCall httpCall, Function<FieldReader, EndpointCall> fields) {
+    CallDecoder.Decoded decoded =
+        CallDecoder.decode(settings.member().member(), httpCall.body(), fields);
+    CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+    boolean execute = decoded.call().filter(EndpointCall.Execute.class::isInstance).isPresent();
+    PendingReply waiting = new PendingReply(decoded.correlation(), execute, reply);
+    if (decoded.call().isEmpty()) {
+      reply.complete(badCall(waiting));
+      return reply;
+    }
+    step(
+        now -> {
+          long ticket = tickets++;
+          pending.put(ticket, waiting);
+          member.call(now, ticket, decoded.call().get());
+        });
+    return reply;
+  }
+
+  private HttpReply badCall(PendingReply waiting) {
+    synchronized (lock) {
+      return HttpReply.json(
+          HttpReply.OK, encode(waiting, member.state().refused(EndpointRefusal.BAD_CALL)));
+    }
+  }
+
+  private CompletableFuture<HttpReply> replicate(HttpCall call) {
+    CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+    PullRequest request;
+    try {
+      request = EntryCodec.decodeRequest(call.body().orElseGet(MissingNode::getInstance));
+    } catch (IllegalArgumentException e) {
+      reply.complete(HttpReply.plain(BAD_REQUEST, "the request can't be read\n"));
+      return reply;
+    }
+    step(
+        now -> {
+          long ticket = tickets++;
+          pendingPulls.put(ticket, reply);
+          member.pull(now, ticket, request);
+        });
+    return reply;
+  }
+
+  private CompletableFuture<HttpReply> changeFaults(HttpCall call) {
+    FieldReader reader = FieldReader.of(call.body().orElseGet(MissingNode::getInstance));
+    step(
+        now -> {
+          replyFaults.read(reader);
+          faults =
+              new MemberFaults(
+                  reader.number("applyLagMillis", 0, MAX_LAG_MILLIS, faults.applyLagMillis()),
+                  reader.number("receiveLagMillis", 0, MAX_LAG_MILLIS, faults.receiveLagMillis()),
+                  reader.flag("leaving", faults.leaving()),
+                  reader.flag("freezeApply", faults.freezeApply()));
+          member.faults(now, faults);
+        });
+    reader.rejectUnknownFields();
+    HttpReply reply;
+    if (reader.problems().isEmpty()) {
+      synchronized (lock) {
+        reply = HttpReply.json(HttpReply.OK, dumpFaults());
+      }
+    } else {
+      reply = HttpReply.plain(BAD_REQUEST, reader.problems() + "\n");
+    }
+    return CompletableFuture.completedFuture(reply);
+  }
+
+  private ObjectNode dumpFaults() {
+    ObjectNode tree = Json.newObject();
+    tree.put("applyLagMillis", faults.applyLagMillis())
+        .put("receiveLagMillis", faults.receiveLagMillis())
+        .put("leaving", faults.leaving())
+        .put("freezeApply", faults.freezeApply());
+    replyFaults.dump(tree);
+    return tree;
+  }
+
+  /** Lets the member handle one event, keeps its records, then sends what it wants sent. */
+  private void step(LongConsumer event) {
+    List<Runnable> sends = new ArrayList<>();
+    synchronized (lock) {
+      try {
+        event.accept(clock.millis());
+      } catch (RuntimeException e) {
+        violations.increment();
+        LOG.atError().setMessage("invariant_violated").setCause(e).log();
+      }
+      MemberOutput output = member.drain();
+      if (keep(output.records())) {
+        collectSends(output, sends);
+      }
+      setAlarm();
+    }
+    sends.forEach(Runnable::run);
+  }
+
+  /** Keeps records; from the first failure on the member stays silent, as if it had died. */
+  private boolean keep(List<JournalRecord> records) {
+    if (journalFailed) {
+      return false;
+    }
+    try {
+      journal.write(records);
+      return true;
+    } catch (IOException e) {
+      journalFailed = true;
+      LOG.atError().setMessage("journal_failed").setCause(e).log();
+      return false;
+    }
+  }
+
+  private void collectSends(MemberOutput output, List<Runnable> sends) {
+    for (MemberOutput.Answer answer : output.answers()) {
+      PendingReply waiting = pending.remove(answer.ticket());
+      ReplyFaults.Delivery delivery =
+          new ReplyFaults.Delivery(waiting, encode(waiting, answer.reply()));
+      for (ReplyFaults.Delivery each : replyFaults.pass(delivery, answer.reply())) {
+        HttpReply reply = HttpReply.json(HttpReply.OK, each.body());
+        sends.add(() -> each.pending().reply().complete(reply));
+      }
+    }
+    for (MemberOutput.PullAnswer answer : output.pullAnswers()) {
+      CompletableFuture<HttpReply> waiting = pendingPulls.remove(answer.ticket());
+      HttpReply reply = HttpReply.json(HttpReply.OK, EntryCodec.encode(answer.reply()));
+      sends.add(() -> waiting.complete(reply));
+    }
+    output.pulls().forEach(pull -> sends.add(() -> send(pull)));
+  }
+
+  private ObjectNode encode(PendingReply waiting, EndpointReply reply) {
+    return ReplyEncoder.encode(settings.member().member(), waiting.correlation(), reply);
+  }
+
+  private void send(MemberOutput.Pull pull) {
+    CompletableFuture<Void> unused =
+        http.call(
+                HttpMethod.POST,
+                settings.translation().translate(pull.address()),
+                REPLICATE,
+                Optional.of(EntryCodec.encode(pull.request())),
+                pull.request().waitMillis() + PULL_MARGIN_MILLIS)
+            .thenAccept(result -> step(now -> member.pulled(now, pull.id(), pullReply(result))));
+  }
+
+  private static Optional<PullReply> pullReply(HttpResult result) {
+    if (!(result instanceof HttpResult.Response response) || response.status() != HttpReply.OK) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(EntryCodec.decodeReply(response.body()));
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  private void setAlarm() {
+    OptionalLong dueAt = member.nextDueAt();
+    if (dueAt.isEmpty() || dueAt.getAsLong() >= alarmAt || alarm.isShutdown()) {
+      return;
+    }
+    alarmAt = dueAt.getAsLong();
+    long delayMillis = Math.max(0, alarmAt - clock.millis());
+    nextAlarm.ifPresent(later -> later.cancel(false));
+    nextAlarm = Optional.of(alarm.schedule(this::ring, delayMillis, TimeUnit.MILLISECONDS));
+  }
+
+  private void ring() {
+    step(
+        now -> {
+          alarmAt = Long.MAX_VALUE;
+          member.tick(now);
+        });
+  }
+
+  private void abandonLater(PendingReply waiting) {
+    HttpReply reply = HttpReply.plain(UNAVAILABLE, "the reply was lost\n");
+    ScheduledFuture<?> unused =
+        alarm.schedule(
+            () -> waiting.reply().complete(reply), ABANDON_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private static Thread daemon(Runnable task, String name) {
+    Thread thread = new Thread(task, name);
+    thread.setDaemon(true);
+    return thread;
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/endpoint/ProgressWaiters.java
@@ -0,0 +1,74 @@
+package org.sardinebay.standins.endpoint;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import org.sardinebay.endpoint.EndpointCall;
+import org.sardinebay.endpoint.EndpointReply;
+
+/** Answers calls for progress, at once or when there is some. */
+final class ProgressWaiters {
+  private final MemberState state;
+  private final Connections connections;
+  private final Timers timers;
+  private final Outbox outbox;
+  private final List<Waiter> waiters = new ArrayList<>();
+
+  ProgressWaiters(MemberState state, Connections connections, Timers timers, Outbox outbox) {
+    this.state = state;
+    this.connections = connections;
+    this.timers = timers;
+    this.outbox = outbox;
+  }
+
+  void progress(long now, long ticket, EndpointCall.Progress call) {
+    boolean otherTerm = call.term() != 0 && call.term() != state.term();
+    if (call.waitMillis() <= 0 || otherTerm) {
+      outbox.answer(ticket, standing());
+      return;
+    }
+    Waiter waiter = new Waiter(ticket, call.afterIndex(), state.term(), state.synced());
+    waiters.add(waiter);
+    timers.at(now + call.waitMillis(), at -> expire(waiter));
+  }
+
+  /** Answers the calls whose wait is over. */
+  void settle() {
+    Iterator<Waiter> each = waiters.iterator();
+    while (each.hasNext()) {
+      Waiter waiter = each.next();
+      if (over(waiter)) {
+        outbox.answer(waiter.ticket, standing());
+        each.remove();
+      }
+    }
+  }
+
+  EndpointReply.Standing standing() {
+    return new EndpointReply.Standing(
+        state.self(),
+        state.term(),
+        state.role(),
+        state.primary(),
+        state.log().last(),
+        state.values().applied(),
+        state.synced(),
+        state.log().outline().history(),
+        connections.leaving(),
+        connections.count());
+  }
+
+  private boolean over(Waiter waiter) {
+    return state.log().last().index() > waiter.afterIndex
+        || state.term() != waiter.term
+        || state.synced() != waiter.synced;
+  }
+
+  private void expire(Waiter waiter) {
+    if (waiters.remove(waiter)) {
+      outbox.answer(waiter.ticket, standing());
+    }
+  }
+
+  private record Waiter(long ticket, long afterIndex, long term, boolean synced) {}
+}
