Add the decisions of reads, writes and homes, and the proxy's flows

Cause: the thin path needs a proxy. Ruled out: deciding inside the I/O shells; the machines take replies and the time and return steps. Conclusion: wiring and the whole path come next.

--- /dev/null
+++ b/core/src/main/java/org/sardinebay/SessionToken.java
@@ -0,0 +1,84 @@
+package org.sardinebay;
+
+import java.util.Collections;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * What a session wrote and read: the latest position for each database. It travels with the caller,
+ * so that roaming needs no shared store.
+ *
+ * <pre>{@code
+ * SessionToken next = token.advance(database, position);
+ * }</pre>
+ */
+public final class SessionToken {
+  /** How many databases one token holds. */
+  public static final int MAX_DATABASES = 64;
+
+  /** The token of a new session. */
+  public static final SessionToken EMPTY = new SessionToken(new TreeMap<>());
+
+  private final SortedMap<DatabaseId, Position> positions;
+
+  private SessionToken(SortedMap<DatabaseId, Position> positions) {
+    this.positions = Collections.unmodifiableSortedMap(positions);
+  }
+
+  /**
+   * A token with given positions.
+   *
+   * @param positions the positions; at most {@link #MAX_DATABASES}
+   * @return the token
+   */
+  public static SessionToken of(Map<DatabaseId, Position> positions) {
+    if (positions.size() > MAX_DATABASES) {
+      throw new IllegalArgumentException("more than " + MAX_DATABASES + " databases in a token");
+    }
+    return new SessionToken(new TreeMap<>(positions));
+  }
+
+  /**
+   * The session's position in one database.
+   *
+   * @param database the database
+   * @return the position, empty if the session has not touched the database
+   */
+  public Optional<Position> position(DatabaseId database) {
+    return Optional.ofNullable(positions.get(database));
+  }
+
+  /**
+   * All positions.
+   *
+   * @return an unmodifiable map
+   */
+  public SortedMap<DatabaseId, Position> positions() {
+    return positions;
+  }
+
+  /**
+   * Whether the token can take a position of a database.
+   *
+   * @param database the database
+   * @return false if it is full and the database is new to it
+   */
+  public boolean holds(DatabaseId database) {
+    return positions.containsKey(database) || positions.size() < MAX_DATABASES;
+  }
+
+  /**
+   * A token that is at least at a position. Never moves back.
+   *
+   * @param database the database
+   * @param position what was written or read
+   * @return the advanced token
+   */
+  public SessionToken advance(DatabaseId database, Position position) {
+    SortedMap<DatabaseId, Position> advanced = new TreeMap<>(positions);
+    advanced.merge(database, position, Position::max);
+    return of(advanced);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/internal/request/ReadMachine.java
@@ -0,0 +1,180 @@
+package org.sardinebay.internal.request;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.sardinebay.Answer;
+import org.sardinebay.Failure;
+import org.sardinebay.MemberId;
+import org.sardinebay.Position;
+import org.sardinebay.endpoint.EndpointRefusal;
+import org.sardinebay.endpoint.EndpointReply;
+import org.sardinebay.internal.version.DatabaseView;
+
+/**
+ * Decides the course of one read.
+ *
+ * <pre>{@code
+ * ReadStep step = machine.next(view, load, now);
+ * // after Send: step = machine.onReply(reply, view, load, now)
+ * // after AwaitDurable: step = machine.onView(view, load, now) whenever the view changed
+ * }</pre>
+ *
+ * <p>Rows are handed out only once the entries that they show are known to survive a change of
+ * primary, so that no caller sees what is dropped afterwards.
+ */
+public final class ReadMachine {
+  private static final int MAX_ATTEMPTS = 4;
+
+  private final ReadRouter router;
+  private final ReadNeed need;
+  private final RequestDeadline deadline;
+  private final Set<MemberId> tried = new HashSet<>();
+  private int attempts;
+  private Optional<ReadRoute.ToMember> sent = Optional.empty();
+  private Optional<EndpointReply.Done> shown = Optional.empty();
+
+  /**
+   * A read that has not been sent.
+   *
+   * @param router chooses its members
+   * @param need what it has to show
+   * @param deadline when its answer is due
+   */
+  public ReadMachine(ReadRouter router, ReadNeed need, RequestDeadline deadline) {
+    this.router = router;
+    this.need = need;
+    this.deadline = deadline;
+  }
+
+  /**
+   * Decides where to send the read.
+   *
+   * @param view what is known of the database
+   * @param load how busy the members are
+   * @param now the time
+   * @return {@link ReadStep.Send} or {@link ReadStep.Finish}
+   */
+  public ReadStep next(DatabaseView view, MemberLoad load, long now) {
+    if (deadline.passed(now)) {
+      return notRun(new Failure.DeadlineExceeded(), WriteMachine.RETRY_AFTER_OVERLOAD_MILLIS);
+    }
+    Optional<Position> lost = need.session().filter(view::dropped);
+    if (lost.isPresent()) {
+      Failure failure = new Failure.SessionBranchLost(view.database().id(), lost.get());
+      return new ReadStep.Finish(new Answer.Refused(failure));
+    }
+    ReadRoute route = router.route(view, need, load, tried, now);
+    if (route instanceof ReadRoute.ToMember to && attempts < MAX_ATTEMPTS) {
+      attempts++;
+      sent = Optional.of(to);
+      return new ReadStep.Send(to);
+    }
+    Failure failure =
+        route instanceof ReadRoute.Nowhere nowhere
+            ? nowhere.failure()
+            : new Failure.SessionNotReached();
+    return notRun(failure, WriteMachine.RETRY_AFTER_PROMOTION_MILLIS);
+  }
+
+  /**
+   * Takes in a member's reply.
+   *
+   * @param reply the reply
+   * @param view what is known of the database
+   * @param load how busy the members are
+   * @param now the time
+   * @return what to do next
+   */
+  public ReadStep onReply(EndpointReply reply, DatabaseView view, MemberLoad load, long now) {
+    if (reply instanceof EndpointReply.Done done) {
+      shown = Optional.of(done);
+      return onView(view, load, now);
+    }
+    if (reply instanceof EndpointReply.Refused refused) {
+      EndpointRefusal refusal = refused.refusal();
+      if (refusal == EndpointRefusal.BAD_STATEMENT || refusal == EndpointRefusal.BAD_CALL) {
+        return new ReadStep.Finish(new Answer.Refused(new Failure.BadStatement()));
+      }
+      if (refusal == EndpointRefusal.UNKNOWN_CONNECTION) {
+        return next(view, load, now);
+      }
+    }
+    tried.add(sent.orElseThrow().member());
+    return next(view, load, now);
+  }
+
+  /**
+   * Takes in that the read was given up before it was sent, for lack of a connection.
+   *
+   * @param failure why
+   * @param view what is known of the database
+   * @param load how busy the members are
+   * @param now the time
+   * @return where to send it instead, or the final answer
+   */
+  public ReadStep onNotSent(Failure failure, DatabaseView view, MemberLoad load, long now) {
+    ReadRoute.ToMember route = sent.orElseThrow();
+    tried.add(route.member());
+    return route.primary()
+        ? notRun(failure, WriteMachine.RETRY_AFTER_OVERLOAD_MILLIS)
+        : next(view, load, now);
+  }
+
+  /**
+   * Takes in that the view changed while the rows wait to be handed out.
+   *
+   * @param view what is known of the database
+   * @param load how busy the members are
+   * @param now the time
+   * @return {@link ReadStep.AwaitDurable} to go on waiting, or what to do next
+   */
+  public ReadStep onView(DatabaseView view, MemberLoad load, long now) {
+    EndpointReply.Done done = shown.orElseThrow();
+    if (view.durable(done.position())) {
+      return handOut(done, view, load, now);
+    }
+    if (view.dropped(done.position()) || deadline.passed(now)) {
+      tried.add(sent.orElseThrow().member());
+      shown = Optional.empty();
+      return next(view, load, now);
+    }
+    return new ReadStep.AwaitDurable(done.position());
+  }
+
+  private ReadStep handOut(EndpointReply.Done done, DatabaseView view, MemberLoad load, long now) {
+    ReadRoute.ToMember route = sent.orElseThrow();
+    OptionalLong age = OptionalLong.empty();
+    if (need.maxAgeMillis().isPresent()) {
+      age = view.age(done.position(), now);
+      boolean young = age.isPresent() && age.getAsLong() <= need.maxAgeMillis().getAsLong();
+      if (!young) {
+        tried.add(route.member());
+        shown = Optional.empty();
+        return tooOld(route, view, load, now);
+      }
+    }
+    return new ReadStep.Finish(
+        new Answer.Done(
+            done.rows(),
+            Optional.of(done.position()),
+            false,
+            Optional.empty(),
+            Optional.empty(),
+            age,
+            new Answer.ServedBy(route.member(), route.primary(), route.reason())));
+  }
+
+  private ReadStep tooOld(ReadRoute.ToMember route, DatabaseView view, MemberLoad load, long now) {
+    return route.primary()
+        ? notRun(
+            new Failure.AgeNotProvable(need.maxAgeMillis().getAsLong()),
+            WriteMachine.RETRY_AFTER_PROMOTION_MILLIS)
+        : next(view, load, now);
+  }
+
+  private static ReadStep notRun(Failure failure, long retryAfterMillis) {
+    return new ReadStep.Finish(new Answer.NotRun(failure, retryAfterMillis));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/internal/request/WriteMachine.java
@@ -0,0 +1,235 @@
+package org.sardinebay.internal.request;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.sardinebay.Answer;
+import org.sardinebay.Failure;
+import org.sardinebay.MemberId;
+import org.sardinebay.Position;
+import org.sardinebay.RouteReason;
+import org.sardinebay.endpoint.EndpointRefusal;
+import org.sardinebay.endpoint.EndpointReply;
+import org.sardinebay.internal.version.AckPolicy;
+import org.sardinebay.internal.version.DatabaseView;
+
+/**
+ * Decides the course of one write with an idempotency key.
+ *
+ * <pre>{@code
+ * WriteStep step = machine.next(view, now);
+ * // after Send: step = machine.onReply(reply, view, now)
+ * // after AwaitAck: step = machine.onView(view, now) whenever the view changed
+ * }</pre>
+ *
+ * <p>Once a call was sent and its reply is missing the write is in doubt: from then on the answer
+ * is what the key's entry says, or unknown, never not-run.
+ */
+public final class WriteMachine {
+  /** When a caller may come back while a primary is promoted, in milliseconds. */
+  public static final long RETRY_AFTER_PROMOTION_MILLIS = 200;
+
+  /** When a caller may come back to a database that has no majority, in milliseconds. */
+  public static final long RETRY_AFTER_PARTITION_MILLIS = 1_000;
+
+  /** When a caller may come back to an overloaded member, in milliseconds. */
+  public static final long RETRY_AFTER_OVERLOAD_MILLIS = 500;
+
+  private static final long DOUBT_PAUSE_MILLIS = 20;
+  private static final int MAX_SAFE_ATTEMPTS = 3;
+
+  private final RequestDeadline deadline;
+  private final AckPolicy policy;
+  private final Optional<String> key;
+  private boolean inDoubt;
+  private boolean voided;
+  private int attempts;
+  private Optional<MemberId> sentTo = Optional.empty();
+  private Optional<EndpointReply.Done> ran = Optional.empty();
+
+  /**
+   * A write that has not been sent.
+   *
+   * @param deadline when its answer is due
+   * @param policy when it is acknowledged
+   * @param key its idempotency key, as the answer states it
+   * @param inDoubt whether an earlier attempt elsewhere may have run it
+   */
+  public WriteMachine(
+      RequestDeadline deadline, AckPolicy policy, Optional<String> key, boolean inDoubt) {
+    this.deadline = deadline;
+    this.policy = policy;
+    this.key = key;
+    this.inDoubt = inDoubt;
+  }
+
+  /**
+   * Decides whether to send.
+   *
+   * @param view what is known of the database
+   * @param now the time
+   * @return {@link WriteStep.Send}, {@link WriteStep.Pause} or {@link WriteStep.Finish}
+   */
+  public WriteStep next(DatabaseView view, long now) {
+    if (deadline.passed(now)) {
+      return giveUp(new Failure.DeadlineExceeded(), RETRY_AFTER_OVERLOAD_MILLIS);
+    }
+    Optional<MemberId> primary = view.primary();
+    if (primary.isEmpty()) {
+      Failure failure = new Failure.NoPrimary(view.database().id());
+      return pauseOrGiveUp(failure, RETRY_AFTER_PROMOTION_MILLIS);
+    }
+    if (!view.majorityAnswers(now)) {
+      Failure failure = new Failure.MajorityUnreachable(view.database().id());
+      return pauseOrGiveUp(failure, RETRY_AFTER_PARTITION_MILLIS);
+    }
+    if (!view.reachable(primary.get(), now)) {
+      Failure failure = new Failure.PrimaryUnreachable(primary.get());
+      return pauseOrGiveUp(failure, RETRY_AFTER_PROMOTION_MILLIS);
+    }
+    sentTo = primary;
+    return new WriteStep.Send(primary.get(), view.term());
+  }
+
+  /**
+   * Takes in that the call was sent already, by another flow.
+   *
+   * @param primary the member that it went to
+   */
+  public void onSent(MemberId primary) {
+    sentTo = Optional.of(primary);
+  }
+
+  /**
+   * Takes in the reply to the last call.
+   *
+   * @param reply the reply
+   * @param view what is known of the database
+   * @param now the time
+   * @return what to do next
+   */
+  public WriteStep onReply(EndpointReply reply, DatabaseView view, long now) {
+    attempts++;
+    if (reply instanceof EndpointReply.Done done) {
+      ran = Optional.of(done);
+      return onView(view, now);
+    }
+    if (reply instanceof EndpointReply.Refused refused) {
+      return onRefused(refused.refusal());
+    }
+    if (reply instanceof EndpointReply.NotSent) {
+      return attempts < MAX_SAFE_ATTEMPTS
+          ? new WriteStep.Pause(DOUBT_PAUSE_MILLIS)
+          : giveUp(
+              new Failure.PrimaryUnreachable(sentTo.orElseThrow()), RETRY_AFTER_PROMOTION_MILLIS);
+    }
+    inDoubt = true;
+    return new WriteStep.Pause(DOUBT_PAUSE_MILLIS);
+  }
+
+  /**
+   * Takes in that the call was given up before it was sent, for lack of a connection.
+   *
+   * @param failure why
+   * @param retryAfterMillis when the caller may come back
+   * @return the final answer
+   */
+  public WriteStep onNotSent(Failure failure, long retryAfterMillis) {
+    return giveUp(failure, retryAfterMillis);
+  }
+
+  /**
+   * Takes in that the view changed, or that time passed, while the entry waits to be acknowledged.
+   *
+   * @param view what is known of the database
+   * @param now the time
+   * @return {@link WriteStep.AwaitAck} to go on waiting, or what to do next
+   */
+  public WriteStep onView(DatabaseView view, long now) {
+    EndpointReply.Done done = ran.orElseThrow();
+    if (policy.acknowledges(view, done.position())) {
+      return new WriteStep.Finish(done(done));
+    }
+    if (deadline.passed(now)) {
+      return new WriteStep.Finish(unknown());
+    }
+    if (view.dropped(done.position())) {
+      ran = Optional.empty();
+      inDoubt = true;
+      return next(view, now);
+    }
+    return new WriteStep.AwaitAck(done.position(), done.rows(), done.replay());
+  }
+
+  /**
+   * The answer if no further attempt may be made.
+   *
+   * @return not-run or unknown
+   */
+  public Answer outOfRetries() {
+    return inDoubt ? unknown() : new Answer.NotRun(new Failure.Overloaded(), RETRY_AFTER_OVERLOAD_MILLIS);
+  }
+
+  private WriteStep onRefused(EndpointRefusal refusal) {
+    return switch (refusal) {
+      case KEY_REUSED -> new WriteStep.Finish(new Answer.Refused(new Failure.KeyReused()));
+      case BAD_STATEMENT, BAD_CALL ->
+          new WriteStep.Finish(new Answer.Refused(new Failure.BadStatement()));
+      case CONFLICT -> new WriteStep.Finish(new Answer.Refused(new Failure.Conflict()));
+      case REVOKED -> {
+        voided = true;
+        yield new WriteStep.Finish(
+            new Answer.NotRun(new Failure.Revoked(), RETRY_AFTER_OVERLOAD_MILLIS));
+      }
+      case SLOT_TIMEOUT -> giveUp(new Failure.Overloaded(), RETRY_AFTER_OVERLOAD_MILLIS);
+      case UNKNOWN_CONNECTION, CONNECTION_LIMIT, TRANSACTION_STATE ->
+          attempts < MAX_SAFE_ATTEMPTS
+              ? new WriteStep.Pause(0)
+              : giveUp(new Failure.Overloaded(), RETRY_AFTER_OVERLOAD_MILLIS);
+      default ->
+          pauseOrGiveUp(
+              new Failure.PrimaryUnreachable(sentTo.orElseThrow()), RETRY_AFTER_PROMOTION_MILLIS);
+    };
+  }
+
+  private WriteStep pauseOrGiveUp(Failure failure, long retryAfterMillis) {
+    return inDoubt ? new WriteStep.Pause(DOUBT_PAUSE_MILLIS) : giveUp(failure, retryAfterMillis);
+  }
+
+  private WriteStep giveUp(Failure failure, long retryAfterMillis) {
+    return new WriteStep.Finish(inDoubt ? unknown() : new Answer.NotRun(failure, retryAfterMillis));
+  }
+
+  private Answer unknown() {
+    return new Answer.Unknown(new Failure.OutcomeUnknown(), key);
+  }
+
+  private Answer done(EndpointReply.Done done) {
+    Position position = done.position();
+    return new Answer.Done(
+        done.rows(),
+        Optional.of(position),
+        done.replay(),
+        Optional.empty(),
+        key,
+        OptionalLong.empty(),
+        new Answer.ServedBy(sentTo.orElseThrow(), true, RouteReason.WRITES_GO_TO_PRIMARY));
+  }
+
+  /**
+   * Whether an attempt without a reply may have run.
+   *
+   * @return true if not-run can't be said any more
+   */
+  public boolean inDoubt() {
+    return inDoubt;
+  }
+
+  /**
+   * Whether the key was found revoked, so that no attempt can run any more.
+   *
+   * @return true if not-run may be said in spite of a doubt
+   */
+  public boolean voided() {
+    return voided;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/internal/version/HomeSelector.java
@@ -0,0 +1,71 @@
+package org.sardinebay.internal.version;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import org.sardinebay.DatabaseId;
+import org.sardinebay.FailureDomain;
+import org.sardinebay.HostId;
+import org.sardinebay.record.DatabaseRecord;
+import org.sardinebay.record.MemberRecord;
+import org.sardinebay.record.ProxyRecord;
+
+/**
+ * Chooses the home proxies of a database by rendezvous hashing: in each failure domain with a
+ * member of it, the proxy that ranks first holds connections to all members, and the second a
+ * reserve.
+ *
+ * <pre>{@code
+ * List<ProxyRecord> ranked = HomeSelector.ranked(database, domain, proxies);
+ * }</pre>
+ */
+public final class HomeSelector {
+  private HomeSelector() {}
+
+  /**
+   * The proxies of one failure domain in their order for a database.
+   *
+   * @param database the database
+   * @param domain the failure domain
+   * @param proxies all proxies
+   * @return the domain's proxies, the home first
+   */
+  public static List<ProxyRecord> ranked(
+      DatabaseId database, FailureDomain domain, Collection<ProxyRecord> proxies) {
+    return proxies.stream()
+        .filter(proxy -> proxy.failureDomain().equals(domain))
+        .sorted(
+            Comparator.comparingLong((ProxyRecord proxy) -> score(database, proxy.host()))
+                .thenComparing(ProxyRecord::host))
+        .toList();
+  }
+
+  /**
+   * The failure domains that hold homes of a database.
+   *
+   * @param database the database's record
+   * @return the domains of its members, in order of name
+   */
+  public static List<FailureDomain> domains(DatabaseRecord database) {
+    return database.members().stream()
+        .map(MemberRecord::failureDomain)
+        .distinct()
+        .sorted()
+        .toList();
+  }
+
+  private static long score(DatabaseId database, HostId host) {
+    try {
+      MessageDigest sha = MessageDigest.getInstance("SHA-256");
+      sha.update(database.value().getBytes(StandardCharsets.UTF_8));
+      sha.update((byte) 0);
+      return ByteBuffer.wrap(sha.digest(host.value().getBytes(StandardCharsets.UTF_8))).getLong();
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java runtime has SHA-256", e);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/internal/version/MemberEstimate.java
@@ -0,0 +1,103 @@
+package org.sardinebay.internal.version;
+
+import org.sardinebay.endpoint.EndpointReply;
+import org.sardinebay.endpoint.MemberRole;
+
+/** What is known of one member, and how far behind it is expected to be. */
+final class MemberEstimate {
+  /** The weight of a new lag observation against the former estimate. */
+  private static final double LAG_WEIGHT = 0.3;
+
+  private long answeredAskedAt = Long.MIN_VALUE;
+  private long lastAnswerAt = Long.MIN_VALUE;
+  private long term;
+  private MemberRole role = MemberRole.FENCED;
+  private long receivedIndex;
+  private long appliedIndex;
+  private boolean synced;
+  private boolean leaving;
+  private double lagMillis;
+
+  void observe(EndpointReply.Standing standing, long askedAt, long now) {
+    if (standing.term() < term || askedAt < answeredAskedAt) {
+      return;
+    }
+    boolean newTerm = standing.term() > term;
+    term = standing.term();
+    role = standing.role();
+    answeredAskedAt = askedAt;
+    lastAnswerAt = now;
+    synced = standing.synced() || role == MemberRole.PRIMARY;
+    leaving = standing.leaving();
+    receivedIndex = standing.received().index();
+    appliedIndex =
+        newTerm ? standing.applied().index() : Math.max(appliedIndex, standing.applied().index());
+  }
+
+  void observeApplied(long index) {
+    appliedIndex = Math.max(appliedIndex, index);
+  }
+
+  void observeReceived(long index) {
+    receivedIndex = Math.max(receivedIndex, index);
+  }
+
+  void updateLag(PositionTimeline timeline, long now) {
+    if (appliedIndex >= timeline.highest()) {
+      lagMillis *= 1 - LAG_WEIGHT;
+      return;
+    }
+    double stalledMillis = (double) (now - timeline.knownAt(appliedIndex + 1, now));
+    lagMillis = Math.max(stalledMillis, lagMillis + LAG_WEIGHT * (stalledMillis - lagMillis));
+  }
+
+  /** When the member is expected to have applied an index. */
+  long expectedAt(long index, PositionTimeline timeline, long now) {
+    if (appliedIndex >= index) {
+      return now;
+    }
+    double stalledMillis = (double) (now - timeline.knownAt(appliedIndex + 1, now));
+    double lag = Math.max(lagMillis, stalledMillis);
+    return timeline.knownAt(index, now) + Math.round(lag);
+  }
+
+  void leave() {
+    leaving = true;
+  }
+
+  long answeredAskedAt() {
+    return answeredAskedAt;
+  }
+
+  long lastAnswerAt() {
+    return lastAnswerAt;
+  }
+
+  long term() {
+    return term;
+  }
+
+  MemberRole role() {
+    return role;
+  }
+
+  long receivedIndex() {
+    return receivedIndex;
+  }
+
+  long appliedIndex() {
+    return appliedIndex;
+  }
+
+  boolean synced() {
+    return synced;
+  }
+
+  boolean leaving() {
+    return leaving;
+  }
+
+  long lagMillis() {
+    return Math.round(lagMillis);
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/sardinebay/net/LoggedInvariants.java
@@ -0,0 +1,50 @@
+package org.sardinebay.net;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import org.sardinebay.internal.process.InvariantName;
+import org.sardinebay.internal.process.Invariants;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Logs and counts violated invariants. With the system property {@code sardinebay.strict=true}, as
+ * tests set it, a violation ends the process.
+ *
+ * <pre>{@code
+ * Invariants invariants = new LoggedInvariants(registry);
+ * }</pre>
+ */
+public final class LoggedInvariants implements Invariants {
+  /** The counter of violations. */
+  public static final String METRIC = "sardinebay_invariant_violations";
+
+  /** The exit status after a violation in strict mode. */
+  public static final int EXIT_VIOLATED = 70;
+
+  private static final Logger LOG = LoggerFactory.getLogger(LoggedInvariants.class);
+  private static final boolean STRICT = Boolean.getBoolean("sardinebay.strict");
+
+  private final MeterRegistry registry;
+
+  /**
+   * A reporter.
+   *
+   * @param registry where violations are counted
+   */
+  public LoggedInvariants(MeterRegistry registry) {
+    this.registry = registry;
+  }
+
+  @Override
+  public void violated(InvariantName name, String detail) {
+    LOG.atError()
+        .setMessage("invariant_violated")
+        .addKeyValue("invariant", name)
+        .addKeyValue("detail", '"' + detail + '"')
+        .log();
+    registry.counter(METRIC, "invariant", name.name()).increment();
+    if (STRICT) {
+      Runtime.getRuntime().halt(EXIT_VIOLATED);
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/request/package-info.java
@@ -0,0 +1,2 @@
+/** What lives as long as one request. */
+package org.sardinebay.proxy.internal.request;
--- /dev/null
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/version/ProgressPoller.java
@@ -0,0 +1,86 @@
+package org.sardinebay.proxy.internal.version;
+
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.sardinebay.Address;
+import org.sardinebay.endpoint.EndpointCall;
+import org.sardinebay.endpoint.EndpointReply;
+import org.sardinebay.proxy.internal.process.ProxyRuntime;
+
+/**
+ * Asks one member again and again where it stands: at an interval while all is quiet, and with a
+ * waiting question while writes wait to be confirmed.
+ */
+final class ProgressPoller {
+  private static final long BUSY_INTERVAL_MILLIS = 50;
+  private static final long QUIET_INTERVAL_MILLIS = 150;
+  private static final long WAIT_MILLIS = 60;
+  private static final long ANSWER_TIMEOUT_MILLIS = 300;
+
+  private final ProxyRuntime runtime;
+  private final DatabaseShard shard;
+  private final Address address;
+
+  private ScheduledFuture<?> pending;
+  private boolean asking;
+  private boolean stopped;
+  private long receivedIndex;
+
+  ProgressPoller(ProxyRuntime runtime, DatabaseShard shard, Address address) {
+    this.runtime = runtime;
+    this.shard = shard;
+    this.address = address;
+  }
+
+  /** Asks at once unless a question is on its way. */
+  synchronized void ask() {
+    if (stopped || asking) {
+      return;
+    }
+    if (pending != null) {
+      pending.cancel(false);
+    }
+    asking = true;
+    long askedAt = runtime.clock().millis();
+    long waitMillis = shard.confirmationsAwaited() ? WAIT_MILLIS : 0;
+    EndpointCall call = new EndpointCall.Progress(shard.term(), receivedIndex, waitMillis);
+    var unused =
+        runtime
+            .endpoints()
+            .call(address, call, waitMillis + ANSWER_TIMEOUT_MILLIS)
+            .thenAccept(reply -> onReply(reply, askedAt));
+  }
+
+  synchronized void stop() {
+    stopped = true;
+    if (pending != null) {
+      pending.cancel(false);
+    }
+  }
+
+  private void onReply(EndpointReply reply, long askedAt) {
+    if (reply instanceof EndpointReply.Standing standing) {
+      shard.observe(standing, askedAt);
+    }
+    boolean again = schedule(reply);
+    if (again) {
+      ask();
+    }
+  }
+
+  private synchronized boolean schedule(EndpointReply reply) {
+    asking = false;
+    if (stopped) {
+      return false;
+    }
+    if (reply instanceof EndpointReply.Standing standing) {
+      receivedIndex = standing.received().index();
+      if (shard.confirmationsAwaited()) {
+        return true;
+      }
+    }
+    long interval = shard.busy() ? BUSY_INTERVAL_MILLIS : QUIET_INTERVAL_MILLIS;
+    pending = runtime.timer().schedule(this::ask, interval, TimeUnit.MILLISECONDS);
+    return false;
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/version/package-info.java
@@ -0,0 +1,2 @@
+/** What lives as long as a configuration version or a database's term. */
+package org.sardinebay.proxy.internal.version;
