--- /dev/null
+++ b/core/src/main/java/org/sardinebay/internal/version/ConfigStore.java
@@ -0,0 +1,203 @@
+package org.sardinebay.internal.version;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.sardinebay.DatabaseId;
+import org.sardinebay.HostId;
+import org.sardinebay.platform.HostEntry;
+import org.sardinebay.platform.ObjectKey;
+import org.sardinebay.record.DatabaseRecord;
+import org.sardinebay.record.ProxyRecord;
+import org.sardinebay.record.StalenessRecord;
+
+/**
+ * The newest configuration that a process has heard of, from whichever source and in whatever order
+ * it arrives. A record's version never goes down; a deletion is a version like any other.
+ *
+ * <pre>{@code
+ * store.mergeAll(reply.records());
+ * for (DatabaseRecord database : store.databases().values()) { ... }
+ * }</pre>
+ *
+ * <p>Thread-safe: one lock guards the records; the typed records are immutable and are read again
+ * only after a change.
+ */
+public final class ConfigStore {
+  private final SortedMap<ObjectKey, VersionedRecord> records = new TreeMap<>();
+  private long digest;
+  private volatile ConfigViews views = ConfigViews.of(List.of());
+
+  /**
+   * Takes over a record if its version is higher than the one held.
+   *
+   * @param record the record or tombstone
+   * @return what was done
+   */
+  public MergeResult merge(VersionedRecord record) {
+    synchronized (records) {
+      MergeResult result = put(record);
+      refresh(result == MergeResult.APPLIED);
+      return result;
+    }
+  }
+
+  /**
+   * Merges several records.
+   *
+   * @param batch the records and tombstones
+   * @return how many were applied
+   */
+  public int mergeAll(Collection<VersionedRecord> batch) {
+    synchronized (records) {
+      int applied = 0;
+      for (VersionedRecord record : batch) {
+        applied += put(record) == MergeResult.APPLIED ? 1 : 0;
+      }
+      refresh(applied > 0);
+      return applied;
+    }
+  }
+
+  /**
+   * A hash of the kind, name and version of all records and tombstones. Stores that hold the same
+   * versions have the same digest, in whatever order the versions arrived.
+   *
+   * @return 64 bits, 0 for the empty store
+   */
+  public long digest() {
+    synchronized (records) {
+      return digest;
+    }
+  }
+
+  /**
+   * The versions held, those of tombstones included.
+   *
+   * @return the version of each record
+   */
+  public Map<ObjectKey, Long> versions() {
+    synchronized (records) {
+      Map<ObjectKey, Long> versions = new TreeMap<>();
+      records.forEach((key, record) -> versions.put(key, record.version()));
+      return versions;
+    }
+  }
+
+  /**
+   * Lists what another process lacks.
+   *
+   * @param versions the versions that it holds
+   * @return the records and tombstones of which it holds none or a lower version
+   */
+  public List<VersionedRecord> changedSince(Map<ObjectKey, Long> versions) {
+    synchronized (records) {
+      return records.values().stream()
+          .filter(record -> record.version() > versions.getOrDefault(record.key(), 0L))
+          .toList();
+    }
+  }
+
+  /**
+   * The databases that the running version can read.
+   *
+   * @return the records by name
+   */
+  public Map<DatabaseId, DatabaseRecord> databases() {
+    return views.databases();
+  }
+
+  /**
+   * The proxies that the running version can read.
+   *
+   * @return the records by host
+   */
+  public Map<HostId, ProxyRecord> proxies() {
+    return views.proxies();
+  }
+
+  /**
+   * The staleness rules that the running version can read.
+   *
+   * @return the records, by name
+   */
+  public List<StalenessRecord> stalenessRules() {
+    return views.stalenessRules();
+  }
+
+  /**
+   * The platform's list of hosts.
+   *
+   * @return one entry for each host, none until a list has arrived
+   */
+  public List<HostEntry> hosts() {
+    return views.hosts();
+  }
+
+  /**
+   * All typed records of one moment.
+   *
+   * @return an immutable snapshot
+   */
+  public ConfigViews views() {
+    return views;
+  }
+
+  private MergeResult put(VersionedRecord record) {
+    VersionedRecord held = records.get(record.key());
+    if (held != null && held.version() >= record.version()) {
+      return notNewer(held, record);
+    }
+    requireHigher(held, record);
+    records.put(record.key(), record);
+    digest += hash(record) - (held == null ? 0 : hash(held));
+    return MergeResult.APPLIED;
+  }
+
+  private static MergeResult notNewer(VersionedRecord held, VersionedRecord record) {
+    if (held.version() > record.version()) {
+      return MergeResult.OLDER;
+    }
+    return held.equals(record) ? MergeResult.ALREADY_APPLIED : MergeResult.CONTENT_DIFFERS;
+  }
+
+  private void refresh(boolean changed) {
+    if (changed) {
+      views = ConfigViews.of(records.values());
+    }
+  }
+
+  private static void requireHigher(VersionedRecord before, VersionedRecord after) {
+    if (before != null && after.version() <= before.version()) {
+      throw new IllegalStateException(
+          "version of "
+              + after.key()
+              + " fell from "
+              + before.version()
+              + " to "
+              + after.version());
+    }
+  }
+
+  private static long hash(VersionedRecord record) {
+    byte[] kind = record.key().kind().getBytes(StandardCharsets.UTF_8);
+    byte[] name = record.key().name().getBytes(StandardCharsets.UTF_8);
+    ByteBuffer input = ByteBuffer.allocate(Integer.BYTES + kind.length + name.length + Long.BYTES);
+    input.putInt(kind.length).put(kind).put(name).putLong(record.version());
+    return ByteBuffer.wrap(sha256().digest(input.array())).getLong();
+  }
+
+  private static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+  }
+}
