Add the relay that stands in for the network

Cause: the demo, the proofs and the measurements need delays and cuts between real processes; a cut must hold sockets open, as a lost network does, and not reset them.

Ruled out: closing sockets at a cut (callers would see a reset at once, which a lost network never gives); resending held bytes after a heal (a request of minutes ago would run then).

Change: one process, one listening port for each link, each link on one event loop. Bytes wait for their delay in order; a cut drops those on the way; a connection that lost bytes stays silent and closes when the link heals; one that lost nothing goes on.

Conclusion: links can be delayed, cut both ways or one way, and healed.

--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/relay/Link.java
@@ -0,0 +1,102 @@
+package org.sardinebay.standins.relay;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.record.FieldReader;
+
+/**
+ * One listening port whose connections go on to one target. All that changes is confined to one
+ * event loop.
+ */
+final class Link {
+  private final LinkSettings settings;
+  private final EventLoop loop;
+  private final Set<RelayedConnection> connections = new HashSet<>();
+  private volatile Cut cut = Cut.NONE;
+  private volatile long delayMillis;
+
+  private Link(LinkSettings settings, EventLoop loop) {
+    this.settings = settings;
+    this.loop = loop;
+    this.delayMillis = settings.delayMillis();
+  }
+
+  static Link open(LinkSettings settings, EventLoop loop) throws IOException {
+    Link link = new Link(settings, loop);
+    ChannelFuture bound =
+        new ServerBootstrap()
+            .group(loop, loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel accepted) {
+                    link.accept(accepted);
+                  }
+                })
+            .bind(settings.listen().socketAddress())
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new IOException("can't listen on " + settings.listen(), bound.cause());
+    }
+    return link;
+  }
+
+  String source() {
+    return settings.source();
+  }
+
+  String target() {
+    return settings.target();
+  }
+
+  Cut cut() {
+    return cut;
+  }
+
+  long delayMillis() {
+    return delayMillis;
+  }
+
+  void change(Cut newCut, OptionalLong newDelayMillis) {
+    loop.execute(
+        () -> {
+          cut = newCut;
+          newDelayMillis.ifPresent(millis -> delayMillis = millis);
+          Set.copyOf(connections).forEach(RelayedConnection::linkChanged);
+        });
+  }
+
+  JsonNode dump() {
+    return Json.newObject()
+        .put("source", settings.source())
+        .put("target", settings.target())
+        .put("listen", settings.listen().toString())
+        .put("forward", settings.forward().toString())
+        .put("cut", FieldReader.spelling(cut))
+        .put("delayMillis", delayMillis);
+  }
+
+  void closed(RelayedConnection connection) {
+    connections.remove(connection);
+  }
+
+  private void accept(Channel accepted) {
+    RelayedConnection connection = new RelayedConnection(this, accepted, settings.forward());
+    connections.add(connection);
+    connection.start();
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/relay/RelayMain.java
@@ -0,0 +1,56 @@
+package org.sardinebay.standins.relay;
+
+import java.io.IOException;
+import java.util.List;
+import org.sardinebay.net.Binary;
+import org.sardinebay.net.BinaryMain;
+import org.sardinebay.net.RunningProcess;
+import org.sardinebay.record.FieldReader;
+
+/**
+ * The program that stands in for the network.
+ *
+ * <pre>{@code
+ * java -cp standins.jar org.sardinebay.standins.relay.RelayMain --settings relay.json
+ * curl -d '{"sources":["waco-1"],"targets":["*"],"cut":"both"}' http://127.0.0.1:9000/links
+ * }</pre>
+ */
+public final class RelayMain implements Binary<RelaySettings> {
+  /**
+   * Runs the relay.
+   *
+   * @param args the command line
+   */
+  public static void main(String[] args) {
+    System.exit(BinaryMain.run(new RelayMain(), args));
+  }
+
+  @Override
+  public String name() {
+    return "standin-relay";
+  }
+
+  @Override
+  public String summary() {
+    return "passes bytes between processes, with delays and cuts";
+  }
+
+  @Override
+  public RelaySettings settings(FieldReader reader) {
+    return new RelaySettings(
+        reader.address("listen"),
+        reader.objects("links", 0).stream().map(LinkSettings::read).toList());
+  }
+
+  @Override
+  public RunningProcess start(RelaySettings settings) throws IOException {
+    return RelayProcess.start(settings);
+  }
+
+  @Override
+  public List<String> settingsHelp() {
+    return List.of(
+        "listen  address for commands",
+        "links   list of {source, target, listen, forward, delayMillis}");
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/relay/RelayProcess.java
@@ -0,0 +1,129 @@
+package org.sardinebay.standins.relay;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.sardinebay.net.AdminRoutes;
+import org.sardinebay.net.RunningProcess;
+import org.sardinebay.net.http.HttpCall;
+import org.sardinebay.net.http.HttpReply;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.net.http.JsonHttpServer;
+import org.sardinebay.net.http.Route;
+import org.sardinebay.record.FieldReader;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A running relay: its links and the commands that change them. */
+final class RelayProcess implements RunningProcess {
+  private static final Logger LOG = LoggerFactory.getLogger(RelayProcess.class);
+  private static final int LINK_THREADS = 2;
+  private static final int BAD_REQUEST = 400;
+  private static final String ANY = "*";
+
+  private final EventLoopGroup loops;
+  private final List<Link> links = new ArrayList<>();
+  private JsonHttpServer server;
+
+  private RelayProcess(EventLoopGroup loops) {
+    this.loops = loops;
+  }
+
+  static RelayProcess start(RelaySettings settings) throws IOException {
+    RelayProcess process =
+        new RelayProcess(new MultiThreadIoEventLoopGroup(LINK_THREADS, NioIoHandler.newFactory()));
+    try {
+      process.open(settings);
+    } catch (IOException e) {
+      process.shutdown();
+      throw e;
+    }
+    return process;
+  }
+
+  private void open(RelaySettings settings) throws IOException {
+    for (LinkSettings link : settings.links()) {
+      links.add(Link.open(link, loops.next()));
+    }
+    List<Route> routes = new ArrayList<>();
+    routes.add(Route.post("/links", call -> CompletableFuture.completedFuture(change(call))));
+    routes.addAll(AdminRoutes.of(this, new PrometheusMeterRegistry(PrometheusConfig.DEFAULT)));
+    server = JsonHttpServer.start(settings.listen(), 1, routes);
+  }
+
+  private HttpReply change(HttpCall call) {
+    if (call.body().isEmpty()) {
+      return HttpReply.plain(BAD_REQUEST, "the body must be JSON\n");
+    }
+    FieldReader reader = FieldReader.of(call.body().get());
+    List<String> sources = names(reader, "sources");
+    List<String> targets = names(reader, "targets");
+    Cut cut = reader.constant("cut", Cut.NONE);
+    OptionalLong delayMillis =
+        reader.has("delayMillis")
+            ? OptionalLong.of(reader.number("delayMillis", 0, LinkSettings.MAX_DELAY_MILLIS))
+            : OptionalLong.empty();
+    if (!reader.problems().isEmpty()) {
+      return HttpReply.plain(BAD_REQUEST, reader.problems().get(0) + "\n");
+    }
+    int changed = 0;
+    for (Link link : links) {
+      if (matches(sources, link.source()) && matches(targets, link.target())) {
+        link.change(cut, delayMillis);
+        changed++;
+      }
+    }
+    LOG.atInfo()
+        .setMessage("links_changed")
+        .addKeyValue("sources", sources)
+        .addKeyValue("targets", targets)
+        .addKeyValue("cut", cut)
+        .addKeyValue("links", changed)
+        .log();
+    return HttpReply.json(HttpReply.OK, Json.newObject().put("changed", changed));
+  }
+
+  private static List<String> names(FieldReader reader, String field) {
+    List<String> names = new ArrayList<>();
+    reader.tree().path(field).forEach(name -> names.add(name.asText()));
+    if (names.isEmpty()) {
+      reader.problem(field, "a list of names, or [\"*\"]");
+    }
+    return names;
+  }
+
+  private static boolean matches(List<String> names, String name) {
+    return names.contains(ANY) || names.contains(name);
+  }
+
+  @Override
+  public JsonNode dump() {
+    ObjectNode tree = Json.newObject();
+    ArrayNode list = tree.putArray("links");
+    links.forEach(link -> list.add(link.dump()));
+    return tree;
+  }
+
+  @Override
+  public boolean ready() {
+    return true;
+  }
+
+  @Override
+  public void shutdown() {
+    if (server != null) {
+      server.stop();
+    }
+    var unused = loops.shutdownGracefully();
+  }
+}
