Wire the proxy as a process

Cause: the thin path needs a proxy that takes requests, finds a home and runs them. Ruled out: every proxy connecting to every member, which can't work at 430 hosts and 20 connections a member.

--- a/core/src/main/java/org/sardinebay/CallerRequest.java
+++ b/core/src/main/java/org/sardinebay/CallerRequest.java
@@ -29,4 +29,47 @@
     boolean repeatable,
     Optional<String> idempotencyKey,
     long timeoutMillis,
-    Optional<String> transaction) {}
+    Optional<String> transaction) {
+
+  /**
+   * The same request with an idempotency key.
+   *
+   * @param key the key
+   * @return a copy
+   */
+  public CallerRequest withIdempotencyKey(String key) {
+    return new CallerRequest(
+        requestId,
+        caller,
+        database,
+        kind,
+        statement,
+        token,
+        maxAgeMillis,
+        repeatable,
+        Optional.of(key),
+        timeoutMillis,
+        transaction);
+  }
+
+  /**
+   * The same request with another time left for its answer.
+   *
+   * @param millis the time that is left
+   * @return a copy
+   */
+  public CallerRequest withTimeoutMillis(long millis) {
+    return new CallerRequest(
+        requestId,
+        caller,
+        database,
+        kind,
+        statement,
+        token,
+        maxAgeMillis,
+        repeatable,
+        idempotencyKey,
+        millis,
+        transaction);
+  }
+}
--- a/core/src/main/java/org/sardinebay/internal/request/WriteMachine.java
+++ b/core/src/main/java/org/sardinebay/internal/request/WriteMachine.java
@@ -166,7 +166,9 @@
    * @return not-run or unknown
    */
   public Answer outOfRetries() {
-    return inDoubt ? unknown() : new Answer.NotRun(new Failure.Overloaded(), RETRY_AFTER_OVERLOAD_MILLIS);
+    return inDoubt
+        ? unknown()
+        : new Answer.NotRun(new Failure.Overloaded(), RETRY_AFTER_OVERLOAD_MILLIS);
   }
 
   private WriteStep onRefused(EndpointRefusal refusal) {
--- /dev/null
+++ b/net/src/main/java/org/sardinebay/net/peer/ConfigStoreFeed.java
@@ -0,0 +1,67 @@
+package org.sardinebay.net.peer;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.sardinebay.internal.version.ConfigStore;
+import org.sardinebay.internal.version.MergeResult;
+import org.sardinebay.internal.version.VersionedRecord;
+import org.sardinebay.platform.ObjectKey;
+import org.sardinebay.platform.PlatformObject;
+
+/**
+ * Joins a process's configuration with the feed.
+ *
+ * <pre>{@code
+ * FeedStore feed = new ConfigStoreFeed(store);
+ * feed.onChange(fleet::refresh);
+ * }</pre>
+ */
+public final class ConfigStoreFeed implements FeedStore {
+  private final ConfigStore store;
+  private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+
+  /**
+   * A feed of a store.
+   *
+   * @param store the configuration
+   */
+  public ConfigStoreFeed(ConfigStore store) {
+    this.store = store;
+  }
+
+  @Override
+  public Map<ObjectKey, Long> versions() {
+    return store.versions();
+  }
+
+  @Override
+  public long digest() {
+    return store.digest();
+  }
+
+  @Override
+  public List<PlatformObject> changedSince(Map<ObjectKey, Long> versions) {
+    return store.changedSince(versions).stream()
+        .map(
+            record ->
+                new PlatformObject(record.key(), record.version(), record.deleted(), record.body()))
+        .toList();
+  }
+
+  @Override
+  public boolean merge(PlatformObject object) {
+    VersionedRecord record =
+        new VersionedRecord(object.key(), object.version(), object.deleted(), object.body());
+    boolean applied = store.merge(record) == MergeResult.APPLIED;
+    if (applied) {
+      listeners.forEach(Runnable::run);
+    }
+    return applied;
+  }
+
+  @Override
+  public void onChange(Runnable listener) {
+    listeners.add(listener);
+  }
+}
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/connection/MemberGateway.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/connection/MemberGateway.java
@@ -206,8 +206,7 @@
 
   private void open() {
     EndpointCall call = new EndpointCall.Open(identity.host().value());
-    var unused =
-        endpoints.call(address, call, OPEN_TIMEOUT_MILLIS).thenAccept(this::onOpenReply);
+    var unused = endpoints.call(address, call, OPEN_TIMEOUT_MILLIS).thenAccept(this::onOpenReply);
   }
 
   private void onOpenReply(EndpointReply reply) {
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/connection/TransactionTable.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/connection/TransactionTable.java
@@ -55,9 +55,7 @@
    */
   public static Optional<HostId> host(String id) {
     int separator = id.indexOf(HOST_SEPARATOR);
-    return separator <= 0
-        ? Optional.empty()
-        : Optional.of(new HostId(id.substring(0, separator)));
+    return separator <= 0 ? Optional.empty() : Optional.of(new HostId(id.substring(0, separator)));
   }
 
   /**
--- /dev/null
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/process/EntryService.java
@@ -0,0 +1,198 @@
+package org.sardinebay.proxy.internal.process;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
+import io.micrometer.core.instrument.Timer;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import org.sardinebay.Address;
+import org.sardinebay.Answer;
+import org.sardinebay.CallerRequest;
+import org.sardinebay.Failure;
+import org.sardinebay.HostId;
+import org.sardinebay.RequestKind;
+import org.sardinebay.net.http.HttpCall;
+import org.sardinebay.net.http.HttpReply;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.net.peer.generated.ForwardCall;
+import org.sardinebay.net.peer.generated.ForwardReply;
+import org.sardinebay.net.peer.generated.Frame;
+import org.sardinebay.proxy.internal.connection.TransactionTable;
+import org.sardinebay.proxy.internal.request.AnswerWriter;
+import org.sardinebay.proxy.internal.request.RequestReader;
+import org.sardinebay.proxy.internal.request.RouteFlow;
+import org.sardinebay.proxy.internal.version.Home;
+
+/**
+ * Takes requests from callers and from other proxies.
+ *
+ * <pre>{@code
+ * Route.post("/v1/requests", service::handle);
+ * }</pre>
+ */
+public final class EntryService {
+  private final ProxyRuntime runtime;
+  private final Fleet fleet;
+  private final RequestRunner runner;
+  private final Forwarder forwarder;
+  private final PeerSuspicion suspicion;
+  private final Supplier<String> names;
+  private final AtomicInteger inProgress = new AtomicInteger();
+  private volatile boolean refusing;
+
+  /**
+   * A service.
+   *
+   * @param runtime the proxy
+   * @param fleet the databases and their homes
+   * @param runner runs requests here
+   * @param forwarder hands requests to other proxies
+   * @param suspicion which proxies lately did not answer
+   * @param names makes unique texts
+   */
+  public EntryService(
+      ProxyRuntime runtime,
+      Fleet fleet,
+      RequestRunner runner,
+      Forwarder forwarder,
+      PeerSuspicion suspicion,
+      Supplier<String> names) {
+    this.runtime = runtime;
+    this.fleet = fleet;
+    this.runner = runner;
+    this.forwarder = forwarder;
+    this.suspicion = suspicion;
+    this.names = names;
+  }
+
+  /**
+   * Answers a caller's request.
+   *
+   * @param call the HTTP request
+   * @return the HTTP reply
+   */
+  public CompletableFuture<HttpReply> handle(HttpCall call) {
+    String requestId = names.get();
+    RequestReader.Result read = RequestReader.read(call.body(), requestId);
+    if (read instanceof RequestReader.Result.Wrong wrong) {
+      Answer answer = new Answer.Refused(wrong.failure());
+      return CompletableFuture.completedFuture(
+          AnswerWriter.reply(AnswerWriter.write(requestId, answer, Optional.empty())));
+    }
+    CallerRequest request = keyed(((RequestReader.Result.Read) read).request());
+    JsonNode body = keyedBody(call.body().orElseThrow(), request);
+    long startedAt = runtime.clock().millis();
+    inProgress.incrementAndGet();
+    return route(request, body)
+        .thenApply(AnswerWriter::reply)
+        .whenComplete((reply, e) -> onAnswered(request, reply, startedAt));
+  }
+
+  private void onAnswered(CallerRequest request, HttpReply reply, long startedAt) {
+    inProgress.decrementAndGet();
+    String outcome = reply == null ? "failed" : reply.body().path("outcome").asText();
+    Timer.builder("sardinebay_request_duration")
+        .tag("kind", request.kind().name())
+        .tag("outcome", outcome)
+        .register(runtime.metrics())
+        .record(runtime.clock().millis() - startedAt, TimeUnit.MILLISECONDS);
+  }
+
+  private CallerRequest keyed(CallerRequest request) {
+    boolean needsKey = request.kind() == RequestKind.WRITE || request.kind() == RequestKind.COMMIT;
+    return needsKey && request.idempotencyKey().isEmpty()
+        ? request.withIdempotencyKey(names.get())
+        : request;
+  }
+
+  private static JsonNode keyedBody(JsonNode body, CallerRequest request) {
+    if (request.idempotencyKey().isEmpty()) {
+      return body;
+    }
+    ObjectNode copy = body.deepCopy();
+    return copy.put("idempotencyKey", request.idempotencyKey().get());
+  }
+
+  private CompletableFuture<? extends JsonNode> route(CallerRequest request, JsonNode body) {
+    if (refusing && !request.kind().insideTransaction()) {
+      return refused(request, new Failure.ShuttingDown());
+    }
+    if (request.kind().insideTransaction()) {
+      return routeTransaction(request, body);
+    }
+    List<Home> homes = fleet.homes(request.database());
+    return homes.isEmpty() ? runner.run(request, false) : flow(request, body, homes);
+  }
+
+  private CompletableFuture<? extends JsonNode> routeTransaction(
+      CallerRequest request, JsonNode body) {
+    Optional<HostId> host = TransactionTable.host(request.transaction().orElseThrow());
+    Optional<Address> address = host.flatMap(fleet::peerAddress);
+    if (address.isEmpty() || host.get().equals(runtime.identity().host())) {
+      return runner.run(request, false);
+    }
+    Home home = new Home(host.get(), address.get(), false);
+    return flow(request, body, List.of(home));
+  }
+
+  private CompletableFuture<JsonNode> flow(CallerRequest request, JsonNode body, List<Home> homes) {
+    return new RouteFlow(runtime, runner, forwarder, suspicion, request, body, homes).start();
+  }
+
+  private CompletableFuture<ObjectNode> refused(CallerRequest request, Failure failure) {
+    return CompletableFuture.completedFuture(runner.notRun(request.requestId(), failure));
+  }
+
+  /**
+   * Answers a request that another proxy forwarded.
+   *
+   * @param call the forwarded request
+   * @return a frame with the answer
+   */
+  public CompletableFuture<Frame> handleForwarded(ForwardCall call) {
+    Optional<JsonNode> body = Json.parse(call.getRequest().toByteArray());
+    RequestReader.Result read = RequestReader.read(body, call.getRequestId());
+    if (read instanceof RequestReader.Result.Wrong wrong) {
+      Answer answer = new Answer.Refused(wrong.failure());
+      return CompletableFuture.completedFuture(
+          frame(AnswerWriter.write(call.getRequestId(), answer, Optional.empty())));
+    }
+    CallerRequest request =
+        ((RequestReader.Result.Read) read)
+            .request()
+            .withTimeoutMillis(Math.max(1, call.getRemainingMillis()));
+    if (refusing && !request.kind().insideTransaction()) {
+      return refused(request, new Failure.ShuttingDown()).thenApply(EntryService::frame);
+    }
+    inProgress.incrementAndGet();
+    return runner
+        .run(request, call.getInDoubt())
+        .thenApply(EntryService::frame)
+        .whenComplete((frame, e) -> inProgress.decrementAndGet());
+  }
+
+  private static Frame frame(JsonNode answer) {
+    ForwardReply reply =
+        ForwardReply.newBuilder().setAnswer(ByteString.copyFrom(Json.bytes(answer))).build();
+    return Frame.newBuilder().setForwardReply(reply).build();
+  }
+
+  /** Refuses new work from now on; open transactions go on. */
+  public void refuseNewWork() {
+    refusing = true;
+  }
+
+  /**
+   * How many requests are in progress.
+   *
+   * @return the number, forwarded ones included
+   */
+  public int inProgress() {
+    return inProgress.get();
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/process/ProxySettings.java
@@ -0,0 +1,71 @@
+package org.sardinebay.proxy.internal.process;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.sardinebay.Address;
+import org.sardinebay.FailureDomain;
+import org.sardinebay.HostId;
+import org.sardinebay.internal.process.TokenKey;
+import org.sardinebay.net.AddressTranslation;
+import org.sardinebay.record.FieldReader;
+
+/**
+ * The proxy's settings.
+ *
+ * @param identity who it is
+ * @param listen where it takes callers' requests
+ * @param peerListen where it takes calls of other processes
+ * @param controllers where it gets its configuration
+ * @param peers where it gets its configuration when no controller answers
+ * @param tokenKeys the keys of session tokens
+ * @param shutdownGraceMillis how long it stays unready before it refuses new work
+ * @param translation how addresses are reached from this host
+ */
+public record ProxySettings(
+    ProxyIdentity identity,
+    Address listen,
+    Address peerListen,
+    List<Address> controllers,
+    List<Address> peers,
+    List<TokenKey> tokenKeys,
+    long shutdownGraceMillis,
+    AddressTranslation translation) {
+
+  private static final long MAX_GRACE_MILLIS = 60_000;
+  private static final long DEFAULT_GRACE_MILLIS = 1_000;
+  private static final int MIN_SECRET_LENGTH = 32;
+
+  /**
+   * Reads the settings.
+   *
+   * @param reader the settings file's root object; takes the problems
+   * @return the settings
+   */
+  public static ProxySettings read(FieldReader reader) {
+    return new ProxySettings(
+        new ProxyIdentity(
+            new HostId(reader.text("host")), new FailureDomain(reader.text("failureDomain"))),
+        reader.address("listen"),
+        reader.address("peerListen"),
+        reader.addresses("controllers"),
+        reader.addresses("peers"),
+        tokenKeys(reader),
+        reader.number("shutdownGraceMillis", 0, MAX_GRACE_MILLIS, DEFAULT_GRACE_MILLIS),
+        AddressTranslation.read(reader));
+  }
+
+  private static List<TokenKey> tokenKeys(FieldReader reader) {
+    List<TokenKey> keys = new ArrayList<>();
+    for (FieldReader entry : reader.objects("tokenKeys", 1)) {
+      TokenKey key = new TokenKey(entry.text("id"), entry.text("secret"));
+      if (key.secret().length() < MIN_SECRET_LENGTH) {
+        entry.problem("secret", "a text of at least " + MIN_SECRET_LENGTH + " characters");
+      }
+      if (key.id().contains(".")) {
+        entry.problem("id", "a text without dots");
+      }
+      keys.add(key);
+    }
+    return keys;
+  }
+}
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/process/RequestRunner.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/process/RequestRunner.java
@@ -139,8 +139,7 @@
           request.kind() == RequestKind.COMMIT && request.idempotencyKey().isPresent();
       return commitInDoubt
           ? KeyResolution.resolve(runtime, shard, execution)
-          : CompletableFuture.completedFuture(
-              new Answer.Refused(new Failure.UnknownTransaction()));
+          : CompletableFuture.completedFuture(new Answer.Refused(new Failure.UnknownTransaction()));
     }
     TransactionFlow flow = transactionFlow(shard);
     return switch (request.kind()) {
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/request/KeyResolution.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/request/KeyResolution.java
@@ -46,8 +46,7 @@
    */
   static Answer withoutTombstone(Answer answer) {
     if (answer instanceof Answer.Done done && done.rows().equals(TOMBSTONE_ROWS)) {
-      return new Answer.NotRun(
-          new Failure.Revoked(), WriteMachine.RETRY_AFTER_OVERLOAD_MILLIS);
+      return new Answer.NotRun(new Failure.Revoked(), WriteMachine.RETRY_AFTER_OVERLOAD_MILLIS);
     }
     return answer;
   }
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/request/ReadFlow.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/request/ReadFlow.java
@@ -45,8 +45,7 @@
    * @param execution what to run
    * @param need what it has to show
    */
-  public ReadFlow(
-      ProxyRuntime runtime, DatabaseShard shard, Execution execution, ReadNeed need) {
+  public ReadFlow(ProxyRuntime runtime, DatabaseShard shard, Execution execution, ReadNeed need) {
     this.runtime = runtime;
     this.shard = shard;
     this.execution = execution;
@@ -111,8 +110,7 @@
     var unused = lease.execute(call, timeout).thenAccept(reply -> onReply(route, lease, reply));
   }
 
-  private void onReply(
-      ReadRoute.ToMember route, ConnectionLease lease, EndpointReply reply) {
+  private void onReply(ReadRoute.ToMember route, ConnectionLease lease, EndpointReply reply) {
     lease.giveBack(reply);
     if (reply instanceof EndpointReply.Done done) {
       shard.observeApplied(route.member(), done.position());
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/request/TransactionFlow.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/request/TransactionFlow.java
@@ -98,7 +98,7 @@
 
   private Answer onBegun(
       Execution execution, WriteStep.Send send, ConnectionLease lease, EndpointReply reply) {
-    if (!(reply instanceof EndpointReply.Done)) {
+    if (!(reply instanceof EndpointReply.Done done)) {
       lease.discard();
       Failure failure = new Failure.PrimaryUnreachable(send.primary());
       return new Answer.NotRun(failure, WriteMachine.RETRY_AFTER_PROMOTION_MILLIS);
@@ -114,7 +114,7 @@
             lease,
             now());
     table.add(transaction);
-    return done(transaction, (EndpointReply.Done) reply, Optional.of(id));
+    return done(transaction, done, Optional.of(id));
   }
 
   /**
@@ -128,8 +128,7 @@
     return entered(transaction, execution, reply -> onStatement(transaction, reply));
   }
 
-  private CompletableFuture<Answer> onStatement(
-      OpenTransaction transaction, EndpointReply reply) {
+  private CompletableFuture<Answer> onStatement(OpenTransaction transaction, EndpointReply reply) {
     if (reply instanceof EndpointReply.Done done) {
       transaction.exit(now());
       return CompletableFuture.completedFuture(done(transaction, done, Optional.empty()));
@@ -174,8 +173,7 @@
    * @return done once the commit is acknowledged, refused on a conflict, not-run, or unknown
    */
   public CompletableFuture<Answer> commit(OpenTransaction transaction, Execution execution) {
-    return entered(
-        transaction, execution, reply -> onCommit(transaction, execution, reply));
+    return entered(transaction, execution, reply -> onCommit(transaction, execution, reply));
   }
 
   private CompletableFuture<Answer> onCommit(
@@ -201,8 +199,7 @@
 
   private CompletableFuture<Answer> acknowledge(
       MemberId primary, Execution execution, EndpointReply reply) {
-    return new WriteFlow(
-            runtime, shard, execution.as(StatementKind.REVOKE), true)
+    return new WriteFlow(runtime, shard, execution.as(StatementKind.REVOKE), true)
         .startFrom(primary, reply)
         .thenApply(KeyResolution::withoutTombstone);
   }
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/request/WriteFlow.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/request/WriteFlow.java
@@ -49,11 +49,7 @@
     this.shard = shard;
     this.execution = execution;
     this.machine =
-        new WriteMachine(
-            execution.deadline(),
-            shard.policy(),
-            execution.callerKey(),
-            inDoubt);
+        new WriteMachine(execution.deadline(), shard.policy(), execution.callerKey(), inDoubt);
   }
 
   /**
@@ -149,8 +145,7 @@
             0,
             execution.key(),
             timeout);
-    var unused =
-        lease.execute(call, timeout).thenAccept(reply -> onReply(member, lease, reply));
+    var unused = lease.execute(call, timeout).thenAccept(reply -> onReply(member, lease, reply));
   }
 
   private void onReply(MemberId member, ConnectionLease lease, EndpointReply reply) {
--- /dev/null
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/version/HomeOrder.java
@@ -0,0 +1,99 @@
+package org.sardinebay.proxy.internal.version;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.sardinebay.FailureDomain;
+import org.sardinebay.HostId;
+import org.sardinebay.internal.version.ConfigViews;
+import org.sardinebay.internal.version.HomeSelector;
+import org.sardinebay.platform.HostEntry;
+import org.sardinebay.proxy.internal.process.ProxyIdentity;
+import org.sardinebay.record.DatabaseRecord;
+import org.sardinebay.record.ProxyRecord;
+
+/**
+ * Orders the homes of databases as one proxy tries them, under one configuration.
+ *
+ * <pre>{@code
+ * List<Home> homes = new HomeOrder(views, identity).homes(database);
+ * }</pre>
+ */
+public final class HomeOrder {
+  private static final int HOMES_PER_DOMAIN = 2;
+
+  private final ProxyIdentity identity;
+  private final List<ProxyRecord> proxies;
+
+  /**
+   * An order.
+   *
+   * @param views the configuration
+   * @param identity this proxy
+   */
+  public HomeOrder(ConfigViews views, ProxyIdentity identity) {
+    this.identity = identity;
+    this.proxies = staying(views.proxies().values(), views.hosts());
+  }
+
+  private static List<ProxyRecord> staying(
+      Collection<ProxyRecord> proxies, Collection<HostEntry> hosts) {
+    Set<String> staying =
+        hosts.stream()
+            .filter(host -> !host.leaving())
+            .map(HostEntry::name)
+            .collect(Collectors.toCollection(HashSet::new));
+    List<ProxyRecord> listed =
+        proxies.stream().filter(proxy -> staying.contains(proxy.host().value())).toList();
+    return listed.isEmpty() ? List.copyOf(proxies) : listed;
+  }
+
+  /**
+   * The homes of a database: those of the own failure domain first, then the others' homes.
+   *
+   * @param database the database's record
+   * @return the homes in the order in which to try them
+   */
+  public List<Home> homes(DatabaseRecord database) {
+    List<Home> near = new ArrayList<>();
+    List<Home> far = new ArrayList<>();
+    for (FailureDomain domain : HomeSelector.domains(database)) {
+      List<ProxyRecord> ranked = HomeSelector.ranked(database.id(), domain, proxies);
+      List<Home> homes = ranked.stream().limit(HOMES_PER_DOMAIN).map(this::home).toList();
+      if (domain.equals(identity.failureDomain())) {
+        near.addAll(homes);
+      } else {
+        far.addAll(homes);
+      }
+    }
+    near.addAll(far);
+    return near;
+  }
+
+  /**
+   * This proxy's rank for a database in its failure domain.
+   *
+   * @param database the database's record
+   * @return 0 for the home, 1 for the reserve, {@code Integer.MAX_VALUE} if it is neither
+   */
+  public int rank(DatabaseRecord database) {
+    boolean memberHere = HomeSelector.domains(database).contains(identity.failureDomain());
+    if (!memberHere) {
+      return Integer.MAX_VALUE;
+    }
+    List<HostId> ranked =
+        HomeSelector.ranked(database.id(), identity.failureDomain(), proxies).stream()
+            .map(ProxyRecord::host)
+            .toList();
+    int rank = ranked.indexOf(identity.host());
+    return rank < 0 || rank >= HOMES_PER_DOMAIN ? Integer.MAX_VALUE : rank;
+  }
+
+  private Home home(ProxyRecord proxy) {
+    boolean self = proxy.host().equals(identity.host());
+    return new Home(proxy.host(), proxy.peerAddress(), self);
+  }
+}
