Let the HTTP client connect to IP numbers

Cause: ActiveJ's client asks its DNS client for IP numbers too; ours failed each query, so that every call ended as NoResponse. Ruled out: a resolver with network access, as addresses are IP numbers. Change: numbers are answered from the query, names are still refused.

--- a/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
+++ b/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
@@ -142,7 +142,10 @@
   private static final class NoDns implements IDnsClient {
     @Override
     public Promise<DnsResponse> resolve(DnsQuery query) {
-      return Promise.ofException(new IllegalArgumentException("addresses must be IP numbers"));
+      DnsResponse response = IDnsClient.resolveFromQuery(query);
+      return response == null
+          ? Promise.ofException(new IllegalArgumentException("addresses must be IP numbers"))
+          : Promise.of(response);
     }
 
     @Override
