Add the platform's HTTP client and its stand-in

Cause: controllers, drivers and operators need the platform; tests need one that fails on demand.

Ruled out: a delayed call that takes effect late (an answer that is late after its effect is the harder case for the caller); a timer thread per watch.

--- /dev/null
+++ b/net/src/main/java/org/sardinebay/net/platform/HttpPlatformClient.java
@@ -0,0 +1,177 @@
+package org.sardinebay.net.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.activej.http.HttpMethod;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.sardinebay.Address;
+import org.sardinebay.net.AddressTranslation;
+import org.sardinebay.net.http.HttpResult;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.net.http.JsonHttpClient;
+import org.sardinebay.platform.HostEntry;
+import org.sardinebay.platform.HostListCodec;
+import org.sardinebay.platform.ObjectKey;
+import org.sardinebay.platform.PlatformClient;
+import org.sardinebay.platform.PlatformFailure;
+import org.sardinebay.platform.PlatformObject;
+import org.sardinebay.platform.PlatformResult;
+
+/**
+ * Calls the platform over HTTP/1.1 with JSON.
+ *
+ * <pre>{@code
+ * PlatformClient platform = new HttpPlatformClient(http, address, AddressTranslation.none());
+ * }</pre>
+ */
+public final class HttpPlatformClient implements PlatformClient {
+  private static final long WATCH_GRACE_MILLIS = 2_000;
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+  private static final int RATE_LIMITED = 429;
+  private static final int UNAVAILABLE = 503;
+  private static final int FIRST_CLIENT_ERROR = 400;
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private final JsonHttpClient http;
+  private final Address address;
+
+  /**
+   * Creates a client.
+   *
+   * @param http what sends the requests
+   * @param platform the platform's address
+   * @param translation how this host reaches it
+   */
+  public HttpPlatformClient(JsonHttpClient http, Address platform, AddressTranslation translation) {
+    this.http = http;
+    this.address = translation.translate(platform);
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult> read(ObjectKey key, long timeoutMillis) {
+    return call(HttpMethod.GET, path(key), Optional.empty(), timeoutMillis)
+        .thenApply(result -> decode(result, HttpPlatformClient::found));
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult> write(
+      ObjectKey key, long expectedVersion, ObjectNode body, long timeoutMillis) {
+    ObjectNode request = Json.newObject().put("expectedVersion", expectedVersion);
+    request.set("body", body);
+    return call(HttpMethod.PUT, path(key), Optional.of(request), timeoutMillis)
+        .thenApply(result -> decode(result, HttpPlatformClient::found))
+        .thenApply(HttpPlatformClient::absentIsBadCall);
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult> delete(
+      ObjectKey key, long expectedVersion, long timeoutMillis) {
+    String path = path(key) + "?expectedVersion=" + expectedVersion;
+    return call(HttpMethod.DELETE, path, Optional.empty(), timeoutMillis)
+        .thenApply(result -> decode(result, tree -> Optional.of(new PlatformResult.Absent())));
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult> watch(
+      List<String> kinds, long afterRevision, long waitMillis) {
+    String names = kinds.stream().map(HttpPlatformClient::escape).collect(Collectors.joining(","));
+    String path =
+        "/v1/watch?kinds=" + names + "&after=" + afterRevision + "&waitMillis=" + waitMillis;
+    return call(HttpMethod.GET, path, Optional.empty(), waitMillis + WATCH_GRACE_MILLIS)
+        .thenApply(result -> decode(result, HttpPlatformClient::listing))
+        .thenApply(HttpPlatformClient::absentIsBadCall);
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult> hosts(long timeoutMillis) {
+    return call(HttpMethod.GET, "/v1/hosts", Optional.empty(), timeoutMillis)
+        .thenApply(result -> decode(result, HttpPlatformClient::hostList))
+        .thenApply(HttpPlatformClient::absentIsBadCall);
+  }
+
+  private CompletableFuture<HttpResult> call(
+      HttpMethod method, String path, Optional<JsonNode> body, long timeoutMillis) {
+    return http.call(method, address, path, body, timeoutMillis);
+  }
+
+  private static PlatformResult decode(
+      HttpResult result, Function<JsonNode, Optional<PlatformResult>> reader) {
+    if (result instanceof HttpResult.NotSent) {
+      return new PlatformResult.Failed(PlatformFailure.NOT_SENT);
+    }
+    if (result instanceof HttpResult.Response response) {
+      return response.status() == OK
+          ? reader.apply(response.body()).orElse(noAnswer())
+          : refusal(response);
+    }
+    return noAnswer();
+  }
+
+  private static PlatformResult refusal(HttpResult.Response response) {
+    return switch (response.status()) {
+      case NOT_FOUND -> new PlatformResult.Absent();
+      case CONFLICT -> conflict(response.body());
+      case RATE_LIMITED -> new PlatformResult.Failed(PlatformFailure.RATE_LIMITED);
+      case UNAVAILABLE -> new PlatformResult.Failed(PlatformFailure.UNAVAILABLE);
+      default ->
+          isClientError(response.status())
+              ? new PlatformResult.Failed(PlatformFailure.BAD_CALL)
+              : noAnswer();
+    };
+  }
+
+  private static boolean isClientError(int status) {
+    return status >= FIRST_CLIENT_ERROR && status < FIRST_SERVER_ERROR;
+  }
+
+  private static PlatformResult conflict(JsonNode body) {
+    JsonNode version = body.path("currentVersion");
+    return version.canConvertToLong()
+        ? new PlatformResult.Conflict(version.longValue())
+        : noAnswer();
+  }
+
+  private static Optional<PlatformResult> found(JsonNode tree) {
+    return ObjectJson.read(tree).map(PlatformResult.Found::new);
+  }
+
+  private static Optional<PlatformResult> listing(JsonNode tree) {
+    Optional<List<PlatformObject>> objects = ObjectJson.readAll(tree.path("objects"));
+    return tree.path("revision").canConvertToLong()
+        ? objects.map(list -> new PlatformResult.Listing(tree.path("revision").longValue(), list))
+        : Optional.empty();
+  }
+
+  private static Optional<PlatformResult> hostList(JsonNode tree) {
+    Optional<List<HostEntry>> hosts = HostListCodec.read(tree);
+    return tree.path("revision").canConvertToLong()
+        ? hosts.map(list -> new PlatformResult.Hosts(tree.path("revision").longValue(), list))
+        : Optional.empty();
+  }
+
+  private static PlatformResult absentIsBadCall(PlatformResult result) {
+    return result instanceof PlatformResult.Absent
+        ? new PlatformResult.Failed(PlatformFailure.BAD_CALL)
+        : result;
+  }
+
+  private static PlatformResult noAnswer() {
+    return new PlatformResult.Failed(PlatformFailure.NO_ANSWER);
+  }
+
+  private static String path(ObjectKey key) {
+    return "/v1/objects/" + escape(key.kind()) + "/" + escape(key.name());
+  }
+
+  private static String escape(String text) {
+    return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/sardinebay/net/platform/ObjectJson.java
@@ -0,0 +1,74 @@
+package org.sardinebay.net.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.platform.ObjectKey;
+import org.sardinebay.platform.PlatformObject;
+
+/**
+ * Reads and writes objects as the platform's JSON states them.
+ *
+ * <pre>{@code
+ * Optional<PlatformObject> object = ObjectJson.read(tree);
+ * }</pre>
+ */
+public final class ObjectJson {
+  private ObjectJson() {}
+
+  /**
+   * Reads one object.
+   *
+   * @param tree the JSON
+   * @return the object, or empty if the JSON is none
+   */
+  public static Optional<PlatformObject> read(JsonNode tree) {
+    boolean deleted = tree.path("deleted").asBoolean(false);
+    JsonNode body = deleted ? Json.newObject() : tree.path("body");
+    if (!tree.path("kind").isTextual()
+        || !tree.path("name").isTextual()
+        || !tree.path("version").canConvertToLong()
+        || !(body instanceof ObjectNode content)) {
+      return Optional.empty();
+    }
+    ObjectKey key = new ObjectKey(tree.path("kind").textValue(), tree.path("name").textValue());
+    return Optional.of(new PlatformObject(key, tree.path("version").longValue(), deleted, content));
+  }
+
+  /**
+   * Reads a list of objects.
+   *
+   * @param list the JSON array
+   * @return the objects, or empty if one of them can't be read
+   */
+  public static Optional<List<PlatformObject>> readAll(JsonNode list) {
+    List<PlatformObject> objects = new ArrayList<>();
+    for (JsonNode element : list) {
+      Optional<PlatformObject> object = read(element);
+      if (object.isEmpty()) {
+        return Optional.empty();
+      }
+      objects.add(object.get());
+    }
+    return list.isArray() ? Optional.of(List.copyOf(objects)) : Optional.empty();
+  }
+
+  /**
+   * Writes one object.
+   *
+   * @param object the object
+   * @return the JSON
+   */
+  public static ObjectNode write(PlatformObject object) {
+    ObjectNode tree = Json.newObject();
+    tree.put("kind", object.key().kind());
+    tree.put("name", object.key().name());
+    tree.put("version", object.version());
+    tree.put("deleted", object.deleted());
+    tree.set("body", object.body());
+    return tree;
+  }
+}
--- /dev/null
+++ b/net/src/main/java/org/sardinebay/net/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's object service over HTTP. */
+package org.sardinebay.net.platform;
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/platform/ObjectRoutes.java
@@ -0,0 +1,162 @@
+package org.sardinebay.standins.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.sardinebay.net.http.HttpCall;
+import org.sardinebay.net.http.HttpReply;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.net.http.Route;
+import org.sardinebay.net.platform.ObjectJson;
+import org.sardinebay.platform.HostListCodec;
+import org.sardinebay.platform.ObjectKey;
+import org.sardinebay.platform.PlatformFailure;
+import org.sardinebay.platform.PlatformResult;
+
+/** The platform's own calls over HTTP. */
+final class ObjectRoutes {
+  private static final int BAD_REQUEST = 400;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+  private static final int RATE_LIMITED = 429;
+  private static final int UNAVAILABLE = 503;
+  private static final long MAX_WAIT_MILLIS = 60_000;
+  private static final int PATH_PARTS = 2;
+
+  private final PlatformService service;
+
+  ObjectRoutes(PlatformService service) {
+    this.service = service;
+  }
+
+  List<Route> routes() {
+    return List.of(
+        Route.get("/v1/objects/*", this::read),
+        Route.put("/v1/objects/*", this::write),
+        Route.delete("/v1/objects/*", this::delete),
+        Route.get("/v1/watch", this::watch),
+        Route.get("/v1/hosts", this::hosts));
+  }
+
+  private CompletableFuture<HttpReply> read(HttpCall call) {
+    Optional<ObjectKey> key = key(call);
+    if (key.isEmpty()) {
+      return badRequest("the path must be /v1/objects/{kind}/{name}");
+    }
+    return service.call(state -> state.read(key.get())).thenApply(ObjectRoutes::reply);
+  }
+
+  private CompletableFuture<HttpReply> write(HttpCall call) {
+    Optional<ObjectKey> key = key(call);
+    JsonNode request = call.body().orElse(MissingNode.getInstance());
+    JsonNode expected = request.path("expectedVersion");
+    if (key.isEmpty()
+        || !expected.isIntegralNumber()
+        || !(request.path("body") instanceof ObjectNode body)) {
+      return badRequest("a write must have a kind, a name, expectedVersion and an object as body");
+    }
+    return service
+        .call(state -> state.write(key.get(), expected.longValue(), body))
+        .thenApply(ObjectRoutes::reply);
+  }
+
+  private CompletableFuture<HttpReply> delete(HttpCall call) {
+    Optional<ObjectKey> key = key(call);
+    OptionalLong expected = number(call, "expectedVersion");
+    if (key.isEmpty() || expected.isEmpty()) {
+      return badRequest("a deletion must have a kind, a name and expectedVersion");
+    }
+    return service
+        .call(state -> state.delete(key.get(), expected.getAsLong()))
+        .thenApply(result -> deleted(result) ? ok(Json.newObject()) : reply(result));
+  }
+
+  private CompletableFuture<HttpReply> watch(HttpCall call) {
+    String kinds = call.query().getOrDefault("kinds", "");
+    OptionalLong after = number(call, "after");
+    OptionalLong wait = number(call, "waitMillis");
+    if (kinds.isEmpty() || after.isEmpty() || wait.isEmpty()) {
+      return badRequest("a watch must have kinds, after and waitMillis");
+    }
+    return service
+        .watch(
+            Arrays.asList(kinds.split(",", -1)),
+            after.getAsLong(),
+            Math.min(wait.getAsLong(), MAX_WAIT_MILLIS))
+        .thenApply(ObjectRoutes::reply);
+  }
+
+  private CompletableFuture<HttpReply> hosts(HttpCall call) {
+    return service.call(PlatformState::hosts).thenApply(ObjectRoutes::reply);
+  }
+
+  private static boolean deleted(PlatformResult result) {
+    return result instanceof PlatformResult.Found;
+  }
+
+  private static HttpReply reply(PlatformResult result) {
+    if (result instanceof PlatformResult.Found found) {
+      return ok(ObjectJson.write(found.object()));
+    }
+    if (result instanceof PlatformResult.Conflict conflict) {
+      return HttpReply.json(
+          CONFLICT, Json.newObject().put("currentVersion", conflict.currentVersion()));
+    }
+    if (result instanceof PlatformResult.Listing listing) {
+      return ok(listing(listing));
+    }
+    if (result instanceof PlatformResult.Hosts hosts) {
+      return ok(HostListCodec.write(hosts.hosts()).put("revision", hosts.revision()));
+    }
+    if (result instanceof PlatformResult.Failed failed) {
+      boolean rateLimited = failed.failure() == PlatformFailure.RATE_LIMITED;
+      return HttpReply.json(rateLimited ? RATE_LIMITED : UNAVAILABLE, Json.newObject());
+    }
+    return HttpReply.json(NOT_FOUND, Json.newObject());
+  }
+
+  private static ObjectNode listing(PlatformResult.Listing listing) {
+    ObjectNode tree = Json.newObject().put("revision", listing.revision());
+    ArrayNode objects = tree.putArray("objects");
+    listing.objects().forEach(object -> objects.add(ObjectJson.write(object)));
+    return tree;
+  }
+
+  private static Optional<ObjectKey> key(HttpCall call) {
+    String[] parts = call.path().split("/", -1);
+    if (parts.length != PATH_PARTS || parts[0].isEmpty() || parts[1].isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(new ObjectKey(unescape(parts[0]), unescape(parts[1])));
+  }
+
+  private static String unescape(String text) {
+    return URLDecoder.decode(text, StandardCharsets.UTF_8);
+  }
+
+  private static OptionalLong number(HttpCall call, String parameter) {
+    try {
+      long value = Long.parseLong(call.query().getOrDefault(parameter, ""));
+      return value >= 0 ? OptionalLong.of(value) : OptionalLong.empty();
+    } catch (NumberFormatException e) {
+      return OptionalLong.empty();
+    }
+  }
+
+  private static HttpReply ok(JsonNode body) {
+    return HttpReply.json(HttpReply.OK, body);
+  }
+
+  private static CompletableFuture<HttpReply> badRequest(String message) {
+    return CompletableFuture.completedFuture(
+        HttpReply.json(BAD_REQUEST, Json.newObject().put("message", message)));
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/platform/PlatformBinary.java
@@ -0,0 +1,41 @@
+package org.sardinebay.standins.platform;
+
+import java.io.IOException;
+import java.util.List;
+import org.sardinebay.Clock;
+import org.sardinebay.net.Binary;
+import org.sardinebay.net.RunningProcess;
+import org.sardinebay.record.FieldReader;
+
+/** The program {@code sardinebay-standin-platform}. */
+final class PlatformBinary implements Binary<PlatformSettings> {
+  @Override
+  public String name() {
+    return "sardinebay-standin-platform";
+  }
+
+  @Override
+  public String summary() {
+    return "stands in for the platform in tests: objects, watches, hosts and faults";
+  }
+
+  @Override
+  public PlatformSettings settings(FieldReader reader) {
+    return PlatformSettings.read(reader);
+  }
+
+  @Override
+  public RunningProcess start(PlatformSettings settings) throws IOException {
+    return PlatformServer.start(settings, Clock.system());
+  }
+
+  @Override
+  public List<String> settingsHelp() {
+    return List.of(
+        "listen             where to listen, such as 127.0.0.1:7000",
+        "readsPerSecond     reads and watches taken a second, 2000 if absent",
+        "writesPerSecond    writes and deletions taken a second, 400 if absent",
+        "hostListLagMillis  how late the host list shows a change, 1000 if absent",
+        "hosts              the hosts that are live at the start: name, failureDomain");
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/platform/PlatformMain.java
@@ -0,0 +1,24 @@
+package org.sardinebay.standins.platform;
+
+import org.sardinebay.net.BinaryMain;
+
+/**
+ * Runs the stand-in of the platform.
+ *
+ * <pre>{@code
+ * java -cp sardinebay-standins-0.1.0-all.jar org.sardinebay.standins.platform.PlatformMain \
+ *     --settings platform.json
+ * }</pre>
+ */
+public final class PlatformMain {
+  private PlatformMain() {}
+
+  /**
+   * Starts the program.
+   *
+   * @param args the command line
+   */
+  public static void main(String[] args) {
+    System.exit(BinaryMain.run(new PlatformBinary(), args));
+  }
+}
