--- a/core/src/main/java/org/sardinebay/internal/version/DatabaseView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/DatabaseView.java
@@ -125,11 +125,13 @@
    *
    * @param member the member that served it
    * @param position the last entry applied
+   * @param now when the reply arrived
    */
-  public void observeApplied(MemberId member, Position position) {
+  public void observeApplied(MemberId member, Position position, long now) {
     MemberEstimate estimate = members.get(member);
     if (estimate != null && estimate.term() == term && history.contains(position)) {
       estimate.observeApplied(position.index());
+      estimate.updateLag(timeline, now);
     }
   }
 
--- a/core/src/main/java/org/sardinebay/internal/version/MemberEstimate.java
+++ b/core/src/main/java/org/sardinebay/internal/version/MemberEstimate.java
@@ -8,6 +8,11 @@
   /** The weight of a new lag observation against the former estimate. */
   private static final double LAG_WEIGHT = 0.3;
 
+  private static final double STALL_FACTOR = 1.5;
+
+  /** How much later than it happened a member's progress becomes known here. */
+  private static final double STALL_SLACK_MILLIS = 60;
+
   private long answeredAskedAt = Long.MIN_VALUE;
   private long lastAnswerAt = Long.MIN_VALUE;
   private long term;
@@ -43,22 +48,32 @@
   }
 
   void updateLag(PositionTimeline timeline, long now) {
-    if (appliedIndex >= timeline.highest()) {
-      lagMillis *= 1 - LAG_WEIGHT;
-      return;
+    long highest = timeline.highest();
+    if (appliedIndex >= highest) {
+      double newestEntryAge = (double) (now - timeline.knownAt(highest, now));
+      lagMillis = Math.min(lagMillis, newestEntryAge);
+    } else {
+      lagMillis += LAG_WEIGHT * (stalledMillis(timeline, now) - lagMillis);
     }
-    double stalledMillis = (double) (now - timeline.knownAt(appliedIndex + 1, now));
-    lagMillis = Math.max(stalledMillis, lagMillis + LAG_WEIGHT * (stalledMillis - lagMillis));
   }
 
-  /** When the member is expected to have applied an index. */
+  /**
+   * When the member is expected to have applied an index. A member that has stalled for longer than
+   * its usual lag is expected to stall for as long again.
+   */
   long expectedAt(long index, PositionTimeline timeline, long now) {
     if (appliedIndex >= index) {
       return now;
     }
-    double stalledMillis = (double) (now - timeline.knownAt(appliedIndex + 1, now));
-    double lag = Math.max(lagMillis, stalledMillis);
-    return timeline.knownAt(index, now) + Math.round(lag);
+    double stalledMillis = stalledMillis(timeline, now);
+    if (stalledMillis > lagMillis * STALL_FACTOR + STALL_SLACK_MILLIS) {
+      return now + Math.round(stalledMillis);
+    }
+    return Math.max(now, timeline.knownAt(index, now) + Math.round(lagMillis));
+  }
+
+  private double stalledMillis(PositionTimeline timeline, long now) {
+    return (double) (now - timeline.knownAt(appliedIndex + 1, now));
   }
 
   void leave() {
--- /dev/null
+++ b/core/src/test/java/org/sardinebay/internal/process/SessionTokenCodecTest.java
@@ -0,0 +1,74 @@
+package org.sardinebay.internal.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.CallerId;
+import org.sardinebay.DatabaseId;
+import org.sardinebay.Position;
+import org.sardinebay.SessionToken;
+
+class SessionTokenCodecTest {
+  private static final CallerId CALLER = new CallerId("tablet-7");
+  private static final TokenKey OLD = new TokenKey("k1", "an old secret of thirty-two letters");
+  private static final TokenKey NEW = new TokenKey("k2", "a new secret of thirty-two letters!");
+  private static final SessionToken TOKEN =
+      SessionToken.EMPTY.advance(new DatabaseId("contracts-1"), new Position(3, 17));
+
+  private final SessionTokenCodec codec = new SessionTokenCodec(List.of(OLD));
+
+  @Property(seed = "7")
+  void should_take_no_text_that_it_did_not_write(@ForAll String text) {
+    assertThat(codec.decode(text, CALLER)).isEmpty();
+  }
+
+  @Nested
+  class Reading {
+    @Test
+    void should_read_back_what_it_wrote() {
+      String text = codec.encode(TOKEN, CALLER);
+
+      assertThat(codec.decode(text, CALLER).orElseThrow().positions()).isEqualTo(TOKEN.positions());
+    }
+
+    @Test
+    void should_refuse_another_callers_token() {
+      String text = codec.encode(TOKEN, CALLER);
+
+      assertThat(codec.decode(text, new CallerId("tablet-8"))).isEmpty();
+    }
+
+    @Test
+    void should_refuse_a_token_cut_short_or_changed() {
+      String text = codec.encode(TOKEN, CALLER);
+
+      assertThat(codec.decode(text.substring(0, text.length() - 4), CALLER)).isEmpty();
+      assertThat(codec.decode(text.replace("k1.", "k1.A"), CALLER)).isEmpty();
+    }
+  }
+
+  @Nested
+  class Rotation {
+    @Test
+    void should_still_read_tokens_of_the_former_key() {
+      String text = codec.encode(TOKEN, CALLER);
+
+      SessionTokenCodec rotated = new SessionTokenCodec(List.of(NEW, OLD));
+
+      assertThat(rotated.decode(text, CALLER)).isPresent();
+    }
+
+    @Test
+    void should_refuse_tokens_of_a_removed_key() {
+      String text = codec.encode(TOKEN, CALLER);
+
+      SessionTokenCodec removed = new SessionTokenCodec(List.of(NEW));
+
+      assertThat(removed.decode(text, CALLER)).isEmpty();
+    }
+  }
+}
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/version/DatabaseShard.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/version/DatabaseShard.java
@@ -174,7 +174,7 @@
    * @param position the last entry that it had applied
    */
   public void observeApplied(MemberId member, Position position) {
-    change(() -> view.observeApplied(member, position));
+    change(() -> view.observeApplied(member, position, runtime.clock().millis()));
   }
 
   /**
