--- /dev/null
+++ b/controller/src/main/java/org/sardinebay/controller/internal/process/ControllerBinary.java
@@ -0,0 +1,48 @@
+package org.sardinebay.controller.internal.process;
+
+import java.io.IOException;
+import java.util.List;
+import org.sardinebay.net.Binary;
+import org.sardinebay.net.RunningProcess;
+import org.sardinebay.record.FieldReader;
+
+/**
+ * The program {@code sardinebay-controller}.
+ *
+ * <pre>{@code
+ * BinaryMain.run(new ControllerBinary(), "--settings", "controller.json");
+ * }</pre>
+ */
+public final class ControllerBinary implements Binary<ControllerSettings> {
+  @Override
+  public String name() {
+    return "sardinebay-controller";
+  }
+
+  @Override
+  public String summary() {
+    return "watches databases, promotes primaries, accepts and passes on configuration";
+  }
+
+  @Override
+  public ControllerSettings settings(FieldReader reader) {
+    return ControllerSettings.read(reader);
+  }
+
+  @Override
+  public RunningProcess start(ControllerSettings settings) throws IOException {
+    return ControllerProcess.start(settings);
+  }
+
+  @Override
+  public List<String> settingsHelp() {
+    return List.of(
+        "host                the entry host's name, as its proxies record has it",
+        "failureDomain       where the host stands",
+        "listen              address of /health, /ready, /metrics and /dump",
+        "peerListen          address for proxies and other controllers",
+        "platform            address of the platform",
+        "peers               addresses of other controllers, asked for configuration",
+        "addressTranslation  list of from and to addresses");
+  }
+}
--- /dev/null
+++ b/controller/src/main/java/org/sardinebay/controller/internal/process/ControllerDump.java
@@ -0,0 +1,107 @@
+package org.sardinebay.controller.internal.process;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.sardinebay.controller.internal.version.DatabaseSupervisor;
+import org.sardinebay.controller.internal.version.SupervisorState;
+import org.sardinebay.endpoint.EndpointReply;
+import org.sardinebay.internal.version.DatabaseWatch;
+import org.sardinebay.internal.version.Promotion;
+import org.sardinebay.net.BinaryMain;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.net.peer.FeedStore;
+
+/**
+ * Writes a controller's state for operators and developers.
+ *
+ * <pre>{@code
+ * JsonNode tree = new ControllerDump(runtime, store, intake, supervisors).write();
+ * }</pre>
+ */
+final class ControllerDump {
+  private final ControllerRuntime runtime;
+  private final FeedStore store;
+  private final PlatformIntake intake;
+  private final Supervisors supervisors;
+
+  ControllerDump(
+      ControllerRuntime runtime, FeedStore store, PlatformIntake intake, Supervisors supervisors) {
+    this.runtime = runtime;
+    this.store = store;
+    this.intake = intake;
+    this.supervisors = supervisors;
+  }
+
+  ObjectNode write() {
+    ObjectNode dump = Json.newObject();
+    dump.put("program", "sardinebay-controller").put("version", BinaryMain.VERSION);
+    dump.put("host", runtime.self().host().value());
+    dump.put("failureDomain", runtime.self().failureDomain().value());
+    dump.put("process", runtime.process());
+    ObjectNode generations = dump.putObject("generations");
+    store.versions().forEach((key, version) -> generations.put(key.toString(), version));
+    dump.set("platform", intake.dump());
+    ArrayNode databases = dump.putArray("databases");
+    for (DatabaseSupervisor supervisor : supervisors.all()) {
+      databases.add(supervisor.read(this::database));
+    }
+    return dump;
+  }
+
+  private ObjectNode database(SupervisorState state) {
+    ObjectNode json = Json.newObject();
+    DatabaseWatch watch = state.watch();
+    long now = runtime.clock().millis();
+    json.put("database", state.duty().database().id().value());
+    json.put("rank", state.duty().rank());
+    watch
+        .leader()
+        .ifPresent(
+            leader ->
+                json.put("term", leader.term())
+                    .put("primary", leader.member().value())
+                    .put("knownForMillis", now - leader.knownSinceMillis()));
+    json.put("primarySilentMillis", watch.silentMillis(now));
+    json.put("confirmedIndex", watch.confirmed().index());
+    json.put("decision", watch.cause().map(Enum::name).orElse("NONE"));
+    json.put("promotion", promotion(state));
+    state.lastPlan().ifPresent(plan -> json.put("lastCause", plan.cause().name()));
+    state.lastOutcome().ifPresent(outcome -> json.put("lastOutcome", outcome.toString()));
+    evidence(json, watch, now);
+    ArrayNode members = json.putArray("members");
+    watch.standings().forEach(standing -> members.add(member(standing)));
+    return json;
+  }
+
+  private static String promotion(SupervisorState state) {
+    return state
+        .running()
+        .map(machine -> machine instanceof Promotion run ? run.phase().name() : "PUBLICATION")
+        .orElse("NONE");
+  }
+
+  private static void evidence(ObjectNode json, DatabaseWatch watch, long now) {
+    ArrayNode evidence = json.putArray("evidence");
+    watch
+        .reports()
+        .forEach(
+            (domain, report) ->
+                evidence
+                    .addObject()
+                    .put("failureDomain", domain.value())
+                    .put("term", report.term())
+                    .put("silentMillis", report.silentMillis())
+                    .put("ageMillis", now - report.arrivedMillis()));
+  }
+
+  private static ObjectNode member(EndpointReply.Standing standing) {
+    return Json.newObject()
+        .put("member", standing.member().value())
+        .put("term", standing.term())
+        .put("role", standing.role().name())
+        .put("receivedIndex", standing.received().index())
+        .put("appliedIndex", standing.applied().index())
+        .put("synced", standing.synced())
+        .put("leaving", standing.leaving());
+  }
+}
--- /dev/null
+++ b/controller/src/main/java/org/sardinebay/controller/internal/process/PlatformIntake.java
@@ -0,0 +1,243 @@
+package org.sardinebay.controller.internal.process;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.sardinebay.DatabaseId;
+import org.sardinebay.internal.version.AcceptanceQueue;
+import org.sardinebay.internal.version.PromotionRecord;
+import org.sardinebay.internal.version.VersionedRecord;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.net.peer.FeedStore;
+import org.sardinebay.platform.HostListCodec;
+import org.sardinebay.platform.ObjectKey;
+import org.sardinebay.platform.PlatformFailure;
+import org.sardinebay.platform.PlatformObject;
+import org.sardinebay.platform.PlatformResult;
+import org.sardinebay.record.AcceptedRecord;
+import org.sardinebay.record.RecordCodecs;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Takes records and the list of hosts from the platform, decides on records, and puts what is
+ * accepted into the store of configuration.
+ *
+ * <pre>{@code
+ * intake.start();
+ * }</pre>
+ *
+ * <p>Only a few controllers of each failure domain do this; the others take the feed from them.
+ */
+final class PlatformIntake {
+  private static final Logger LOG = LoggerFactory.getLogger(PlatformIntake.class);
+  private static final long WATCH_WAIT_MILLIS = 3_000;
+  private static final long PAUSE_MILLIS = 10;
+  private static final long BACKOFF_MILLIS = 500;
+  private static final long IDLE_MILLIS = 1_000;
+  private static final long HOSTS_MILLIS = 1_000;
+  private static final long DECIDE_MILLIS = 200;
+  private static final long TIMEOUT_MILLIS = 500;
+
+  private final ControllerRuntime runtime;
+  private final Topology topology;
+  private final FeedStore store;
+  private final Supervisors supervisors;
+  private final Object lock = new Object();
+  private final AcceptanceQueue queue;
+  private long revision;
+  private long lastListingMillis;
+  private boolean listed;
+
+  PlatformIntake(
+      ControllerRuntime runtime, Topology topology, FeedStore store, Supervisors supervisors) {
+    this.runtime = runtime;
+    this.topology = topology;
+    this.store = store;
+    this.supervisors = supervisors;
+    this.queue = new AcceptanceQueue(runtime.invariants());
+  }
+
+  void start() {
+    later(this::watch, 0);
+    later(this::readHosts, 0);
+    later(this::decide, DECIDE_MILLIS);
+  }
+
+  /** Whether the platform has listed its objects at least once. */
+  boolean listed() {
+    synchronized (lock) {
+      return listed;
+    }
+  }
+
+  ObjectNode dump() {
+    synchronized (lock) {
+      ObjectNode json = Json.newObject().put("revision", revision);
+      json.put("watching", topology.watchesPlatform());
+      json.put("listed", listed);
+      json.put("sinceListingMillis", runtime.clock().millis() - lastListingMillis);
+      ObjectNode statuses = json.putObject("statuses");
+      for (Map.Entry<ObjectKey, AcceptedRecord> status : queue.statuses().entrySet()) {
+        statuses
+            .putObject(status.getKey().toString())
+            .put("generation", status.getValue().generation())
+            .put("state", status.getValue().state().name())
+            .put("specGeneration", status.getValue().specGeneration());
+      }
+      return json;
+    }
+  }
+
+  private void watch() {
+    if (!topology.watchesPlatform()) {
+      later(this::watch, IDLE_MILLIS);
+      return;
+    }
+    long after;
+    synchronized (lock) {
+      after = revision;
+    }
+    List<String> kinds = new ArrayList<>(RecordCodecs.kinds());
+    kinds.add(AcceptedRecord.KIND);
+    kinds.add(PromotionRecord.KIND);
+    CompletableFuture<Void> unused =
+        runtime
+            .platform()
+            .watch(kinds, after, after == 0 ? 0 : WATCH_WAIT_MILLIS)
+            .thenAccept(this::watched);
+  }
+
+  private void watched(PlatformResult result) {
+    if (!(result instanceof PlatformResult.Listing listing)) {
+      LOG.atDebug().setMessage("platform_watch_failed").addKeyValue("result", result).log();
+      later(this::watch, BACKOFF_MILLIS);
+      return;
+    }
+    synchronized (lock) {
+      revision = listing.revision();
+      listed = true;
+      lastListingMillis = runtime.clock().millis();
+    }
+    take(listing.objects());
+    later(this::watch, listing.objects().isEmpty() ? PAUSE_MILLIS : 0);
+    decideNow();
+  }
+
+  private void take(List<PlatformObject> objects) {
+    List<VersionedRecord> accepted;
+    synchronized (lock) {
+      accepted = queue.listed(records(objects), runtime.clock().millis());
+    }
+    accepted.forEach(this::merge);
+    objects.stream()
+        .filter(object -> object.key().kind().equals(PromotionRecord.KIND))
+        .forEach(this::noteClaim);
+  }
+
+  private static List<PlatformObject> records(List<PlatformObject> objects) {
+    return objects.stream()
+        .filter(object -> !object.key().kind().equals(PromotionRecord.KIND))
+        .toList();
+  }
+
+  private void noteClaim(PlatformObject object) {
+    DatabaseId database = new DatabaseId(object.key().name());
+    PromotionRecord.read(object.body())
+        .ifPresent(record -> supervisors.published(database, record));
+  }
+
+  private void merge(VersionedRecord record) {
+    PlatformObject object =
+        new PlatformObject(record.key(), record.version(), record.deleted(), record.body());
+    if (store.merge(object)) {
+      LOG.atInfo()
+          .setMessage("config_accepted")
+          .addKeyValue("record", record.key())
+          .addKeyValue("generation", record.version())
+          .log();
+    }
+  }
+
+  private void decide() {
+    decideNow();
+    later(this::decide, DECIDE_MILLIS);
+  }
+
+  private void decideNow() {
+    if (!topology.watchesPlatform()) {
+      return;
+    }
+    List<AcceptanceQueue.StatusWrite> due;
+    synchronized (lock) {
+      due = queue.due(runtime.self().host(), topology.platformWatchers(), runtime.clock().millis());
+    }
+    due.forEach(this::write);
+  }
+
+  private void write(AcceptanceQueue.StatusWrite write) {
+    CompletableFuture<Void> unused =
+        runtime
+            .platform()
+            .write(write.key(), write.expectedVersion(), write.status().body(), TIMEOUT_MILLIS)
+            .thenAccept(result -> written(write, result));
+  }
+
+  private void written(AcceptanceQueue.StatusWrite write, PlatformResult result) {
+    if (result instanceof PlatformResult.Found found) {
+      LOG.atInfo()
+          .setMessage("record_decided")
+          .addKeyValue("status", write.key())
+          .addKeyValue("generation", write.status().generation())
+          .addKeyValue("state", write.status().state())
+          .addKeyValue("problems", '"' + write.status().problems().toString() + '"')
+          .log();
+      take(List.of(found.object()));
+    } else if (result instanceof PlatformResult.Conflict || effectUnknown(result)) {
+      readBack(write.key());
+    }
+  }
+
+  private void readBack(ObjectKey status) {
+    CompletableFuture<Void> unused =
+        runtime
+            .platform()
+            .read(status, TIMEOUT_MILLIS)
+            .thenAccept(
+                result -> {
+                  if (result instanceof PlatformResult.Found found) {
+                    take(List.of(found.object()));
+                  }
+                });
+  }
+
+  private static boolean effectUnknown(PlatformResult result) {
+    return result instanceof PlatformResult.Failed failed
+        && failed.failure() == PlatformFailure.NO_ANSWER;
+  }
+
+  private void readHosts() {
+    later(this::readHosts, HOSTS_MILLIS);
+    if (!topology.watchesPlatform()) {
+      return;
+    }
+    CompletableFuture<Void> unused =
+        runtime.platform().hosts(TIMEOUT_MILLIS).thenAccept(this::takeHosts);
+  }
+
+  private void takeHosts(PlatformResult result) {
+    if (result instanceof PlatformResult.Hosts hosts && hosts.revision() > 0) {
+      ObjectNode body = HostListCodec.write(hosts.hosts());
+      merge(new VersionedRecord(HostListCodec.FEED_KEY, hosts.revision(), false, body));
+    }
+  }
+
+  private void later(Runnable action, long delayMillis) {
+    ScheduledFuture<?> unused =
+        runtime.timer().schedule(action, delayMillis, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/controller/src/main/java/org/sardinebay/controller/internal/process/Supervisors.java
@@ -0,0 +1,87 @@
+package org.sardinebay.controller.internal.process;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+import org.sardinebay.DatabaseId;
+import org.sardinebay.MemberId;
+import org.sardinebay.controller.internal.version.DatabaseSupervisor;
+import org.sardinebay.internal.version.PromotionRecord;
+import org.sardinebay.internal.version.WatchDuty;
+import org.sardinebay.net.peer.generated.SuspicionCall;
+import org.sardinebay.net.peer.generated.SuspicionReply;
+import org.sardinebay.platform.HostEntry;
+
+/**
+ * The supervisors of the databases that this controller watches.
+ *
+ * <pre>{@code
+ * supervisors.tick(); // every 100 ms
+ * }</pre>
+ */
+final class Supervisors {
+  private final ControllerRuntime runtime;
+  private final Topology topology;
+  private final SilentHosts silentHosts;
+  private final Map<DatabaseId, DatabaseSupervisor> supervisors = new ConcurrentHashMap<>();
+
+  Supervisors(ControllerRuntime runtime, Topology topology, SilentHosts silentHosts) {
+    this.runtime = runtime;
+    this.topology = topology;
+    this.silentHosts = silentHosts;
+  }
+
+  void tick() {
+    List<WatchDuty> duties = topology.duties();
+    silentHosts.tick(duties);
+    Set<MemberId> leaving = leavingMembers();
+    Set<DatabaseId> watched = new TreeSet<>();
+    for (WatchDuty duty : duties) {
+      DatabaseId database = duty.database().id();
+      boolean active = duty.active(silentHosts::silent);
+      if (active || driving(database)) {
+        watched.add(database);
+        supervisors
+            .computeIfAbsent(database, id -> new DatabaseSupervisor(runtime, duty))
+            .tick(duty, leaving);
+      }
+    }
+    supervisors.keySet().retainAll(watched);
+  }
+
+  void published(DatabaseId database, PromotionRecord record) {
+    DatabaseSupervisor supervisor = supervisors.get(database);
+    if (supervisor != null) {
+      supervisor.published(record);
+    }
+  }
+
+  /** Not known for the empty name, by which controllers ask whether this one is alive. */
+  SuspicionReply suspicion(SuspicionCall call) {
+    DatabaseSupervisor supervisor =
+        call.getDatabase().isEmpty() ? null : supervisors.get(new DatabaseId(call.getDatabase()));
+    return supervisor == null ? SuspicionReply.getDefaultInstance() : supervisor.suspicion(call);
+  }
+
+  Collection<DatabaseSupervisor> all() {
+    return supervisors.values();
+  }
+
+  private boolean driving(DatabaseId database) {
+    DatabaseSupervisor supervisor = supervisors.get(database);
+    return supervisor != null && supervisor.driving();
+  }
+
+  private Set<MemberId> leavingMembers() {
+    Set<MemberId> leaving = new TreeSet<>();
+    for (HostEntry host : topology.hosts()) {
+      if (host.leaving()) {
+        leaving.add(new MemberId(host.name()));
+      }
+    }
+    return leaving;
+  }
+}
--- /dev/null
+++ b/controller/src/main/java/org/sardinebay/controller/internal/process/Topology.java
@@ -0,0 +1,114 @@
+package org.sardinebay.controller.internal.process;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.sardinebay.Address;
+import org.sardinebay.HostId;
+import org.sardinebay.internal.version.ConfigStore;
+import org.sardinebay.internal.version.ConfigViews;
+import org.sardinebay.internal.version.ControllerInfo;
+import org.sardinebay.internal.version.WatchDuty;
+import org.sardinebay.internal.version.WatcherAssignment;
+import org.sardinebay.platform.HostEntry;
+import org.sardinebay.record.ProxyRecord;
+
+/**
+ * The controllers that the newest configuration names, and what falls to this one.
+ *
+ * <pre>{@code
+ * List<WatchDuty> duties = topology.duties();
+ * }</pre>
+ *
+ * <p>Safe for several threads; computed anew only after the configuration changed.
+ */
+final class Topology {
+  private final ControllerInfo self;
+  private final ConfigStore store;
+  private volatile Snapshot snapshot;
+
+  Topology(ControllerInfo self, ConfigStore store) {
+    this.self = self;
+    this.store = store;
+    this.snapshot = snapshot(store.digest(), store.views());
+  }
+
+  List<WatchDuty> duties() {
+    return current().duties;
+  }
+
+  List<HostEntry> hosts() {
+    return current().views.hosts();
+  }
+
+  /** The hosts of the controllers that watch the platform and decide on records. */
+  List<HostId> platformWatchers() {
+    return current().platformWatchers;
+  }
+
+  boolean watchesPlatform() {
+    return platformWatchers().contains(self.host());
+  }
+
+  /** The controllers of this failure domain that watch the platform, without this one. */
+  List<Address> nearbyWatchers() {
+    Snapshot now = current();
+    return now.controllers.stream()
+        .filter(other -> other.failureDomain().equals(self.failureDomain()))
+        .filter(other -> now.platformWatchers.contains(other.host()))
+        .filter(other -> !other.host().equals(self.host()))
+        .map(ControllerInfo::address)
+        .toList();
+  }
+
+  /** All controllers but this one. */
+  List<Address> otherControllers() {
+    return current().controllers.stream()
+        .filter(other -> !other.host().equals(self.host()))
+        .map(ControllerInfo::address)
+        .toList();
+  }
+
+  private Snapshot current() {
+    long digest = store.digest();
+    Snapshot known = snapshot;
+    if (known.digest == digest) {
+      return known;
+    }
+    Snapshot fresh = snapshot(digest, store.views());
+    snapshot = fresh;
+    return fresh;
+  }
+
+  private Snapshot snapshot(long digest, ConfigViews views) {
+    Set<String> leaving =
+        views.hosts().stream()
+            .filter(HostEntry::leaving)
+            .map(HostEntry::name)
+            .collect(Collectors.toSet());
+    List<ControllerInfo> controllers = new ArrayList<>();
+    for (ProxyRecord proxy : views.proxies().values()) {
+      if (!leaving.contains(proxy.host().value())) {
+        proxy
+            .controllerAddress()
+            .map(address -> new ControllerInfo(proxy.host(), proxy.failureDomain(), address))
+            .ifPresent(controllers::add);
+      }
+    }
+    WatcherAssignment assignment = new WatcherAssignment(self, controllers);
+    return new Snapshot(
+        digest,
+        views,
+        List.copyOf(controllers),
+        assignment.duties(views.databases().values()),
+        assignment.platformWatchers());
+  }
+
+  private record Snapshot(
+      long digest,
+      ConfigViews views,
+      List<ControllerInfo> controllers,
+      List<WatchDuty> duties,
+      List<HostId> platformWatchers) {}
+}
--- /dev/null
+++ b/controller/src/main/java/org/sardinebay/controller/internal/version/DatabaseSupervisor.java
@@ -0,0 +1,398 @@
+package org.sardinebay.controller.internal.version;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.sardinebay.Address;
+import org.sardinebay.MemberId;
+import org.sardinebay.controller.internal.process.ControllerRuntime;
+import org.sardinebay.endpoint.EndpointCall;
+import org.sardinebay.internal.version.ControllerInfo;
+import org.sardinebay.internal.version.DatabaseWatch;
+import org.sardinebay.internal.version.DriverName;
+import org.sardinebay.internal.version.Leader;
+import org.sardinebay.internal.version.Promotion;
+import org.sardinebay.internal.version.PromotionEffect;
+import org.sardinebay.internal.version.PromotionEvent;
+import org.sardinebay.internal.version.PromotionMachine;
+import org.sardinebay.internal.version.PromotionOutcome;
+import org.sardinebay.internal.version.PromotionPlan;
+import org.sardinebay.internal.version.PromotionRecord;
+import org.sardinebay.internal.version.TermLedger;
+import org.sardinebay.internal.version.WatchDuty;
+import org.sardinebay.internal.version.WatchStep;
+import org.sardinebay.net.peer.PeerResult;
+import org.sardinebay.net.peer.generated.Frame;
+import org.sardinebay.net.peer.generated.SuspicionCall;
+import org.sardinebay.net.peer.generated.SuspicionReply;
+import org.sardinebay.platform.PlatformObject;
+import org.sardinebay.platform.PlatformResult;
+import org.sardinebay.record.MemberRecord;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Drives the machines of one database: its watch, and a promotion while there is one.
+ *
+ * <pre>{@code
+ * supervisor.tick(duty, leavingMembers); // every 100 ms
+ * }</pre>
+ *
+ * <p>One lock guards the machines; their effects are carried out after it is released.
+ */
+public final class DatabaseSupervisor {
+  private static final Logger LOG = LoggerFactory.getLogger(DatabaseSupervisor.class);
+  private static final long PROGRESS_TIMEOUT_MILLIS = 300;
+  private static final long SUSPICION_TIMEOUT_MILLIS = 300;
+  private static final long RETRY_MILLIS = 200;
+  private static final long RETRY_RANK_DELAY_MILLIS = 150;
+
+  private final ControllerRuntime runtime;
+  private final Object lock = new Object();
+  private final DatabaseWatch watch;
+  private final TermLedger ledger;
+  private WatchDuty duty;
+  private Optional<PromotionMachine> running = Optional.empty();
+  private Optional<PromotionOutcome> lastOutcome = Optional.empty();
+  private Optional<PromotionPlan> lastPlan = Optional.empty();
+  private long attempts;
+  private long notBeforeMillis;
+
+  /**
+   * Starts to watch a database.
+   *
+   * @param runtime the controller
+   * @param duty the part of this controller in the watch
+   */
+  public DatabaseSupervisor(ControllerRuntime runtime, WatchDuty duty) {
+    this.runtime = runtime;
+    this.duty = duty;
+    this.ledger = new TermLedger(runtime.invariants());
+    this.watch =
+        new DatabaseWatch(
+            duty.database(),
+            runtime.self().failureDomain(),
+            runtime.invariants(),
+            runtime.clock().millis());
+  }
+
+  /**
+   * Does what is due.
+   *
+   * @param newDuty the part of this controller in the watch
+   * @param leaving the members that the list of hosts calls leaving
+   */
+  public void tick(WatchDuty newDuty, Set<MemberId> leaving) {
+    long now = runtime.clock().millis();
+    List<Runnable> actions = new ArrayList<>();
+    synchronized (lock) {
+      duty = newDuty;
+      watch.configured(newDuty.database(), leaving);
+      WatchStep step = watch.poll(newDuty.rank(), now);
+      step.polls().forEach(member -> actions.add(() -> askProgress(member, now)));
+      step.follows().forEach(follow -> actions.add(() -> send(follow.member(), follow.call())));
+      if (step.askWatchers()) {
+        actions.addAll(questions());
+      }
+      actions.addAll(startDue(step, now));
+    }
+    actions.forEach(Runnable::run);
+  }
+
+  /**
+   * Takes what the platform has published, from the platform's watch.
+   *
+   * @param record the state of the database's promotions
+   */
+  public void published(PromotionRecord record) {
+    synchronized (lock) {
+      note(record);
+    }
+  }
+
+  /**
+   * Answers another watcher.
+   *
+   * @param call which primary it asks about
+   * @return how long that primary has been silent, if this process watches it too
+   */
+  public SuspicionReply suspicion(SuspicionCall call) {
+    synchronized (lock) {
+      Optional<Leader> leader = watch.leader();
+      return SuspicionReply.newBuilder()
+          .setKnown(leader.filter(known -> known.term() == call.getTerm()).isPresent())
+          .setTerm(leader.map(Leader::term).orElse(0L))
+          .setSilentMillis(watch.silentMillis(runtime.clock().millis()))
+          .setFailureDomain(runtime.self().failureDomain().value())
+          .build();
+    }
+  }
+
+  /**
+   * Whether a promotion is in progress here.
+   *
+   * @return true from its start to its end
+   */
+  public boolean driving() {
+    synchronized (lock) {
+      return running.isPresent();
+    }
+  }
+
+  /**
+   * Reads the state under the lock.
+   *
+   * @param reader what to read
+   * @param <T> its result
+   * @return the result
+   */
+  public <T> T read(Function<SupervisorState, T> reader) {
+    synchronized (lock) {
+      return reader.apply(new SupervisorState(duty, watch, running, lastPlan, lastOutcome));
+    }
+  }
+
+  private List<Runnable> startDue(WatchStep step, long now) {
+    boolean undecided =
+        running.filter(machine -> reading(machine) && !step.promotionNeeded()).isPresent();
+    if (undecided) {
+      running = Optional.empty();
+    }
+    boolean free = running.isEmpty() || running.get().replaceable();
+    if (!free || now < notBeforeMillis) {
+      return List.of();
+    }
+    if (step.promotion().isPresent()) {
+      return start(promotion(step.promotion().get()), now);
+    }
+    if (step.publication().isPresent() && running.isEmpty()) {
+      return start(step.publication().get(), now);
+    }
+    return List.of();
+  }
+
+  private static boolean reading(PromotionMachine machine) {
+    return machine instanceof Promotion promotion && promotion.phase() == Promotion.Phase.READING;
+  }
+
+  private Promotion promotion(PromotionPlan plan) {
+    DriverName driver = new DriverName(runtime.process(), ++attempts);
+    lastPlan = Optional.of(plan);
+    runtime.registry().counter("sardinebay_promotions_started").increment();
+    LOG.atInfo()
+        .setMessage("promotion_started")
+        .addKeyValue("database", plan.database().id())
+        .addKeyValue("cause", plan.cause())
+        .addKeyValue("ledTerm", plan.ledTerm())
+        .addKeyValue("driver", driver)
+        .log();
+    return new Promotion(plan, driver);
+  }
+
+  private List<Runnable> start(PromotionMachine machine, long now) {
+    running = Optional.of(machine);
+    return take(machine, new PromotionEvent.Started(), now);
+  }
+
+  private void feed(PromotionMachine machine, PromotionEvent event) {
+    List<Runnable> actions;
+    synchronized (lock) {
+      if (running.filter(current -> current == machine).isEmpty()) {
+        return;
+      }
+      actions = take(machine, event, runtime.clock().millis());
+    }
+    actions.forEach(Runnable::run);
+  }
+
+  private List<Runnable> take(PromotionMachine machine, PromotionEvent event, long now) {
+    List<Runnable> actions = new ArrayList<>();
+    for (PromotionEffect effect : machine.handle(event, now)) {
+      apply(effect, now);
+      actions.add(() -> carryOut(machine, effect));
+    }
+    return actions;
+  }
+
+  private void apply(PromotionEffect effect, long now) {
+    if (effect instanceof PromotionEffect.Claimed claimed) {
+      DriverName driver = new DriverName(runtime.process(), attempts);
+      ledger.claimed(duty.database().id(), claimed.term(), driver.toString());
+    } else if (effect instanceof PromotionEffect.Promoted promoted) {
+      watch.promoted(promoted.term(), promoted.primary(), promoted.start(), now);
+      logPromoted(promoted);
+    } else if (effect instanceof PromotionEffect.Finished finished) {
+      finish(finished.outcome(), now);
+    }
+  }
+
+  private void finish(PromotionOutcome outcome, long now) {
+    running = Optional.empty();
+    lastOutcome = Optional.of(outcome);
+    if (outcome instanceof PromotionOutcome.Published published) {
+      note(published.record());
+    } else if (outcome instanceof PromotionOutcome.Superseded superseded) {
+      note(superseded.record());
+    } else {
+      notBeforeMillis = now + RETRY_MILLIS + duty.rank() * RETRY_RANK_DELAY_MILLIS;
+    }
+    LOG.atInfo()
+        .setMessage("promotion_ended")
+        .addKeyValue("database", duty.database().id())
+        .addKeyValue("outcome", outcome.getClass().getSimpleName())
+        .addKeyValue("detail", '"' + outcome.toString() + '"')
+        .log();
+  }
+
+  private void note(PromotionRecord record) {
+    ledger.claimed(duty.database().id(), record.term(), record.driver());
+    watch.published(record, runtime.clock().millis());
+  }
+
+  private void logPromoted(PromotionEffect.Promoted promoted) {
+    runtime.registry().counter("sardinebay_promotions").increment();
+    LOG.atInfo()
+        .setMessage("primary_changed")
+        .addKeyValue("database", duty.database().id())
+        .addKeyValue("term", promoted.term())
+        .addKeyValue("primary", promoted.primary())
+        .addKeyValue("start", promoted.start().index())
+        .log();
+  }
+
+  private void carryOut(PromotionMachine machine, PromotionEffect effect) {
+    if (effect instanceof PromotionEffect.CallMember call) {
+      CompletableFuture<Void> unused =
+          runtime
+              .endpoints()
+              .call(address(call.member()), call.call(), call.timeoutMillis())
+              .thenAccept(
+                  reply ->
+                      feed(
+                          machine,
+                          new PromotionEvent.MemberReplied(call.member(), call.call(), reply)));
+    } else if (effect instanceof PromotionEffect.ReadObject read) {
+      answer(machine, read.operation(), runtime.platform().read(read.key(), read.timeoutMillis()));
+    } else if (effect instanceof PromotionEffect.WriteObject write) {
+      answer(
+          machine,
+          write.operation(),
+          runtime
+              .platform()
+              .write(
+                  write.key(),
+                  write.expectedVersion(),
+                  write.record().body(),
+                  write.timeoutMillis()));
+    } else if (effect instanceof PromotionEffect.SetTimer timer) {
+      ScheduledFuture<?> unused =
+          runtime
+              .timer()
+              .schedule(
+                  () -> feed(machine, new PromotionEvent.TimerEnded(timer.timer())),
+                  timer.delayMillis(),
+                  TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void answer(
+      PromotionMachine machine, long operation, CompletableFuture<PlatformResult> result) {
+    CompletableFuture<Void> unused =
+        result.thenAccept(
+            answer -> {
+              noteClaim(answer);
+              feed(machine, new PromotionEvent.PlatformReplied(operation, answer));
+            });
+  }
+
+  private void noteClaim(PlatformResult answer) {
+    if (answer instanceof PlatformResult.Found found) {
+      PlatformObject object = found.object();
+      PromotionRecord.read(object.body())
+          .ifPresent(
+              record -> {
+                synchronized (lock) {
+                  ledger.claimed(duty.database().id(), record.term(), record.driver());
+                }
+              });
+    }
+  }
+
+  private void askProgress(MemberId member, long askedMillis) {
+    EndpointCall call = new EndpointCall.Progress(0, 0, 0);
+    CompletableFuture<Void> unused =
+        runtime
+            .endpoints()
+            .call(address(member), call, PROGRESS_TIMEOUT_MILLIS)
+            .thenAccept(
+                reply -> {
+                  synchronized (lock) {
+                    watch.replied(member, reply, askedMillis, runtime.clock().millis());
+                  }
+                });
+  }
+
+  private void send(MemberId member, EndpointCall call) {
+    CompletableFuture<Void> unused =
+        runtime
+            .endpoints()
+            .call(address(member), call, PROGRESS_TIMEOUT_MILLIS)
+            .thenAccept(
+                reply ->
+                    LOG.atInfo()
+                        .setMessage("follow_sent")
+                        .addKeyValue("member", member)
+                        .addKeyValue("reply", reply.getClass().getSimpleName())
+                        .log());
+  }
+
+  private List<Runnable> questions() {
+    long term = watch.leader().map(Leader::term).orElse(0L);
+    SuspicionCall call =
+        SuspicionCall.newBuilder().setDatabase(duty.database().id().value()).setTerm(term).build();
+    Frame frame = Frame.newBuilder().setSuspicionCall(call).build();
+    List<Runnable> questions = new ArrayList<>();
+    duty.otherWatchers().forEach(other -> questions.add(() -> ask(other, frame)));
+    return questions;
+  }
+
+  private void ask(ControllerInfo other, Frame frame) {
+    CompletableFuture<Void> unused =
+        runtime
+            .peers()
+            .call(other.address(), frame, SUSPICION_TIMEOUT_MILLIS)
+            .thenAccept(result -> reported(other, result));
+  }
+
+  private void reported(ControllerInfo other, PeerResult result) {
+    if (result instanceof PeerResult.Reply reply && reply.frame().hasSuspicionReply()) {
+      SuspicionReply report = reply.frame().getSuspicionReply();
+      if (report.getKnown()) {
+        synchronized (lock) {
+          watch.reported(
+              other.failureDomain(),
+              report.getTerm(),
+              report.getSilentMillis(),
+              runtime.clock().millis());
+        }
+      }
+    }
+  }
+
+  private Address address(MemberId member) {
+    WatchDuty current;
+    synchronized (lock) {
+      current = duty;
+    }
+    return current.database().members().stream()
+        .filter(record -> record.id().equals(member))
+        .map(MemberRecord::address)
+        .findFirst()
+        .orElseThrow();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/internal/version/Acceptance.java
@@ -0,0 +1,75 @@
+package org.sardinebay.internal.version;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Optional;
+import org.sardinebay.platform.PlatformObject;
+import org.sardinebay.record.AcceptanceState;
+import org.sardinebay.record.AcceptedRecord;
+import org.sardinebay.record.FieldProblem;
+import org.sardinebay.record.RecordCodec;
+import org.sardinebay.record.RecordCodecs;
+import org.sardinebay.record.RecordResult;
+
+/**
+ * Decides on operators' records.
+ *
+ * <pre>{@code
+ * Optional<AcceptedRecord> status = Acceptance.decide(record, current);
+ * }</pre>
+ */
+public final class Acceptance {
+  private Acceptance() {}
+
+  /**
+   * Checks a record.
+   *
+   * @param record the record as the platform holds it, or its deletion
+   * @param current its present status
+   * @return the new status, or empty if this or a newer generation was decided on already
+   */
+  public static Optional<AcceptedRecord> decide(
+      PlatformObject record, Optional<AcceptedRecord> current) {
+    if (current.filter(status -> status.generation() >= record.version()).isPresent()) {
+      return Optional.empty();
+    }
+    if (record.deleted()) {
+      return Optional.of(accepted(record.version(), emptySpec(), true));
+    }
+    List<FieldProblem> problems = problems(record);
+    return Optional.of(
+        problems.isEmpty()
+            ? accepted(record.version(), record.body(), false)
+            : rejected(record.version(), problems, current));
+  }
+
+  private static AcceptedRecord accepted(long generation, ObjectNode spec, boolean deleted) {
+    return new AcceptedRecord(
+        generation, AcceptanceState.ACCEPTED, List.of(), spec, generation, deleted);
+  }
+
+  private static AcceptedRecord rejected(
+      long generation, List<FieldProblem> problems, Optional<AcceptedRecord> current) {
+    return new AcceptedRecord(
+        generation,
+        AcceptanceState.REJECTED,
+        problems,
+        current.map(AcceptedRecord::spec).orElseGet(Acceptance::emptySpec),
+        current.map(AcceptedRecord::specGeneration).orElse(0L),
+        current.map(AcceptedRecord::deleted).orElse(false));
+  }
+
+  private static List<FieldProblem> problems(PlatformObject record) {
+    Optional<RecordCodec<?>> codec = RecordCodecs.of(record.key().kind());
+    if (codec.isEmpty()) {
+      return List.of(new FieldProblem("kind", record.key().kind(), "" + RecordCodecs.kinds()));
+    }
+    RecordResult<?> result = codec.get().read(record.key().name(), record.body());
+    return result instanceof RecordResult.Invalid<?> invalid ? invalid.problems() : List.of();
+  }
+
+  private static ObjectNode emptySpec() {
+    return JsonNodeFactory.instance.objectNode();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/internal/version/AcceptanceQueue.java
@@ -0,0 +1,155 @@
+package org.sardinebay.internal.version;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.sardinebay.HostId;
+import org.sardinebay.internal.process.InvariantName;
+import org.sardinebay.internal.process.Invariants;
+import org.sardinebay.platform.ObjectKey;
+import org.sardinebay.platform.PlatformObject;
+import org.sardinebay.record.AcceptedRecord;
+
+/**
+ * Keeps the operators' records and their statuses, and says which status to write next.
+ *
+ * <pre>{@code
+ * queue.listed(listing.objects(), now);
+ * for (StatusWrite write : queue.due(self, controllers, now)) { ... }
+ * }</pre>
+ *
+ * <p>One controller, chosen by rendezvous hashing, decides on a record; the others follow after a
+ * delay for each place. Not safe for several threads.
+ */
+public final class AcceptanceQueue {
+  private static final long RANK_DELAY_MILLIS = 1_000;
+  private static final long RETRY_MILLIS = 500;
+
+  private final Invariants invariants;
+  private final Map<ObjectKey, PlatformObject> records = new TreeMap<>();
+  private final Map<ObjectKey, Status> statuses = new HashMap<>();
+  private final Map<ObjectKey, Long> seenMillis = new HashMap<>();
+  private final Map<ObjectKey, Long> notBeforeMillis = new HashMap<>();
+
+  /**
+   * Creates an empty queue.
+   *
+   * @param invariants told of violations
+   */
+  public AcceptanceQueue(Invariants invariants) {
+    this.invariants = invariants;
+  }
+
+  /**
+   * Takes objects of the platform, older ones than it has included.
+   *
+   * @param objects records and statuses
+   * @param nowMillis the time
+   * @return the newly accepted content, for the store of configuration
+   */
+  public List<VersionedRecord> listed(List<PlatformObject> objects, long nowMillis) {
+    List<VersionedRecord> accepted = new ArrayList<>();
+    for (PlatformObject object : objects) {
+      if (object.key().kind().equals(AcceptedRecord.KIND)) {
+        status(object).ifPresent(accepted::add);
+      } else if (newer(object)) {
+        records.put(object.key(), object);
+        seenMillis.put(object.key(), nowMillis);
+      }
+    }
+    return accepted;
+  }
+
+  /**
+   * The statuses that this controller should write now. Each is handed out once, until its retry.
+   *
+   * @param self this controller's host
+   * @param controllers the hosts of all controllers that decide
+   * @param nowMillis the time
+   * @return the writes
+   */
+  public List<StatusWrite> due(HostId self, List<HostId> controllers, long nowMillis) {
+    List<StatusWrite> due = new ArrayList<>();
+    for (PlatformObject record : records.values()) {
+      Optional<Status> status = Optional.ofNullable(statuses.get(record.key()));
+      Optional<AcceptedRecord> decision = Acceptance.decide(record, status.map(Status::content));
+      if (decision.isPresent() && nowMillis >= dueMillis(record.key(), self, controllers)) {
+        notBeforeMillis.put(record.key(), nowMillis + RETRY_MILLIS);
+        long expected = status.map(Status::version).orElse(0L);
+        due.add(new StatusWrite(AcceptedRecord.key(record.key()), expected, decision.get()));
+      }
+    }
+    return due;
+  }
+
+  /**
+   * The statuses known.
+   *
+   * @return the latest status of each record
+   */
+  public Map<ObjectKey, AcceptedRecord> statuses() {
+    Map<ObjectKey, AcceptedRecord> known = new TreeMap<>();
+    statuses.forEach((key, status) -> known.put(key, status.content));
+    return known;
+  }
+
+  private boolean newer(PlatformObject object) {
+    PlatformObject known = records.get(object.key());
+    return known == null || known.version() < object.version();
+  }
+
+  private long dueMillis(ObjectKey record, HostId self, List<HostId> controllers) {
+    int rank = RendezvousOrder.of(record.toString(), controllers, HostId::value).indexOf(self);
+    long turn = seenMillis.get(record) + Math.max(0, rank) * RANK_DELAY_MILLIS;
+    return Math.max(turn, notBeforeMillis.getOrDefault(record, 0L));
+  }
+
+  private Optional<VersionedRecord> status(PlatformObject object) {
+    Optional<ObjectKey> record = AcceptedRecord.recordKey(object.key());
+    Optional<AcceptedRecord> content = AcceptedRecord.read(object.body());
+    if (record.isEmpty() || content.isEmpty()) {
+      return Optional.empty();
+    }
+    Status known = statuses.get(record.get());
+    if (known != null && known.version >= object.version()) {
+      return Optional.empty();
+    }
+    if (known != null) {
+      requireNoFall(record.get(), known.content, content.get());
+    }
+    statuses.put(record.get(), new Status(object.version(), content.get()));
+    return accepted(record.get(), content.get());
+  }
+
+  private void requireNoFall(ObjectKey record, AcceptedRecord before, AcceptedRecord after) {
+    boolean holds =
+        after.generation() >= before.generation()
+            && after.specGeneration() >= before.specGeneration();
+    invariants.check(
+        holds,
+        InvariantName.CONFIGURATION_NEVER_REVERTS,
+        record + " fell from " + before.generation() + " to " + after.generation());
+  }
+
+  private static Optional<VersionedRecord> accepted(ObjectKey record, AcceptedRecord content) {
+    if (content.specGeneration() == 0) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new VersionedRecord(record, content.specGeneration(), content.deleted(), content.spec()));
+  }
+
+  /**
+   * A status to write.
+   *
+   * @param key the status's key
+   * @param expectedVersion the version to replace
+   * @param status the new status
+   */
+  public record StatusWrite(ObjectKey key, long expectedVersion, AcceptedRecord status) {}
+
+  private record Status(long version, AcceptedRecord content) {}
+}
--- a/core/src/main/java/org/sardinebay/internal/version/DatabaseWatch.java
+++ b/core/src/main/java/org/sardinebay/internal/version/DatabaseWatch.java
@@ -14,8 +14,8 @@
 import org.sardinebay.endpoint.EndpointCall;
 import org.sardinebay.endpoint.EndpointReply;
 import org.sardinebay.endpoint.MemberRole;
-import org.sardinebay.internal.process.InvariantListener;
-import org.sardinebay.internal.process.InvariantViolation;
+import org.sardinebay.internal.process.InvariantName;
+import org.sardinebay.internal.process.Invariants;
 import org.sardinebay.record.DatabaseRecord;
 import org.sardinebay.record.MemberRecord;
 
@@ -44,8 +44,8 @@
   private static final long PUBLISH_RANK_DELAY_MILLIS = 3_000;
 
   private final FailureDomain ownDomain;
-  private final InvariantListener invariants;
-  private final FailureDetector detector;
+  private final Invariants invariants;
+  private final FailureDetector<MemberId> detector;
   private final SilenceEvidence evidence = new SilenceEvidence();
   private final MemberViews views = new MemberViews();
   private final Map<MemberId, Long> lastAsked = new HashMap<>();
@@ -70,14 +70,11 @@
    * @param nowMillis the time
    */
   public DatabaseWatch(
-      DatabaseRecord database,
-      FailureDomain ownDomain,
-      InvariantListener invariants,
-      long nowMillis) {
+      DatabaseRecord database, FailureDomain ownDomain, Invariants invariants, long nowMillis) {
     this.database = database;
     this.ownDomain = ownDomain;
     this.invariants = invariants;
-    this.detector = new FailureDetector(nowMillis);
+    this.detector = new FailureDetector<>(nowMillis);
   }
 
   /**
@@ -154,10 +151,10 @@
    * @param nowMillis the time
    */
   public void promoted(long term, MemberId primary, Position start, long nowMillis) {
-    if (start.term() > confirmed.term() && start.index() <= confirmed.index()) {
-      invariants.violated(
-          new InvariantViolation.ConfirmedEntryLost(database.id(), start, confirmed));
-    }
+    invariants.check(
+        start.term() <= confirmed.term() || start.index() > confirmed.index(),
+        InvariantName.CONFIRMED_ENTRIES_SURVIVE,
+        database.id() + ": " + primary + " starts at " + start + " below " + confirmed);
     lead(term, primary, nowMillis);
   }
 
@@ -352,7 +349,8 @@
       detector.answered(member, nowMillis);
     } else if (leader.get().term() == term && !leader.get().member().equals(member)) {
       invariants.violated(
-          new InvariantViolation.TwoPrimaries(database.id(), term, leader.get().member(), member));
+          InvariantName.TERM_HAS_ONE_DRIVER,
+          database.id() + ": " + leader.get().member() + " and " + member + " lead term " + term);
     }
   }
 
--- a/core/src/main/java/org/sardinebay/internal/version/FailureDetector.java
+++ b/core/src/main/java/org/sardinebay/internal/version/FailureDetector.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import org.sardinebay.MemberId;
 
 /**
  * Says how long members have been silent.
@@ -15,15 +14,17 @@
  *
  * <p>While this process itself was frozen it heard nobody. Silence therefore counts only from the
  * last gap between two of its own polls that was longer than {@link #LATE_POLL_MILLIS}.
+ *
+ * @param <T> what names a member
  */
-public final class FailureDetector {
+public final class FailureDetector<T> {
   /** The silence after which a member is suspected. */
   public static final long SUSPECT_AFTER_MILLIS = 500;
 
   /** The gap between two polls above which this process counts as having been frozen. */
   public static final long LATE_POLL_MILLIS = 250;
 
-  private final Map<MemberId, Long> lastAnswers = new HashMap<>();
+  private final Map<T, Long> lastAnswers = new HashMap<>();
   private long lastPollMillis;
   private long listeningSinceMillis;
 
@@ -55,7 +56,7 @@
    * @param member which
    * @param nowMillis when the answer arrived
    */
-  public void answered(MemberId member, long nowMillis) {
+  public void answered(T member, long nowMillis) {
     lastAnswers.merge(member, nowMillis, Math::max);
   }
 
@@ -66,7 +67,7 @@
    * @param nowMillis the time
    * @return the silence, 0 if this process has only just come back itself
    */
-  public long silentMillis(MemberId member, long nowMillis) {
+  public long silentMillis(T member, long nowMillis) {
     if (late(nowMillis)) {
       return 0;
     }
@@ -81,7 +82,7 @@
    * @param nowMillis the time
    * @return true from {@link #SUSPECT_AFTER_MILLIS} on
    */
-  public boolean suspects(MemberId member, long nowMillis) {
+  public boolean suspects(T member, long nowMillis) {
     return silentMillis(member, nowMillis) >= SUSPECT_AFTER_MILLIS;
   }
 
--- a/core/src/main/java/org/sardinebay/internal/version/TermLedger.java
+++ b/core/src/main/java/org/sardinebay/internal/version/TermLedger.java
@@ -3,8 +3,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.sardinebay.DatabaseId;
-import org.sardinebay.internal.process.InvariantListener;
-import org.sardinebay.internal.process.InvariantViolation;
+import org.sardinebay.internal.process.InvariantName;
+import org.sardinebay.internal.process.Invariants;
 
 /**
  * Remembers who claimed the latest term of each database and checks that nobody else did.
@@ -16,16 +16,16 @@
  * <p>Not safe for several threads.
  */
 public final class TermLedger {
-  private final InvariantListener listener;
+  private final Invariants invariants;
   private final Map<DatabaseId, Claim> latest = new HashMap<>();
 
   /**
    * Creates an empty ledger.
    *
-   * @param listener told of a term with two drivers
+   * @param invariants told of a term with two drivers
    */
-  public TermLedger(InvariantListener listener) {
-    this.listener = listener;
+  public TermLedger(Invariants invariants) {
+    this.invariants = invariants;
   }
 
   /**
@@ -40,8 +40,9 @@
     if (known == null || known.term < term) {
       latest.put(database, new Claim(term, driver));
     } else if (known.term == term && !known.driver.equals(driver)) {
-      listener.violated(
-          new InvariantViolation.TermClaimedTwice(database, term, known.driver, driver));
+      invariants.violated(
+          InvariantName.TERM_HAS_ONE_DRIVER,
+          database + ": " + known.driver + " and " + driver + " claimed term " + term);
     }
   }
 
--- a/core/src/main/java/org/sardinebay/internal/version/WatcherAssignment.java
+++ b/core/src/main/java/org/sardinebay/internal/version/WatcherAssignment.java
@@ -1,11 +1,11 @@
 package org.sardinebay.internal.version;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
-import java.util.OptionalInt;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.function.Predicate;
 import org.sardinebay.DatabaseId;
 import org.sardinebay.FailureDomain;
 import org.sardinebay.HostId;
@@ -13,18 +13,20 @@
 import org.sardinebay.record.MemberRecord;
 
 /**
- * Says which controllers watch a database: one in each failure domain that holds members.
+ * Says which controllers watch which databases: one in each failure domain that holds members.
  *
  * <pre>{@code
- * WatcherAssignment assignment = new WatcherAssignment(own, controllers);
- * OptionalInt rank = assignment.rank(database, silentHosts::contains);
+ * List<WatchDuty> duties = new WatcherAssignment(own, controllers).duties(databases);
  * }</pre>
  *
  * <p>In each failure domain the controllers are ordered by rendezvous hashing; the first that is
- * not silent watches, and the next one stands by.
+ * not silent watches, and the next two stand by.
  */
 public final class WatcherAssignment {
+  private static final int STANDBYS = 2;
   private static final int ASKED_PER_DOMAIN = 2;
+  private static final int PLATFORM_WATCHERS_PER_DOMAIN = 2;
+  private static final String PLATFORM_KEY = "platform";
 
   private final ControllerInfo own;
   private final List<ControllerInfo> controllers;
@@ -35,54 +37,35 @@
    * @param own this process
    * @param controllers all controllers, this process included or not
    */
-  public WatcherAssignment(ControllerInfo own, List<ControllerInfo> controllers) {
+  public WatcherAssignment(ControllerInfo own, Collection<ControllerInfo> controllers) {
     this.own = own;
     List<ControllerInfo> all = new ArrayList<>(controllers);
-    if (all.stream().noneMatch(other -> other.host().equals(own.host()))) {
-      all.add(own);
-    }
+    all.removeIf(other -> other.host().equals(own.host()));
+    all.add(own);
     this.controllers = List.copyOf(all);
   }
 
   /**
-   * The place of this process among the watchers of a database. Watchers act in this order.
-   *
-   * @param database the database
-   * @param silent which hosts of the own failure domain do not answer
-   * @return 0 for the first, or empty if this process does not watch the database
-   */
-  public OptionalInt rank(DatabaseRecord database, Predicate<HostId> silent) {
-    if (predecessors(database).stream().anyMatch(other -> !silent.test(other.host()))) {
-      return OptionalInt.empty();
-    }
-    List<FailureDomain> order =
-        RendezvousOrder.of(database.id().value(), domains(database), FailureDomain::value);
-    int rank = order.indexOf(own.failureDomain());
-    return rank < 0 ? OptionalInt.empty() : OptionalInt.of(rank);
-  }
-
-  /**
-   * The controllers that come before this one in its failure domain. It takes over when all of them
-   * are silent.
+   * The databases that this process watches or stands by for.
    *
-   * @param database the database
-   * @return the controllers, the responsible one first
+   * @param databases all databases
+   * @return its duties
    */
-  public List<ControllerInfo> predecessors(DatabaseRecord database) {
-    List<ControllerInfo> order = order(database.id(), own.failureDomain());
-    return order.subList(0, order.indexOf(controller(own.host())));
+  public List<WatchDuty> duties(Collection<DatabaseRecord> databases) {
+    return databases.stream().map(this::duty).flatMap(Optional::stream).toList();
   }
 
   /**
-   * The controllers to ask about a database's primary: the first two of each other failure domain.
+   * The controllers that hold a waiting watch on the platform: two in each failure domain.
    *
-   * @param database the database
-   * @return the controllers
+   * @return their hosts
    */
-  public List<ControllerInfo> otherWatchers(DatabaseRecord database) {
-    return domains(database).stream()
-        .filter(domain -> !domain.equals(own.failureDomain()))
-        .flatMap(domain -> order(database.id(), domain).stream().limit(ASKED_PER_DOMAIN))
+  public List<HostId> platformWatchers() {
+    Set<FailureDomain> domains = new TreeSet<>();
+    controllers.forEach(controller -> domains.add(controller.failureDomain()));
+    return domains.stream()
+        .flatMap(domain -> order(PLATFORM_KEY, domain).stream().limit(PLATFORM_WATCHERS_PER_DOMAIN))
+        .map(ControllerInfo::host)
         .toList();
   }
 
@@ -98,16 +81,40 @@
     return domains;
   }
 
+  private Optional<WatchDuty> duty(DatabaseRecord database) {
+    Set<FailureDomain> domains = domains(database);
+    if (!domains.contains(own.failureDomain())) {
+      return Optional.empty();
+    }
+    List<ControllerInfo> order = order(database.id(), own.failureDomain());
+    int place = order.indexOf(own);
+    if (place > STANDBYS) {
+      return Optional.empty();
+    }
+    List<FailureDomain> ranks =
+        RendezvousOrder.of(database.id().value(), domains, FailureDomain::value);
+    return Optional.of(
+        new WatchDuty(
+            database,
+            ranks.indexOf(own.failureDomain()),
+            order.subList(0, place),
+            otherWatchers(database, domains)));
+  }
+
+  private List<ControllerInfo> otherWatchers(DatabaseRecord database, Set<FailureDomain> domains) {
+    return domains.stream()
+        .filter(domain -> !domain.equals(own.failureDomain()))
+        .flatMap(domain -> order(database.id(), domain).stream().limit(ASKED_PER_DOMAIN))
+        .toList();
+  }
+
   private List<ControllerInfo> order(DatabaseId database, FailureDomain domain) {
-    List<ControllerInfo> inDomain =
-        controllers.stream().filter(other -> other.failureDomain().equals(domain)).toList();
-    return RendezvousOrder.of(database.value(), inDomain, other -> other.host().value());
+    return order(database.value(), domain);
   }
 
-  private ControllerInfo controller(HostId host) {
-    return controllers.stream()
-        .filter(other -> other.host().equals(host))
-        .findFirst()
-        .orElseThrow();
+  private List<ControllerInfo> order(String key, FailureDomain domain) {
+    List<ControllerInfo> inDomain =
+        controllers.stream().filter(other -> other.failureDomain().equals(domain)).toList();
+    return RendezvousOrder.of(key, inDomain, other -> other.host().value());
   }
 }
