Add sardinebayctl, the operators' command line

Cause: operators drive the system by records and need their status.

Ruled out: repeating a change after a conflict by itself, which would overwrite another operator's change; repeating a change whose answer was lost without reading back.

Change: apply, get, list, delete, watch, status, dump; one class per command, failures as types with what happened, why and what to do next; exit status 0, 1, 2, 3. A change whose answer was lost is read back: recognised, sent again under the same condition, or reported as overtaken or unknown. apply also takes the version that get shows, as the version to replace.

--- /dev/null
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/process/CommandLine.java
@@ -0,0 +1,153 @@
+package org.sardinebay.ctl.internal.process;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.sardinebay.Address;
+import org.sardinebay.ctl.internal.request.Failure;
+
+/**
+ * Reads the command line.
+ *
+ * <pre>{@code
+ * ArgumentsResult result = new CommandLine().parse(args);
+ * }</pre>
+ */
+public final class CommandLine {
+  private static final long DEFAULT_TIMEOUT_MILLIS = 5_000;
+  private static final long MAX_TIMEOUT_MILLIS = 60_000;
+  private static final List<String> COMMAND_OPTIONS = List.of("f", "if-version", "schema");
+
+  private final OptionParser parser = new OptionParser();
+  private final OptionSpec<Void> help = parser.accepts("help");
+  private final OptionSpec<Void> version = parser.accepts("version");
+  private final OptionSpec<String> platform = parser.accepts("platform").withRequiredArg();
+  private final OptionSpec<String> file = parser.acceptsAll(List.of("f", "file")).withRequiredArg();
+  private final OptionSpec<Long> ifVersion =
+      parser.accepts("if-version").withRequiredArg().ofType(Long.class);
+  private final OptionSpec<Integer> schema =
+      parser.accepts("schema").withRequiredArg().ofType(Integer.class);
+  private final OptionSpec<Long> timeout =
+      parser
+          .accepts("timeout")
+          .withRequiredArg()
+          .ofType(Long.class)
+          .defaultsTo(DEFAULT_TIMEOUT_MILLIS);
+  private final OptionSpec<String> words = parser.nonOptions();
+
+  /**
+   * Reads and checks the arguments.
+   *
+   * @param args the command line
+   * @return the arguments or what is wrong with them
+   */
+  public ArgumentsResult parse(String... args) {
+    OptionSet options;
+    try {
+      options = parser.parse(args);
+      if (options.has(help)) {
+        return new ArgumentsResult.HelpWanted();
+      }
+      if (options.has(version)) {
+        return new ArgumentsResult.VersionWanted();
+      }
+      return check(options);
+    } catch (OptionException e) {
+      return wrong(e.getMessage());
+    }
+  }
+
+  /**
+   * The help page.
+   *
+   * @return its lines
+   */
+  public List<String> help() {
+    return List.of(
+        "sardinebayctl: changes the records of operators and shows what the system made of them",
+        "",
+        "usage: sardinebayctl --platform ADDRESS COMMAND",
+        "  apply -f FILE [--if-version N]   writes the records of a JSON file with comments:",
+        "                                   {\"kind\",\"name\",\"spec\"} or a list of these;",
+        "                                   replaces version N (0 creates), else the version",
+        "                                   that the file states, else the one just read",
+        "  get KIND NAME [--schema N]       shows a record, converted to a schema version",
+        "  list KIND                        lists the records of a kind with their versions",
+        "  delete KIND NAME --if-version N  deletes version N of a record",
+        "  watch KIND                       shows changes until it is interrupted",
+        "  status KIND NAME                 shows whether a record is accepted, and promotions",
+        "  dump ADDRESS                     shows the state of a process; needs no --platform",
+        "  --timeout MILLIS                 how long to wait for an answer, "
+            + DEFAULT_TIMEOUT_MILLIS
+            + " if absent",
+        "  --version                        prints the version and exits",
+        "  --help                           prints this page and exits",
+        "",
+        "kinds: databases, proxies, staleness",
+        "exit status: 0 done, 1 failed, 2 wrong arguments or record, 3 conflict");
+  }
+
+  private ArgumentsResult check(OptionSet options) {
+    List<String> given = options.valuesOf(words);
+    if (given.isEmpty()) {
+      return wrong("the command is missing");
+    }
+    Optional<CommandName> command = CommandName.of(given.get(0));
+    if (command.isEmpty()) {
+      return wrong("there is no command " + given.get(0));
+    }
+    Optional<String> problem = problem(command.get(), given.size() - 1, options);
+    if (problem.isPresent()) {
+      return wrong(problem.get());
+    }
+    return new ArgumentsResult.Parsed(
+        new Arguments(
+            command.get(),
+            List.copyOf(given.subList(1, given.size())),
+            address(options),
+            Optional.ofNullable(options.valueOf(file)).map(Path::of),
+            options.has(ifVersion)
+                ? OptionalLong.of(options.valueOf(ifVersion))
+                : OptionalLong.empty(),
+            options.has(schema) ? OptionalInt.of(options.valueOf(schema)) : OptionalInt.empty(),
+            options.valueOf(timeout)));
+  }
+
+  private Optional<String> problem(CommandName command, int operands, OptionSet options) {
+    if (operands != command.operands().size()) {
+      return Optional.of(command.word() + " takes the operands " + command.operands());
+    }
+    if (command.needsPlatform() && address(options).isEmpty()) {
+      return Optional.of("--platform must be an address such as 127.0.0.1:7000");
+    }
+    for (String option : COMMAND_OPTIONS) {
+      if (options.has(option) && !command.options().contains(option)) {
+        return Optional.of(command.word() + " takes no option " + option);
+      }
+      if (!options.has(option) && command.requiredOptions().contains(option)) {
+        return Optional.of(command.word() + " needs the option " + option);
+      }
+    }
+    if (options.has(ifVersion) && options.valueOf(ifVersion) < 0) {
+      return Optional.of("--if-version must not be negative");
+    }
+    long wait = options.valueOf(timeout);
+    return wait < 1 || wait > MAX_TIMEOUT_MILLIS
+        ? Optional.of("--timeout must be from 1 to " + MAX_TIMEOUT_MILLIS)
+        : Optional.empty();
+  }
+
+  private Optional<Address> address(OptionSet options) {
+    return Optional.ofNullable(options.valueOf(platform)).flatMap(Address::parse);
+  }
+
+  private static ArgumentsResult wrong(String reason) {
+    return new ArgumentsResult.Wrong(new Failure.WrongArguments(reason));
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/process/Commands.java
@@ -0,0 +1,63 @@
+package org.sardinebay.ctl.internal.process;
+
+import java.io.PrintStream;
+import org.sardinebay.ctl.internal.request.ApplyCommand;
+import org.sardinebay.ctl.internal.request.Command;
+import org.sardinebay.ctl.internal.request.DeleteCommand;
+import org.sardinebay.ctl.internal.request.DumpCommand;
+import org.sardinebay.ctl.internal.request.GetCommand;
+import org.sardinebay.ctl.internal.request.ListCommand;
+import org.sardinebay.ctl.internal.request.PlatformCalls;
+import org.sardinebay.ctl.internal.request.StatusCommand;
+import org.sardinebay.ctl.internal.request.WatchCommand;
+import org.sardinebay.net.AddressTranslation;
+import org.sardinebay.net.http.JsonHttpClient;
+import org.sardinebay.net.platform.HttpPlatformClient;
+import org.sardinebay.platform.ObjectKey;
+
+/**
+ * Builds the command that the arguments name.
+ *
+ * <pre>{@code
+ * Optional<Failure> failure = Commands.of(arguments, http, out, err).run();
+ * }</pre>
+ */
+public final class Commands {
+  private Commands() {}
+
+  /**
+   * Builds a command.
+   *
+   * @param arguments the checked arguments
+   * @param http what sends its requests
+   * @param out where results go
+   * @param err where a running command reports what it waits for
+   * @return the command
+   */
+  public static Command of(
+      Arguments arguments, JsonHttpClient http, PrintStream out, PrintStream err) {
+    if (arguments.command() == CommandName.DUMP) {
+      return new DumpCommand(http, arguments.operands().get(0), arguments.timeoutMillis(), out);
+    }
+    PlatformCalls platform =
+        new PlatformCalls(
+            new HttpPlatformClient(
+                http, arguments.platform().orElseThrow(), AddressTranslation.none()),
+            arguments.timeoutMillis());
+    return switch (arguments.command()) {
+      case APPLY ->
+          new ApplyCommand(platform, arguments.file().orElseThrow(), arguments.ifVersion(), out);
+      case GET -> new GetCommand(platform, key(arguments), arguments.schema(), out);
+      case LIST -> new ListCommand(platform, arguments.operands().get(0), out);
+      case DELETE ->
+          new DeleteCommand(platform, key(arguments), arguments.ifVersion().orElseThrow(), out);
+      case WATCH -> new WatchCommand(platform, arguments.operands().get(0), out, err);
+      case STATUS -> new StatusCommand(platform, key(arguments), out);
+      case DUMP -> throw new IllegalStateException("dump needs no platform");
+    };
+  }
+
+  private static ObjectKey key(Arguments arguments) {
+    return new ObjectKey(arguments.operands().get(0), arguments.operands().get(1));
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/request/DeleteCommand.java
@@ -0,0 +1,60 @@
+package org.sardinebay.ctl.internal.request;
+
+import java.io.PrintStream;
+import java.util.Optional;
+import org.sardinebay.platform.ObjectKey;
+import org.sardinebay.platform.PlatformResult;
+import org.sardinebay.record.RecordCodecs;
+
+/**
+ * Deletes one version of a record.
+ *
+ * <pre>{@code
+ * new DeleteCommand(platform, key, 12, System.out).run();
+ * }</pre>
+ */
+public final class DeleteCommand implements Command {
+  private final PlatformCalls platform;
+  private final ObjectKey key;
+  private final long ifVersion;
+  private final PrintStream out;
+
+  /**
+   * Creates the command.
+   *
+   * @param platform the platform
+   * @param key the record
+   * @param ifVersion the version to delete
+   * @param out where results go
+   */
+  public DeleteCommand(PlatformCalls platform, ObjectKey key, long ifVersion, PrintStream out) {
+    this.platform = platform;
+    this.key = key;
+    this.ifVersion = ifVersion;
+    this.out = out;
+  }
+
+  @Override
+  public Optional<Failure> run() {
+    if (RecordCodecs.of(key.kind()).isEmpty()) {
+      return Optional.of(new Failure.UnknownKind(key.kind()));
+    }
+    PlatformResult held = platform.read(key);
+    if (held instanceof PlatformResult.Failed failed) {
+      return Optional.of(new Failure.PlatformFailed(failed.failure()));
+    }
+    if (held instanceof PlatformResult.Absent) {
+      return Optional.of(new Failure.NotFound(key));
+    }
+    ChangeResult result = ConditionalChange.delete(platform, key, ifVersion).run();
+    if (result instanceof ChangeResult.NotDone notDone) {
+      return Optional.of(notDone.failure());
+    }
+    out.println(
+        KeyValueLine.of("deleted")
+            .add("kind", key.kind())
+            .add("name", key.name())
+            .add("version", ifVersion));
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/request/DumpCommand.java
@@ -0,0 +1,55 @@
+package org.sardinebay.ctl.internal.request;
+
+import io.activej.http.HttpMethod;
+import java.io.PrintStream;
+import java.util.Optional;
+import org.sardinebay.Address;
+import org.sardinebay.net.http.HttpReply;
+import org.sardinebay.net.http.HttpResult;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.net.http.JsonHttpClient;
+
+/**
+ * Shows the state of one process as JSON.
+ *
+ * <pre>{@code
+ * new DumpCommand(http, "127.0.0.1:7001", 5_000, System.out).run();
+ * }</pre>
+ */
+public final class DumpCommand implements Command {
+  private final JsonHttpClient http;
+  private final String address;
+  private final long timeoutMillis;
+  private final PrintStream out;
+
+  /**
+   * Creates the command.
+   *
+   * @param http what sends the request
+   * @param address the address on which the process serves HTTP
+   * @param timeoutMillis how long to wait
+   * @param out where results go
+   */
+  public DumpCommand(JsonHttpClient http, String address, long timeoutMillis, PrintStream out) {
+    this.http = http;
+    this.address = address;
+    this.timeoutMillis = timeoutMillis;
+    this.out = out;
+  }
+
+  @Override
+  public Optional<Failure> run() {
+    Optional<Address> target = Address.parse(address);
+    if (target.isEmpty()) {
+      return Optional.of(
+          new Failure.WrongArguments(address + " is no address such as 127.0.0.1:7001"));
+    }
+    HttpResult result =
+        http.call(HttpMethod.GET, target.get(), "/dump", Optional.empty(), timeoutMillis).join();
+    if (result instanceof HttpResult.Response response && response.status() == HttpReply.OK) {
+      out.println(Json.pretty(response.body()));
+      return Optional.empty();
+    }
+    return Optional.of(new Failure.NoDump(address));
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/request/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of operators: each lives for one call of the program. */
+package org.sardinebay.ctl.internal.request;
--- a/ctl/src/main/java/org/sardinebay/ctl/package-info.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/package-info.java
@@ -1,2 +1,2 @@
-/** The program {@code sardinebay-ctl}. */
+/** The program {@code sardinebayctl}, the operators' command line. */
 package org.sardinebay.ctl;
