--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/Deployment.java
@@ -0,0 +1,216 @@
+package org.sardinebay.standins.driver;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.sardinebay.Clock;
+import org.sardinebay.net.http.JsonHttpClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A running deployment: real processes on this machine, every connection through the relay.
+ *
+ * <pre>{@code
+ * try (Deployment deployment = Deployment.start(spec, folder, "majority", JvmMode.FAST_START)) {
+ *   deployment.process("contracts-1-a").kill();
+ * }
+ * }</pre>
+ *
+ * <p>All processes end with {@link #close()}, and with this JVM.
+ */
+final class Deployment implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(Deployment.class);
+  private static final int MAX_ATTEMPTS = 3;
+  private static final long START_TIMEOUT_MILLIS = 40_000;
+  private static final long POLL_MILLIS = 50;
+  private static final String PUBLISHED = "published";
+
+  private final DeploymentSpec spec;
+  private final Topology topology;
+  private final Path folder;
+  private final JsonHttpClient http;
+  private final Controls controls;
+  private final SettingsWriter settings;
+  private final Map<String, ManagedProcess> processes = new LinkedHashMap<>();
+  private final Thread shutdownHook = new Thread(this::killAll, "kill-children");
+
+  private Deployment(DeploymentSpec spec, Topology topology, Path folder) {
+    this.spec = spec;
+    this.topology = topology;
+    this.folder = folder;
+    this.http = JsonHttpClient.start("controls", 1);
+    this.controls = new Controls(topology, http);
+    this.settings = new SettingsWriter(spec, topology, folder);
+  }
+
+  /**
+   * Starts all processes, writes the records and waits until every database has a primary and every
+   * proxy is ready. Takes other ports and tries again if a process can't start.
+   */
+  static Deployment start(DeploymentSpec spec, Path folder, String acknowledgement, JvmMode mode)
+      throws IOException {
+    for (int attempt = 1; ; attempt++) {
+      Path attemptFolder = folder.resolve("attempt-" + attempt);
+      Files.createDirectories(attemptFolder);
+      Topology topology = Topology.allocate(spec, new PortAllocator());
+      Deployment deployment = new Deployment(spec, topology, attemptFolder);
+      try {
+        deployment.startAll(acknowledgement, mode);
+        return deployment;
+      } catch (ProcessExitedException e) {
+        deployment.close();
+        LOG.atWarn().setMessage("start_failed").addKeyValue("cause", e.getMessage()).log();
+        if (attempt == MAX_ATTEMPTS) {
+          throw e;
+        }
+      } catch (IOException | RuntimeException e) {
+        deployment.close();
+        throw e;
+      }
+    }
+  }
+
+  DeploymentSpec spec() {
+    return spec;
+  }
+
+  Topology topology() {
+    return topology;
+  }
+
+  Controls controls() {
+    return controls;
+  }
+
+  Path folder() {
+    return folder;
+  }
+
+  ManagedProcess process(String name) {
+    return processes.get(name);
+  }
+
+  Collection<ManagedProcess> processes() {
+    return processes.values();
+  }
+
+  /** The primary that the platform names for a database. */
+  Optional<String> primary(String database) {
+    return controls
+        .object("promotions", database)
+        .map(promotion -> promotion.path("body"))
+        .filter(body -> body.path("step").asText().equals(PUBLISHED))
+        .map(body -> body.path("primary").asText());
+  }
+
+  /** Waits until every database has a primary that leads, and every proxy is ready. */
+  void awaitServing(long timeoutMillis) throws IOException {
+    for (DeploymentSpec.Database database : spec.databases()) {
+      await("primary of " + database.id(), timeoutMillis, () -> primary(database.id()).isPresent());
+    }
+    for (Node proxy : topology.nodes(ProcessKind.PROXY)) {
+      await("proxy " + proxy.name(), timeoutMillis, () -> controls.isReady(proxy));
+    }
+  }
+
+  void awaitHealthy(Node node, long timeoutMillis) throws IOException {
+    await("health of " + node.name(), timeoutMillis, () -> controls.isHealthy(node));
+  }
+
+  @Override
+  public void close() {
+    killAll();
+    http.stop();
+    try {
+      Runtime.getRuntime().removeShutdownHook(shutdownHook);
+    } catch (IllegalStateException e) {
+      LOG.atDebug().setMessage("closed_by_shutdown").log();
+    }
+  }
+
+  private void startAll(String acknowledgement, JvmMode mode) throws IOException {
+    Runtime.getRuntime().addShutdownHook(shutdownHook);
+    for (Node node : topology.nodes()) {
+      processes.put(node.name(), ManagedProcess.java(node, settings.write(node), folder, mode));
+    }
+    startNodes(ProcessKind.RELAY, ProcessKind.PLATFORM, ProcessKind.ENDPOINT);
+    writeRecords(acknowledgement);
+    startNodes(ProcessKind.CONTROLLER, ProcessKind.PROXY);
+    awaitServing(START_TIMEOUT_MILLIS);
+  }
+
+  private void startNodes(ProcessKind... kinds) throws IOException {
+    List<Node> started = new ArrayList<>();
+    for (ProcessKind kind : kinds) {
+      for (Node node : topology.nodes(kind)) {
+        process(node.name()).start();
+        started.add(node);
+      }
+    }
+    for (Node node : started) {
+      awaitHealthy(node, START_TIMEOUT_MILLIS);
+    }
+  }
+
+  private void writeRecords(String acknowledgement) throws IOException {
+    for (DeploymentSpec.Database database : spec.databases()) {
+      create("databases", database.id(), settings.databaseRecord(database, acknowledgement));
+    }
+    for (Node proxy : topology.nodes(ProcessKind.PROXY)) {
+      create("proxies", proxy.name(), settings.proxyRecord(proxy));
+    }
+    for (DeploymentSpec.NamedSpec staleness : spec.staleness()) {
+      create("staleness", staleness.name(), staleness.spec());
+    }
+  }
+
+  private void create(String kind, String name, ObjectNode body) throws IOException {
+    if (controls.put(kind, name, 0, body).isEmpty()) {
+      throw new IOException("the platform refused record " + kind + "/" + name);
+    }
+  }
+
+  private void await(String what, long timeoutMillis, BooleanSupplier condition)
+      throws IOException {
+    Clock clock = Clock.system();
+    long deadline = clock.millis() + timeoutMillis;
+    while (!condition.getAsBoolean()) {
+      checkAlive();
+      if (clock.millis() > deadline) {
+        throw new IOException(what + " did not come up within " + timeoutMillis + " ms");
+      }
+      pause();
+    }
+  }
+
+  private void checkAlive() throws IOException {
+    for (ManagedProcess process : processes.values()) {
+      if (process.incarnation() > 0 && !process.isAlive()) {
+        throw new ProcessExitedException(process.name(), folder);
+      }
+    }
+  }
+
+  private void killAll() {
+    processes.values().forEach(ManagedProcess::kill);
+  }
+
+  private static void pause() throws IOException {
+    try {
+      TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted", e);
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/ManagedProcess.java
@@ -0,0 +1,109 @@
+package org.sardinebay.standins.driver;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A child JVM that can be killed, frozen, terminated and started again. */
+final class ManagedProcess {
+  private static final Logger LOG = LoggerFactory.getLogger(ManagedProcess.class);
+  private static final long KILL_TIMEOUT_SECONDS = 5;
+  private static final String FAST_START_FLAG = "-XX:TieredStopAtLevel=1";
+
+  private final String name;
+  private final List<String> command;
+  private final File log;
+  private Process process;
+  private int incarnation;
+
+  private ManagedProcess(String name, List<String> command, File log) {
+    this.name = name;
+    this.command = command;
+    this.log = log;
+  }
+
+  static ManagedProcess java(Node node, Path settings, Path folder, JvmMode mode) {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(List.of("-XX:+UseSerialGC", "-Xmx64m", "-Xss512k", "-Dsardinebay.strict=true"));
+    if (mode == JvmMode.FAST_START) {
+      command.add(FAST_START_FLAG);
+    }
+    command.addAll(List.of("-cp", System.getProperty("java.class.path")));
+    command.addAll(List.of(node.kind().mainClass(), "--settings", settings.toString()));
+    return new ManagedProcess(node.name(), command, folder.resolve(node.name() + ".log").toFile());
+  }
+
+  String name() {
+    return name;
+  }
+
+  synchronized void start() throws IOException {
+    process =
+        new ProcessBuilder(command)
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+            .start();
+    incarnation++;
+  }
+
+  synchronized boolean isAlive() {
+    return process != null && process.isAlive();
+  }
+
+  /** How often it was started. */
+  synchronized int incarnation() {
+    return incarnation;
+  }
+
+  /** Sends SIGKILL and waits for the end. */
+  synchronized void kill() {
+    if (process != null) {
+      process.destroyForcibly();
+      awaitExit(KILL_TIMEOUT_SECONDS);
+    }
+  }
+
+  /** Sends SIGTERM. */
+  synchronized void terminate() {
+    process.destroy();
+  }
+
+  /** Whether it exited within the time given. */
+  boolean awaitExit(long seconds) {
+    try {
+      return current().waitFor(seconds, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  void freeze() {
+    signal("-STOP");
+  }
+
+  void thaw() {
+    signal("-CONT");
+  }
+
+  private synchronized Process current() {
+    return process;
+  }
+
+  private void signal(String signal) {
+    String pid = Long.toString(current().pid());
+    try {
+      new ProcessBuilder("kill", signal, pid).inheritIO().start().waitFor();
+    } catch (IOException e) {
+      LOG.atError().setMessage("signal_failed").addKeyValue("process", name).setCause(e).log();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/ProcessKind.java
@@ -0,0 +1,20 @@
+package org.sardinebay.standins.driver;
+
+/** What a process of a deployment is, with the program that it runs. */
+enum ProcessKind {
+  RELAY("org.sardinebay.standins.relay.RelayMain"),
+  PLATFORM("org.sardinebay.standins.platform.PlatformMain"),
+  ENDPOINT("org.sardinebay.standins.endpoint.EndpointMain"),
+  CONTROLLER("org.sardinebay.controller.ControllerMain"),
+  PROXY("org.sardinebay.proxy.ProxyMain");
+
+  private final String mainClass;
+
+  ProcessKind(String mainClass) {
+    this.mainClass = mainClass;
+  }
+
+  String mainClass() {
+    return mainClass;
+  }
+}
