--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/AcknowledgementOrderCheck.java
@@ -0,0 +1,55 @@
+package org.sardinebay.standins.driver;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.sardinebay.Position;
+
+/**
+ * No write is acknowledged by a replaced primary: a write that was sent after another was
+ * acknowledged has a later position, and no two effects have one index.
+ */
+final class AcknowledgementOrderCheck implements HistoryCheck {
+  @Override
+  public PointResult check(History history, FinalState state) {
+    PointResult result = new PointResult(Point.NO_ACK_BY_REPLACED_PRIMARY);
+    Map<String, List<Attempt>> byDatabase =
+        history
+            .doneEffects()
+            .filter(attempt -> attempt.answer().position().isPresent())
+            .filter(attempt -> !attempt.answer().replay())
+            .collect(Collectors.groupingBy(Attempt::database));
+    byDatabase.values().forEach(attempts -> checkDatabase(result, attempts));
+    return result;
+  }
+
+  private static void checkDatabase(PointResult result, List<Attempt> attempts) {
+    Deque<Attempt> byEnd =
+        attempts.stream()
+            .sorted(Comparator.comparingLong(Attempt::endMillis))
+            .collect(Collectors.toCollection(ArrayDeque::new));
+    List<Attempt> bySent =
+        attempts.stream().sorted(Comparator.comparingLong(Attempt::sentMillis)).toList();
+    Map<Long, Position> byIndex = new HashMap<>();
+    Position acknowledged = Position.ZERO;
+    for (Attempt attempt : bySent) {
+      while (!byEnd.isEmpty() && byEnd.peek().endMillis() < attempt.sentMillis()) {
+        acknowledged = acknowledged.max(position(byEnd.poll()));
+      }
+      Position position = position(attempt);
+      Position other = byIndex.putIfAbsent(position.index(), position);
+      result.check(
+          position.compareTo(acknowledged) > 0 && (other == null || other.equals(position)),
+          "%s at %s, sent at %d ms, after %s was acknowledged, index also of %s"
+              .formatted(attempt.database(), position, attempt.sentMillis(), acknowledged, other));
+    }
+  }
+
+  private static Position position(Attempt attempt) {
+    return attempt.answer().position().orElseThrow();
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/AtMostOnceCheck.java
@@ -0,0 +1,36 @@
+package org.sardinebay.standins.driver;
+
+import java.util.List;
+
+/** What is not repeatable is in its list once at most, and all its answers name one position. */
+final class AtMostOnceCheck implements HistoryCheck {
+  @Override
+  public PointResult check(History history, FinalState state) {
+    PointResult result = new PointResult(Point.AT_MOST_ONCE);
+    for (Operation.Write write : history.writes()) {
+      if (!write.repeatable()) {
+        String database = write.attempts().get(0).database();
+        long count = state.count(database, write.key(), write.value());
+        result.check(
+            count <= 1 && samePosition(write.attempts()),
+            "%s is %d times in %s of %s; answers %s"
+                .formatted(write.value(), count, write.key(), database, write.attempts()));
+      }
+    }
+    for (Operation.Transaction transaction : history.transactions()) {
+      result.check(
+          samePosition(transaction.commits()),
+          "commit of %s has answers %s".formatted(transaction.value(), transaction.commits()));
+    }
+    return result;
+  }
+
+  private static boolean samePosition(List<Attempt> attempts) {
+    return attempts.stream()
+            .filter(Attempt::isDone)
+            .map(attempt -> attempt.answer().position())
+            .distinct()
+            .count()
+        <= 1;
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/CallRequest.java
@@ -0,0 +1,98 @@
+package org.sardinebay.standins.driver;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.record.FieldReader;
+
+/**
+ * One request as a caller sends it, apart from its session token.
+ *
+ * @param kind what it is
+ * @param database the database
+ * @param statement the text for the endpoint, empty if the kind needs none
+ * @param maxAgeMillis for reads: the greatest age accepted
+ * @param repeatable whether it may run more than once
+ * @param idempotencyKey for writes and commits
+ * @param transaction the open transaction
+ */
+record CallRequest(
+    CallKind kind,
+    String database,
+    String statement,
+    OptionalLong maxAgeMillis,
+    boolean repeatable,
+    Optional<String> idempotencyKey,
+    Optional<String> transaction) {
+
+  static CallRequest read(String database, String key, OptionalLong maxAgeMillis) {
+    return new CallRequest(
+        CallKind.READ,
+        database,
+        "get " + key,
+        maxAgeMillis,
+        false,
+        Optional.empty(),
+        Optional.empty());
+  }
+
+  static CallRequest append(
+      String database, String key, String value, boolean repeatable, String idempotencyKey) {
+    return new CallRequest(
+        CallKind.WRITE,
+        database,
+        "append " + key + " " + value,
+        OptionalLong.empty(),
+        repeatable,
+        Optional.of(idempotencyKey),
+        Optional.empty());
+  }
+
+  static CallRequest begin(String database) {
+    return new CallRequest(
+        CallKind.BEGIN,
+        database,
+        "",
+        OptionalLong.empty(),
+        false,
+        Optional.empty(),
+        Optional.empty());
+  }
+
+  static CallRequest inTransaction(
+      CallKind kind,
+      String database,
+      String statement,
+      String transaction,
+      Optional<String> idempotencyKey) {
+    return new CallRequest(
+        kind,
+        database,
+        statement,
+        OptionalLong.empty(),
+        false,
+        idempotencyKey,
+        Optional.of(transaction));
+  }
+
+  ObjectNode body(String caller, Optional<String> token, long timeoutMillis) {
+    ObjectNode body =
+        Json.newObject()
+            .put("caller", caller)
+            .put("database", database)
+            .put("kind", FieldReader.spelling(kind))
+            .put("timeoutMillis", timeoutMillis);
+    if (!statement.isEmpty()) {
+      body.put("statement", statement);
+    }
+    if (kind == CallKind.WRITE) {
+      body.put("repeatable", repeatable);
+    }
+    token.ifPresent(text -> body.put("sessionToken", text));
+    maxAgeMillis.ifPresent(millis -> body.put("maxAgeMillis", millis));
+    idempotencyKey.ifPresent(key -> body.put("idempotencyKey", key));
+    transaction.ifPresent(name -> body.put("transaction", name));
+    return body;
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/CallerSession.java
@@ -0,0 +1,232 @@
+package org.sardinebay.standins.driver;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One caller that roams between proxies: it reads, writes and runs transactions until it is
+ * stopped. After an uncertain answer it asks again at another proxy with the same key.
+ */
+final class CallerSession implements Runnable {
+  private static final long TIMEOUT_MILLIS = 2_000;
+  private static final long MAX_RETRY_WAIT_MILLIS = 500;
+  private static final int MAX_ATTEMPTS = 6;
+  private static final int RECENT_KEYS = 6;
+  private static final int PERCENT = 100;
+  private static final int ROAMING_PERCENT = 50;
+  private static final int RACED_PERCENT = 10;
+  private static final int REPEATABLE_PERCENT = 25;
+  private static final int ROLLBACK_PERCENT = 15;
+  private static final int SLOW_TRANSACTION_PERCENT = 20;
+  private static final int MAX_THINKING_MILLIS = 200;
+  private static final long[] AGES_MILLIS = {200, 500, 1_000, 2_000};
+  private static final String BRANCH_LOST = "session-branch-lost";
+
+  private final String name;
+  private final List<String> databases;
+  private final Workload workload;
+  private final CallerClient client;
+  private final Balancer balancer;
+  private final ListNames lists;
+  private final History history;
+  private final Random random;
+  private final Deque<FinalState.ListName> recent = new ArrayDeque<>();
+  private volatile boolean stopped;
+  private String proxy;
+  private long number;
+
+  CallerSession(
+      String name,
+      List<String> databases,
+      Workload workload,
+      CallerClient client,
+      Balancer balancer,
+      ListNames lists,
+      History history,
+      Random random) {
+    this.name = name;
+    this.databases = databases;
+    this.workload = workload;
+    this.client = client;
+    this.balancer = balancer;
+    this.lists = lists;
+    this.history = history;
+    this.random = random;
+    this.proxy = balancer.choose(random);
+  }
+
+  void stop() {
+    stopped = true;
+  }
+
+  @Override
+  public void run() {
+    while (!stopped) {
+      step();
+      pause(random.nextInt(workload.maxPauseMillis()));
+    }
+  }
+
+  private void step() {
+    if (chance(ROAMING_PERCENT) || !balancer.isReady(proxy)) {
+      proxy = balancer.choose(random);
+    }
+    String database = ListNames.oneOf(databases, random);
+    int choice = random.nextInt(PERCENT);
+    if (choice < workload.writes()) {
+      write(database);
+    } else if (choice < workload.writes() + workload.sessionReads()) {
+      read(OptionalLong.empty());
+    } else if (choice < workload.writes() + workload.sessionReads() + workload.agedReads()) {
+      read(OptionalLong.of(AGES_MILLIS[random.nextInt(AGES_MILLIS.length)]));
+    } else {
+      transact(database);
+    }
+  }
+
+  private void read(OptionalLong maxAgeMillis) {
+    if (recent.isEmpty()) {
+      return;
+    }
+    FinalState.ListName list = new ArrayList<>(recent).get(random.nextInt(recent.size()));
+    CallRequest request = CallRequest.read(list.database(), list.key(), maxAgeMillis);
+    Attempt attempt = client.call(proxy, request, TIMEOUT_MILLIS);
+    history.add(new Operation.Read(name, list.key(), maxAgeMillis, attempt));
+    settle(attempt);
+  }
+
+  private void write(String database) {
+    String key = random.nextBoolean() ? lists.own(name) : lists.shared(database, random);
+    String value = Keys.value(key, name, number++);
+    boolean repeatable = chance(REPEATABLE_PERCENT);
+    String idempotencyKey = "key-" + value;
+    CallRequest request = CallRequest.append(database, key, value, repeatable, idempotencyKey);
+    List<Attempt> attempts = new ArrayList<>();
+    CompletableFuture<Attempt> race =
+        chance(RACED_PERCENT)
+            ? client.send(balancer.chooseOther(random, proxy), request, TIMEOUT_MILLIS)
+            : null;
+    sendUntilCertain(request, attempts);
+    if (race != null) {
+      attempts.add(race.join());
+    }
+    history.add(
+        new Operation.Write(name, key, value, repeatable, idempotencyKey, List.copyOf(attempts)));
+    remember(database, key);
+  }
+
+  private void transact(String database) {
+    String pair = lists.pair(database, random);
+    String value = Keys.value(pair, name, number++);
+    String idempotencyKey = "commit-" + value;
+    List<Attempt> statements = new ArrayList<>();
+    List<Attempt> commits = new ArrayList<>();
+    Attempt begin = client.call(proxy, CallRequest.begin(database), TIMEOUT_MILLIS);
+    statements.add(begin);
+    Optional<List<String>> readBack = Optional.empty();
+    if (begin.isDone() && begin.answer().transaction().isPresent()) {
+      String transaction = begin.answer().transaction().get();
+      boolean ran =
+          runStatement(database, transaction, append(Keys.first(pair), value), statements)
+              && runStatement(database, transaction, append(Keys.second(pair), value), statements)
+              && runStatement(database, transaction, "get " + Keys.first(pair), statements);
+      if (ran) {
+        readBack = Optional.of(statements.get(statements.size() - 1).answer().rows());
+      }
+      Optional<String> key = Optional.of(idempotencyKey);
+      if (ran && !chance(ROLLBACK_PERCENT)) {
+        sendUntilCertain(
+            CallRequest.inTransaction(CallKind.COMMIT, database, "", transaction, key), commits);
+      } else {
+        CallRequest rollback =
+            CallRequest.inTransaction(
+                CallKind.ROLLBACK, database, "", transaction, Optional.empty());
+        statements.add(client.call(proxy, rollback, TIMEOUT_MILLIS));
+      }
+    } else {
+      settle(begin);
+    }
+    history.add(
+        new Operation.Transaction(
+            name,
+            pair,
+            value,
+            idempotencyKey,
+            List.copyOf(statements),
+            List.copyOf(commits),
+            readBack));
+    remember(database, Keys.first(pair));
+  }
+
+  private boolean runStatement(
+      String database, String transaction, String statement, List<Attempt> statements) {
+    if (chance(SLOW_TRANSACTION_PERCENT)) {
+      pause(random.nextInt(MAX_THINKING_MILLIS));
+    }
+    CallRequest request =
+        CallRequest.inTransaction(
+            CallKind.STATEMENT, database, statement, transaction, Optional.empty());
+    Attempt attempt = client.call(proxy, request, TIMEOUT_MILLIS);
+    statements.add(attempt);
+    return attempt.isDone();
+  }
+
+  private static String append(String key, String value) {
+    return "append " + key + " " + value;
+  }
+
+  /** Sends a request, and again at other proxies while its outcome is not certain. */
+  private void sendUntilCertain(CallRequest request, List<Attempt> attempts) {
+    boolean uncertain = false;
+    for (int i = 0; i < MAX_ATTEMPTS; i++) {
+      Attempt attempt = client.call(proxy, request, TIMEOUT_MILLIS);
+      attempts.add(attempt);
+      uncertain |= attempt.isUncertain();
+      settle(attempt);
+      boolean revoked = attempt.answer().code().equals(Operation.REVOKED);
+      if (attempt.isDone() || revoked || !uncertain) {
+        return;
+      }
+      proxy = balancer.chooseOther(random, proxy);
+    }
+  }
+
+  /** Does what the answer asks for: waits, or starts a new session. */
+  private void settle(Attempt attempt) {
+    if (attempt.answer().code().equals(BRANCH_LOST)) {
+      client.forgetToken();
+      history.add(new Operation.SessionReset(name));
+    }
+    if (attempt.outcome() == Outcome.NOT_RUN) {
+      pause(Math.min(attempt.answer().retryAfterMillis(), MAX_RETRY_WAIT_MILLIS));
+    }
+  }
+
+  private void remember(String database, String key) {
+    FinalState.ListName list = new FinalState.ListName(database, key);
+    recent.remove(list);
+    recent.addLast(list);
+    if (recent.size() > RECENT_KEYS) {
+      recent.removeFirst();
+    }
+  }
+
+  private boolean chance(int percent) {
+    return random.nextInt(PERCENT) < percent;
+  }
+
+  private static void pause(long millis) {
+    try {
+      TimeUnit.MILLISECONDS.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/ConfigurationMonitor.java
@@ -0,0 +1,183 @@
+package org.sardinebay.standins.driver;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.sardinebay.Clock;
+
+/**
+ * Samples the generations that processes hold, and checks that none goes down while a process
+ * lives, and that each write is in force everywhere in time.
+ */
+final class ConfigurationMonitor implements AutoCloseable {
+  private static final long POLL_MILLIS = 500;
+  private static final long MAX_SPREAD_MILLIS = 16_000;
+
+  private final Deployment deployment;
+  private final Clock clock;
+  private final List<Write> writes = new ArrayList<>();
+  private final List<Sample> samples = new ArrayList<>();
+  private final ScheduledExecutorService poller = Executors.newSingleThreadScheduledExecutor();
+
+  /** A record that an operator wrote, with the version the platform gave it. */
+  private record Write(String record, long version, long atMillis) {}
+
+  /** What one process held. */
+  private record Sample(
+      String process, int incarnation, long atMillis, Map<String, Long> generations) {}
+
+  private ConfigurationMonitor(Deployment deployment, Clock clock) {
+    this.deployment = deployment;
+    this.clock = clock;
+  }
+
+  static ConfigurationMonitor start(Deployment deployment, Clock clock) {
+    ConfigurationMonitor monitor = new ConfigurationMonitor(deployment, clock);
+    var unused =
+        monitor.poller.scheduleWithFixedDelay(
+            monitor::sampleAll, 0, POLL_MILLIS, TimeUnit.MILLISECONDS);
+    return monitor;
+  }
+
+  synchronized void written(String record, long version, long atMillis) {
+    writes.add(new Write(record, version, atMillis));
+  }
+
+  /** Whether every process holds the last version written of each record. */
+  boolean settled() {
+    Map<String, Long> last = lastWritten();
+    return processes().stream()
+        .map(this::sample)
+        .allMatch(
+            sample ->
+                sample.isPresent()
+                    && last.entrySet().stream()
+                        .allMatch(
+                            entry -> generation(sample.get(), entry.getKey()) >= entry.getValue()));
+  }
+
+  /** Waits for all processes to hold what was written last, for as long as that may take. */
+  void awaitSettled() throws InterruptedException {
+    long deadline = clock.millis() + MAX_SPREAD_MILLIS;
+    while (!settled() && clock.millis() < deadline) {
+      TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+    }
+    sampleAll();
+  }
+
+  synchronized PointResult check(List<FaultEvent> faults) {
+    PointResult result = new PointResult(Point.CONFIGURATION_NEVER_REVERTS);
+    Map<String, Sample> latest = new HashMap<>();
+    for (Sample sample : samples) {
+      Sample earlier = latest.put(sample.process(), sample);
+      if (earlier != null && earlier.incarnation() == sample.incarnation()) {
+        checkNotReverted(result, earlier, sample);
+      }
+    }
+    latest.values().forEach(sample -> checkFinal(result, sample));
+    for (Sample sample : samples) {
+      checkInTime(result, sample, faults);
+    }
+    return result;
+  }
+
+  @Override
+  public void close() {
+    poller.shutdownNow();
+  }
+
+  private static void checkNotReverted(PointResult result, Sample earlier, Sample later) {
+    earlier
+        .generations()
+        .forEach(
+            (record, generation) ->
+                result.check(
+                    generation(later, record) >= generation,
+                    "%s went from generation %d of %s to %d"
+                        .formatted(
+                            later.process(), generation, record, generation(later, record))));
+  }
+
+  private void checkFinal(PointResult result, Sample sample) {
+    lastWritten()
+        .forEach(
+            (record, version) ->
+                result.check(
+                    generation(sample, record) >= version,
+                    "%s has generation %d of %s at the end; %d was accepted"
+                        .formatted(sample.process(), generation(sample, record), record, version)));
+  }
+
+  private void checkInTime(PointResult result, Sample sample, List<FaultEvent> faults) {
+    for (Write write : writes) {
+      long dueMillis = write.atMillis() + MAX_SPREAD_MILLIS;
+      boolean disturbed =
+          faults.stream().anyMatch(fault -> disturbs(fault, write.atMillis(), dueMillis));
+      if (sample.atMillis() > dueMillis && !disturbed) {
+        result.check(
+            generation(sample, write.record()) >= write.version(),
+            "%s had generation %d of %s, %d ms after %d was written"
+                .formatted(
+                    sample.process(),
+                    generation(sample, write.record()),
+                    write.record(),
+                    sample.atMillis() - write.atMillis(),
+                    write.version()));
+      }
+    }
+  }
+
+  /** A platform that is away delays acceptance, and a process that is away hears of it later. */
+  private static boolean disturbs(FaultEvent fault, long fromMillis, long toMillis) {
+    boolean ofEndpoint = !fault.database().isEmpty();
+    return fault.kind() != FaultKind.RACING_OPERATORS
+        && !ofEndpoint
+        && fault.overlaps(fromMillis, toMillis);
+  }
+
+  private synchronized Map<String, Long> lastWritten() {
+    Map<String, Long> last = new HashMap<>();
+    writes.forEach(write -> last.merge(write.record(), write.version(), Math::max));
+    return last;
+  }
+
+  private void sampleAll() {
+    for (Node process : processes()) {
+      Optional<Sample> sample = sample(process);
+      synchronized (this) {
+        sample.ifPresent(samples::add);
+      }
+    }
+  }
+
+  private List<Node> processes() {
+    return deployment.topology().nodes().stream()
+        .filter(node -> node.kind() == ProcessKind.PROXY || node.kind() == ProcessKind.CONTROLLER)
+        .toList();
+  }
+
+  private Optional<Sample> sample(Node node) {
+    int incarnation = deployment.process(node.name()).incarnation();
+    Optional<JsonNode> dump = deployment.controls().dump(node);
+    boolean same = deployment.process(node.name()).incarnation() == incarnation;
+    if (dump.isEmpty() || !same) {
+      return Optional.empty();
+    }
+    Map<String, Long> generations = new HashMap<>();
+    Iterator<Map.Entry<String, JsonNode>> fields = dump.get().path("generations").fields();
+    fields.forEachRemaining(field -> generations.put(field.getKey(), field.getValue().asLong()));
+    return Optional.of(
+        new Sample(node.name(), incarnation, clock.millis(), Map.copyOf(generations)));
+  }
+
+  private static long generation(Sample sample, String record) {
+    return sample.generations().getOrDefault(record, 0L);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/FaultEvent.java
@@ -0,0 +1,27 @@
+package org.sardinebay.standins.driver;
+
+/**
+ * A fault as it took place, on the driver's clock.
+ *
+ * @param fault what was planned
+ * @param target the process, failure domain or record that it hit
+ * @param wasPrimary whether the target led a database when the fault began
+ * @param database the target's database, empty if it is not an endpoint
+ * @param startMillis when it began
+ * @param endMillis when it was healed
+ */
+record FaultEvent(
+    Fault fault,
+    String target,
+    boolean wasPrimary,
+    String database,
+    long startMillis,
+    long endMillis) {
+  FaultKind kind() {
+    return fault.kind();
+  }
+
+  boolean overlaps(long fromMillis, long toMillis) {
+    return startMillis < toMillis && endMillis > fromMillis;
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/FaultSchedule.java
@@ -0,0 +1,181 @@
+package org.sardinebay.standins.driver;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+
+/**
+ * Draws faults from a seed: rounds of one or two faults each, with a pause after each round. Every
+ * schedule has at least one fault on a primary, one platform outage, one graceful shutdown, one
+ * leaving endpoint and one race of operators; the rest is drawn freely.
+ *
+ * <pre>{@code
+ * List<Fault> faults = new FaultSchedule(spec, new Random(seed)).draw(30_000);
+ * }</pre>
+ */
+final class FaultSchedule {
+  private static final long FIRST_MILLIS = 1_500;
+  private static final long ROUND_MILLIS = 7_000;
+  private static final int MIN_ROUNDS = 4;
+  private static final long MIN_DURATION_MILLIS = 3_200;
+  private static final int DURATION_RANGE_MILLIS = 2_000;
+  private static final int MAX_OFFSET_MILLIS = 1_200;
+  private static final long LEAVING_MILLIS = 6_500;
+  private static final int SLOW_LINK_MILLIS = 150;
+  private static final int PLATFORM_DELAY_MILLIS = 400;
+  private static final int MAX_LAG_MILLIS = 2_000;
+  private static final int MAX_LOST = 6;
+
+  private static final List<FaultKind> ON_PRIMARY =
+      List.of(FaultKind.KILL, FaultKind.FREEZE, FaultKind.CUT_PROCESS, FaultKind.CUT_ONE_WAY);
+  private static final List<FaultKind> FREE =
+      List.of(
+          FaultKind.KILL,
+          FaultKind.FREEZE,
+          FaultKind.CUT_PROCESS,
+          FaultKind.CUT_ONE_WAY,
+          FaultKind.CUT_PAIR,
+          FaultKind.CUT_DOMAIN,
+          FaultKind.SLOW_LINKS,
+          FaultKind.LOSE_REPLIES,
+          FaultKind.CROSS_REPLIES,
+          FaultKind.REPLICA_LAG,
+          FaultKind.FREEZE_APPLY,
+          FaultKind.PLATFORM_OUTAGE,
+          FaultKind.PLATFORM_SLOW,
+          FaultKind.PLATFORM_LOSES_ANSWERS,
+          FaultKind.PLATFORM_FLOOD);
+
+  /** What may come together with a graceful shutdown, which must cut nothing all the same. */
+  private static final List<FaultKind> BESIDE_SHUTDOWN =
+      List.of(
+          FaultKind.REPLICA_LAG,
+          FaultKind.FREEZE_APPLY,
+          FaultKind.LOSE_REPLIES,
+          FaultKind.CROSS_REPLIES,
+          FaultKind.PLATFORM_OUTAGE,
+          FaultKind.PLATFORM_LOSES_ANSWERS,
+          FaultKind.RACING_OPERATORS);
+
+  private final DeploymentSpec spec;
+  private final Random random;
+
+  FaultSchedule(DeploymentSpec spec, Random random) {
+    this.spec = spec;
+    this.random = random;
+  }
+
+  List<Fault> draw(long millis) {
+    int rounds = (int) Math.max(MIN_ROUNDS, (millis - FIRST_MILLIS) / ROUND_MILLIS);
+    List<Integer> order = new ArrayList<>();
+    for (int round = 0; round < rounds; round++) {
+      order.add(round);
+    }
+    Collections.shuffle(order, random);
+    List<Fault> faults = new ArrayList<>();
+    for (int position = 0; position < rounds; position++) {
+      faults.addAll(round(order.get(position), FIRST_MILLIS + (long) position * ROUND_MILLIS));
+    }
+    return List.copyOf(faults);
+  }
+
+  /** The first rounds, wherever they come, hold what every schedule has. */
+  private List<Fault> round(int number, long startMillis) {
+    return switch (number) {
+      case 0 -> List.of(onPrimary(startMillis));
+      case 1 -> List.of(terminate(startMillis), free(later(startMillis), BESIDE_SHUTDOWN));
+      case 2 -> List.of(leaving(startMillis), racing(later(startMillis)));
+      case 3 -> List.of(outage(startMillis), racing(later(startMillis)));
+      default ->
+          random.nextBoolean()
+              ? List.of(free(startMillis, FREE))
+              : List.of(
+                  random.nextBoolean() ? onPrimary(startMillis) : free(startMillis, FREE),
+                  free(later(startMillis), FREE));
+    };
+  }
+
+  private long later(long startMillis) {
+    return startMillis + random.nextInt(MAX_OFFSET_MILLIS);
+  }
+
+  private Fault onPrimary(long startMillis) {
+    FaultKind kind = oneOf(ON_PRIMARY);
+    return new Fault(kind, Fault.PRIMARY_OF + database(), "", startMillis, duration(), 0);
+  }
+
+  private Fault terminate(long startMillis) {
+    return new Fault(FaultKind.TERMINATE, host(), "", startMillis, duration(), 0);
+  }
+
+  private Fault leaving(long startMillis) {
+    String target = (random.nextBoolean() ? Fault.PRIMARY_OF : Fault.REPLICA_OF) + database();
+    return new Fault(FaultKind.LEAVING_ENDPOINT, target, "", startMillis, LEAVING_MILLIS, 0);
+  }
+
+  private Fault racing(long startMillis) {
+    String record = spec.staleness().get(random.nextInt(spec.staleness().size())).name();
+    return new Fault(FaultKind.RACING_OPERATORS, record, "", startMillis, duration(), 0);
+  }
+
+  private Fault outage(long startMillis) {
+    return new Fault(FaultKind.PLATFORM_OUTAGE, Topology.PLATFORM, "", startMillis, duration(), 0);
+  }
+
+  private Fault free(long startMillis, List<FaultKind> kinds) {
+    FaultKind kind = oneOf(kinds);
+    return switch (kind) {
+      case KILL, FREEZE, CUT_PROCESS, CUT_ONE_WAY -> fault(kind, process(), startMillis, 0);
+      case CUT_PAIR ->
+          new Fault(kind, process(), Fault.PRIMARY_OF + database(), startMillis, duration(), 0);
+      case CUT_DOMAIN -> fault(kind, domain(), startMillis, 0);
+      case SLOW_LINKS -> fault(kind, process(), startMillis, SLOW_LINK_MILLIS);
+      case LOSE_REPLIES, CROSS_REPLIES ->
+          fault(kind, Fault.PRIMARY_OF + database(), startMillis, 1 + random.nextInt(MAX_LOST));
+      case REPLICA_LAG ->
+          fault(kind, Fault.REPLICA_OF + database(), startMillis, random.nextInt(MAX_LAG_MILLIS));
+      case FREEZE_APPLY -> fault(kind, Fault.REPLICA_OF + database(), startMillis, 0);
+      case PLATFORM_SLOW -> fault(kind, Topology.PLATFORM, startMillis, PLATFORM_DELAY_MILLIS);
+      case PLATFORM_LOSES_ANSWERS ->
+          fault(kind, Topology.PLATFORM, startMillis, 1 + random.nextInt(MAX_LOST));
+      case PLATFORM_OUTAGE, PLATFORM_FLOOD -> fault(kind, Topology.PLATFORM, startMillis, 0);
+      case RACING_OPERATORS -> racing(startMillis);
+      case TERMINATE -> terminate(startMillis);
+      case LEAVING_ENDPOINT -> leaving(startMillis);
+    };
+  }
+
+  private Fault fault(FaultKind kind, String target, long startMillis, long amount) {
+    return new Fault(kind, target, "", startMillis, duration(), amount);
+  }
+
+  private long duration() {
+    return MIN_DURATION_MILLIS + random.nextInt(DURATION_RANGE_MILLIS);
+  }
+
+  private String process() {
+    return switch (random.nextInt(4)) {
+      case 0 -> host();
+      case 1 -> host() + Topology.CONTROLLER_SUFFIX;
+      case 2 -> Fault.PRIMARY_OF + database();
+      default -> Fault.REPLICA_OF + database();
+    };
+  }
+
+  private String host() {
+    return oneOf(spec.domains().stream().flatMap(domain -> domain.hosts().stream()).toList());
+  }
+
+  private String domain() {
+    return oneOf(spec.domains()).name();
+  }
+
+  private String database() {
+    return oneOf(spec.databases()).id();
+  }
+
+  private <T> T oneOf(List<T> choices) {
+    return choices.get(random.nextInt(choices.size()));
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/FinalState.java
@@ -0,0 +1,27 @@
+package org.sardinebay.standins.driver;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The lists as the primaries hold them after the run.
+ *
+ * @param lists the values of each list, by database and key
+ */
+record FinalState(Map<ListName, List<String>> lists) {
+  /**
+   * Names a list.
+   *
+   * @param database its database
+   * @param key its key
+   */
+  record ListName(String database, String key) {}
+
+  List<String> list(String database, String key) {
+    return lists.getOrDefault(new ListName(database, key), List.of());
+  }
+
+  long count(String database, String key, String value) {
+    return list(database, key).stream().filter(value::equals).count();
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/History.java
@@ -0,0 +1,46 @@
+package org.sardinebay.standins.driver;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.stream.Stream;
+
+/** All that callers did, in the order of each session. Filled by many threads. */
+final class History {
+  private final Collection<Operation> operations = new ConcurrentLinkedQueue<>();
+
+  void add(Operation operation) {
+    operations.add(operation);
+  }
+
+  List<Operation> operations() {
+    return List.copyOf(operations);
+  }
+
+  List<Operation.Read> reads() {
+    return only(Operation.Read.class).toList();
+  }
+
+  List<Operation.Write> writes() {
+    return only(Operation.Write.class).toList();
+  }
+
+  List<Operation.Transaction> transactions() {
+    return only(Operation.Transaction.class).toList();
+  }
+
+  Stream<Attempt> attempts() {
+    return operations.stream().flatMap(operation -> operation.attempts().stream());
+  }
+
+  /** Attempts that changed a database, in single writes or commits. */
+  Stream<Attempt> doneEffects() {
+    return attempts()
+        .filter(Attempt::isDone)
+        .filter(attempt -> attempt.kind() == CallKind.WRITE || attempt.kind() == CallKind.COMMIT);
+  }
+
+  private <T extends Operation> Stream<T> only(Class<T> type) {
+    return operations.stream().filter(type::isInstance).map(type::cast);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/Keys.java
@@ -0,0 +1,32 @@
+package org.sardinebay.standins.driver;
+
+/** Names of lists and values. A value names the list that it belongs to, so that mixing shows. */
+final class Keys {
+  private static final String FIRST = ":first";
+  private static final String SECOND = ":second";
+  private static final String SEPARATOR = "#";
+
+  private Keys() {}
+
+  static String first(String pair) {
+    return pair + FIRST;
+  }
+
+  static String second(String pair) {
+    return pair + SECOND;
+  }
+
+  static String value(String base, String session, long number) {
+    return base + SEPARATOR + session + SEPARATOR + number;
+  }
+
+  static boolean belongs(String key, String value) {
+    String base = key;
+    if (key.endsWith(FIRST)) {
+      base = key.substring(0, key.length() - FIRST.length());
+    } else if (key.endsWith(SECOND)) {
+      base = key.substring(0, key.length() - SECOND.length());
+    }
+    return value.startsWith(base + SEPARATOR);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/LeavingCheck.java
@@ -0,0 +1,47 @@
+package org.sardinebay.standins.driver;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** An endpoint that is leaving serves no work that was sent some seconds after the first sign. */
+final class LeavingCheck {
+  private static final long NOTICE_MILLIS = 4_000;
+
+  private LeavingCheck() {}
+
+  static PointResult check(History history, List<FaultEvent> faults) {
+    PointResult result = new PointResult(Point.LEAVING_ENDPOINT_DRAINED);
+    for (FaultEvent fault : faults) {
+      if (fault.kind() == FaultKind.LEAVING_ENDPOINT) {
+        check(result, history, fault);
+      }
+    }
+    return result;
+  }
+
+  private static void check(PointResult result, History history, FaultEvent fault) {
+    long fromMillis = fault.startMillis() + NOTICE_MILLIS;
+    Set<Attempt> oldWork = workOfOldTransactions(history, fromMillis);
+    history
+        .attempts()
+        .filter(attempt -> attempt.database().equals(fault.database()) && attempt.isDone())
+        .filter(attempt -> attempt.sentMillis() >= fromMillis)
+        .filter(attempt -> attempt.endMillis() <= fault.endMillis())
+        .filter(attempt -> !oldWork.contains(attempt))
+        .forEach(
+            attempt ->
+                result.check(
+                    !attempt.answer().servedBy().member().equals(fault.target()),
+                    "%s was leaving since %d ms and served %s"
+                        .formatted(fault.target(), fault.startMillis(), attempt)));
+  }
+
+  private static Set<Attempt> workOfOldTransactions(History history, long fromMillis) {
+    return history.transactions().stream()
+        .filter(transaction -> transaction.statements().get(0).sentMillis() < fromMillis)
+        .flatMap(transaction -> transaction.attempts().stream())
+        .collect(Collectors.toCollection(HashSet::new));
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/OperatorRace.java
@@ -0,0 +1,66 @@
+package org.sardinebay.standins.driver;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.sardinebay.Clock;
+
+/**
+ * Two operators who write one staleness record at once, one in each schema version, each on
+ * condition of the version that it read.
+ */
+final class OperatorRace {
+  private static final String KIND = "staleness";
+  private static final int WRITES = 5;
+  private static final int FIRST_AGE_SECONDS = 5;
+  private static final int MILLIS_PER_SECOND = 1_000;
+
+  private final Controls controls;
+  private final ConfigurationMonitor monitor;
+  private final Clock clock;
+
+  OperatorRace(Controls controls, ConfigurationMonitor monitor, Clock clock) {
+    this.controls = controls;
+    this.monitor = monitor;
+    this.clock = clock;
+  }
+
+  void run(String record) {
+    Thread first = new Thread(() -> write(record, 1), "operator-1");
+    Thread second = new Thread(() -> write(record, 2), "operator-2");
+    first.start();
+    second.start();
+    try {
+      first.join();
+      second.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void write(String record, int schemaVersion) {
+    for (int i = 0; i < WRITES; i++) {
+      Optional<JsonNode> current = controls.object(KIND, record);
+      if (current.isEmpty()) {
+        continue;
+      }
+      ObjectNode body = ((ObjectNode) current.get().path("body")).deepCopy();
+      setAge(body, schemaVersion, FIRST_AGE_SECONDS + i);
+      OptionalLong written =
+          controls.put(KIND, record, current.get().path("version").asLong(), body);
+      written.ifPresent(version -> monitor.written(KIND + "/" + record, version, clock.millis()));
+    }
+  }
+
+  private static void setAge(ObjectNode body, int schemaVersion, int seconds) {
+    body.remove("maxAgeSeconds");
+    body.remove("maxAgeMillis");
+    body.put("schemaVersion", schemaVersion);
+    if (schemaVersion == 1) {
+      body.put("maxAgeSeconds", seconds);
+    } else {
+      body.put("maxAgeMillis", seconds * MILLIS_PER_SECOND);
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/PlatformFlood.java
@@ -0,0 +1,30 @@
+package org.sardinebay.standins.driver;
+
+import org.sardinebay.Clock;
+
+/** Reads from the platform faster than it serves, so that it refuses calls of all. */
+final class PlatformFlood {
+  private static final int READERS = 16;
+
+  private final Controls controls;
+  private final Clock clock = Clock.system();
+
+  PlatformFlood(Controls controls) {
+    this.controls = controls;
+  }
+
+  void run(long millis) {
+    long endMillis = clock.millis() + millis;
+    for (int i = 0; i < READERS; i++) {
+      Thread reader = new Thread(() -> readUntil(endMillis), "flood-" + i);
+      reader.setDaemon(true);
+      reader.start();
+    }
+  }
+
+  private void readUntil(long endMillis) {
+    while (clock.millis() < endMillis) {
+      controls.object("staleness", "none");
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/PresenceCheck.java
@@ -0,0 +1,40 @@
+package org.sardinebay.standins.driver;
+
+/** Every acknowledged write is in its list exactly once; no other is there twice. */
+final class PresenceCheck implements HistoryCheck {
+  @Override
+  public PointResult check(History history, FinalState state) {
+    PointResult result = new PointResult(Point.NOTHING_LOST_OR_DOUBLED);
+    for (Operation.Write write : history.writes()) {
+      String database = write.attempts().get(0).database();
+      checkCount(result, state, database, write.key(), write.value(), write.outcome());
+    }
+    for (Operation.Transaction transaction : history.transactions()) {
+      if (!transaction.statements().isEmpty()) {
+        String database = transaction.statements().get(0).database();
+        String value = transaction.value();
+        Outcome outcome = transaction.outcome();
+        checkCount(result, state, database, Keys.first(transaction.pair()), value, outcome);
+        checkCount(result, state, database, Keys.second(transaction.pair()), value, outcome);
+      }
+    }
+    return result;
+  }
+
+  private static void checkCount(
+      PointResult result,
+      FinalState state,
+      String database,
+      String key,
+      String value,
+      Outcome outcome) {
+    long count = state.count(database, key, value);
+    if (outcome == Outcome.DONE) {
+      result.check(
+          count == 1,
+          "acknowledged %s is %d times in %s of %s".formatted(value, count, key, database));
+    } else if (outcome == Outcome.UNKNOWN) {
+      result.check(count <= 1, "%s is %d times in %s of %s".formatted(value, count, key, database));
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/ServingCheck.java
@@ -0,0 +1,96 @@
+package org.sardinebay.standins.driver;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Traffic goes on through faults: writes are done again soon after a primary is lost, while the
+ * platform is away, and after all is healed.
+ */
+final class ServingCheck {
+  private static final long MAX_GAP_MILLIS = 6_000;
+  private static final long OUTAGE_SETTLE_MILLIS = 300;
+  private static final Set<FaultKind> LOSES_PRIMARY =
+      Set.of(FaultKind.KILL, FaultKind.FREEZE, FaultKind.CUT_PROCESS, FaultKind.CUT_ONE_WAY);
+  private static final Set<FaultKind> HARMLESS =
+      Set.of(
+          FaultKind.RACING_OPERATORS,
+          FaultKind.PLATFORM_LOSES_ANSWERS,
+          FaultKind.REPLICA_LAG,
+          FaultKind.TERMINATE);
+
+  private final List<Attempt> effects;
+  private final List<FaultEvent> faults;
+
+  ServingCheck(History history, List<FaultEvent> faults) {
+    this.effects = history.doneEffects().toList();
+    this.faults = faults;
+  }
+
+  PointResult check(DeploymentSpec spec, long trafficEndMillis) {
+    PointResult result = new PointResult(Point.SERVES_THROUGH_FAULTS);
+    for (FaultEvent fault : faults) {
+      if (fault.wasPrimary() && LOSES_PRIMARY.contains(fault.kind())) {
+        checkChangeOfPrimary(result, fault, trafficEndMillis);
+      } else if (fault.kind() == FaultKind.PLATFORM_OUTAGE) {
+        spec.databases().forEach(database -> checkOutage(result, fault, database.id()));
+      }
+    }
+    long healedMillis = faults.stream().mapToLong(FaultEvent::endMillis).max().orElse(0);
+    for (DeploymentSpec.Database database : spec.databases()) {
+      result.check(
+          firstDone(database.id(), healedMillis).isPresent(),
+          database.id() + " took no write after all faults were healed");
+    }
+    return result;
+  }
+
+  private void checkChangeOfPrimary(PointResult result, FaultEvent fault, long trafficEndMillis) {
+    long dueMillis = fault.startMillis() + MAX_GAP_MILLIS;
+    if (trafficEndMillis < dueMillis || disturbed(fault, dueMillis, fault.database())) {
+      return;
+    }
+    Optional<Attempt> first = firstDone(fault.database(), fault.startMillis());
+    result.check(
+        first.isPresent() && first.get().endMillis() <= dueMillis,
+        "%s of primary %s at %d ms: the first write done after it ended at %s"
+            .formatted(
+                fault.kind().spelling(),
+                fault.target(),
+                fault.startMillis(),
+                first.map(Attempt::endMillis)));
+  }
+
+  private void checkOutage(PointResult result, FaultEvent fault, String database) {
+    if (disturbed(fault, fault.endMillis(), database)) {
+      return;
+    }
+    long fromMillis = fault.startMillis() + OUTAGE_SETTLE_MILLIS;
+    Optional<Attempt> first = firstDone(database, fromMillis);
+    result.check(
+        first.isPresent() && first.get().endMillis() <= fault.endMillis(),
+        "%s took no write in the platform's outage of %d to %d ms"
+            .formatted(database, fromMillis, fault.endMillis()));
+  }
+
+  /** Whether a second fault may keep the database from going on. */
+  private boolean disturbed(FaultEvent fault, long toMillis, String database) {
+    return faults.stream()
+        .filter(other -> !other.equals(fault) && other.overlaps(fault.startMillis(), toMillis))
+        .filter(other -> !HARMLESS.contains(other.kind()))
+        .anyMatch(
+            other ->
+                other.database().equals(database)
+                    || other.kind() == FaultKind.CUT_DOMAIN
+                    || other.kind().isOfPlatform());
+  }
+
+  private Optional<Attempt> firstDone(String database, long afterMillis) {
+    return effects.stream()
+        .filter(attempt -> attempt.database().equals(database))
+        .filter(attempt -> attempt.sentMillis() >= afterMillis)
+        .min(Comparator.comparingLong(Attempt::endMillis));
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/SessionCheck.java
@@ -0,0 +1,75 @@
+package org.sardinebay.standins.driver;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * No read of a session misses what the session wrote or read before. A session that was told that
+ * its position is on no branch starts anew: it keeps what was acknowledged to it, and nothing else.
+ */
+final class SessionCheck implements HistoryCheck {
+  @Override
+  public PointResult check(History history, FinalState state) {
+    PointResult result = new PointResult(Point.READ_YOUR_WRITES);
+    Map<String, Session> sessions = new HashMap<>();
+    for (Operation operation : history.operations()) {
+      Session session = sessions.computeIfAbsent(operation.session(), name -> new Session());
+      if (operation instanceof Operation.Read read && read.attempt().isDone()) {
+        checkRead(result, session, read);
+      } else if (operation instanceof Operation.Write write && write.outcome() == Outcome.DONE) {
+        session.acknowledged(write.key(), write.value());
+      } else if (operation instanceof Operation.Transaction transaction
+          && transaction.outcome() == Outcome.DONE) {
+        session.acknowledged(Keys.first(transaction.pair()), transaction.value());
+        session.acknowledged(Keys.second(transaction.pair()), transaction.value());
+      } else if (operation instanceof Operation.SessionReset) {
+        session.reset();
+      }
+    }
+    return result;
+  }
+
+  private static void checkRead(PointResult result, Session session, Operation.Read read) {
+    Set<String> rows = new HashSet<>(read.attempt().answer().rows());
+    if (read.maxAgeMillis().isEmpty()) {
+      Set<String> missing = session.required(read.key());
+      missing.removeAll(rows);
+      result.check(
+          missing.isEmpty(),
+          "session %s read %s at %d ms without %s; %s"
+              .formatted(
+                  read.session(),
+                  read.key(),
+                  read.attempt().sentMillis(),
+                  missing,
+                  read.attempt().answer().servedBy()));
+    }
+    session.seen(read.key(), rows);
+  }
+
+  /** What one session must see, by key. */
+  private static final class Session {
+    private final Map<String, Set<String>> acknowledged = new HashMap<>();
+    private final Map<String, Set<String>> seen = new HashMap<>();
+
+    void acknowledged(String key, String value) {
+      acknowledged.computeIfAbsent(key, unused -> new HashSet<>()).add(value);
+    }
+
+    void seen(String key, Set<String> values) {
+      seen.computeIfAbsent(key, unused -> new HashSet<>()).addAll(values);
+    }
+
+    Set<String> required(String key) {
+      Set<String> required = new HashSet<>(acknowledged.getOrDefault(key, Set.of()));
+      required.addAll(seen.getOrDefault(key, Set.of()));
+      return required;
+    }
+
+    void reset() {
+      seen.clear();
+    }
+  }
+}
--- a/standins/src/main/java/org/sardinebay/standins/driver/SettingsWriter.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/SettingsWriter.java
@@ -14,6 +14,7 @@
   private static final int WRITES_PER_SECOND = 400;
   private static final int HOST_LIST_LAG_MILLIS = 1_000;
   private static final int SHUTDOWN_GRACE_MILLIS = 1_000;
+  static final int APPLY_LAG_MILLIS = 5;
   private static final String TOKEN_SECRET = "a secret of the stand-ins, known to all";
 
   private final DeploymentSpec spec;
@@ -110,7 +111,8 @@
             .put("dataFile", folder.resolve(node.name() + ".data").toAbsolutePath().toString())
             .put("connectionLimit", spec.connectionLimit())
             .put("slots", spec.slots())
-            .put("openMillis", spec.openMillis());
+            .put("openMillis", spec.openMillis())
+            .put("applyLagMillis", APPLY_LAG_MILLIS);
     putTranslation(settings, node);
     return settings;
   }
--- a/standins/src/main/java/org/sardinebay/standins/driver/Topology.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/Topology.java
@@ -14,7 +14,7 @@
   static final String CALLERS = "callers";
   static final String PLATFORM = "platform";
   private static final String RELAY = "relay";
-  private static final String CONTROLLER_SUFFIX = "-controller";
+  static final String CONTROLLER_SUFFIX = "-controller";
 
   private final DeploymentSpec spec;
   private final PortAllocator ports;
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/Traffic.java
@@ -0,0 +1,95 @@
+package org.sardinebay.standins.driver;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.sardinebay.Address;
+import org.sardinebay.Clock;
+import org.sardinebay.net.http.JsonHttpClient;
+
+/**
+ * Callers against a deployment.
+ *
+ * <pre>{@code
+ * try (Traffic traffic = Traffic.start(deployment, Workload.PROOF, 24, seed, clock)) {
+ *   ...
+ *   traffic.stop();
+ * }
+ * }</pre>
+ */
+final class Traffic implements AutoCloseable {
+  private static final int HTTP_LOOPS = 2;
+  private static final int SEED_STEP = 7_919;
+
+  private final History history = new History();
+  private final JsonHttpClient http = JsonHttpClient.start("callers", HTTP_LOOPS);
+  private final List<CallerSession> sessions = new ArrayList<>();
+  private final List<Thread> threads = new ArrayList<>();
+  private final Balancer balancer;
+
+  private Traffic(Map<String, Address> proxies) {
+    this.balancer = Balancer.start(proxies, http);
+  }
+
+  static Traffic start(
+      Deployment deployment, Workload workload, int callers, long seed, Clock clock) {
+    Map<String, Address> proxies = proxies(deployment.topology());
+    Traffic traffic = new Traffic(proxies);
+    List<String> databases =
+        deployment.spec().databases().stream().map(DeploymentSpec.Database::id).toList();
+    ListNames lists = new ListNames();
+    for (int i = 0; i < callers; i++) {
+      String name = deployment.spec().callerPrefix() + i;
+      CallerSession session =
+          new CallerSession(
+              name,
+              databases,
+              workload,
+              new CallerClient(name, proxies, traffic.http, clock),
+              traffic.balancer,
+              lists,
+              traffic.history,
+              new Random(seed * SEED_STEP + i));
+      traffic.sessions.add(session);
+      Thread thread = new Thread(session, name);
+      thread.setDaemon(true);
+      thread.start();
+      traffic.threads.add(thread);
+    }
+    return traffic;
+  }
+
+  static Map<String, Address> proxies(Topology topology) {
+    Map<String, Address> proxies = new HashMap<>();
+    for (Node proxy : topology.nodes(ProcessKind.PROXY)) {
+      proxies.put(proxy.name(), topology.reach(Topology.CALLERS, proxy.listen()));
+    }
+    return Map.copyOf(proxies);
+  }
+
+  History history() {
+    return history;
+  }
+
+  /** Lets each session end its operation in progress. */
+  void stop() {
+    sessions.forEach(CallerSession::stop);
+    for (Thread thread : threads) {
+      try {
+        thread.join();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    sessions.forEach(CallerSession::stop);
+    balancer.close();
+    http.stop();
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/TransactionCheck.java
@@ -0,0 +1,62 @@
+package org.sardinebay.standins.driver;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * Transactions are whole and never mix: both lists of a pair hold the same values in the same
+ * order, and a transaction reads its own append last, after committed values only.
+ */
+final class TransactionCheck implements HistoryCheck {
+  @Override
+  public PointResult check(History history, FinalState state) {
+    PointResult result = new PointResult(Point.TRANSACTIONS_ISOLATED);
+    List<Operation.Transaction> transactions = history.transactions();
+    Set<String> notCommitted =
+        transactions.stream()
+            .filter(transaction -> transaction.outcome() == Outcome.NOT_RUN)
+            .map(Operation.Transaction::value)
+            .collect(Collectors.toSet());
+    transactions.forEach(transaction -> checkReadBack(result, transaction, notCommitted));
+    Map<FinalState.ListName, List<Operation.Transaction>> pairs =
+        transactions.stream()
+            .filter(transaction -> !transaction.statements().isEmpty())
+            .collect(Collectors.groupingBy(TransactionCheck::pair));
+    pairs.keySet().forEach(pair -> checkPair(result, state, pair));
+    return result;
+  }
+
+  private static FinalState.ListName pair(Operation.Transaction transaction) {
+    String database = transaction.statements().get(0).database();
+    return new FinalState.ListName(database, transaction.pair());
+  }
+
+  private static void checkPair(PointResult result, FinalState state, FinalState.ListName pair) {
+    List<String> first = state.list(pair.database(), Keys.first(pair.key()));
+    List<String> second = state.list(pair.database(), Keys.second(pair.key()));
+    result.check(
+        first.equals(second),
+        "pair %s of %s differs: %s and %s".formatted(pair.key(), pair.database(), first, second));
+  }
+
+  private static void checkReadBack(
+      PointResult result, Operation.Transaction transaction, Set<String> notCommitted) {
+    Optional<List<String>> readBack = transaction.readBack();
+    if (readBack.isEmpty()) {
+      return;
+    }
+    List<String> rows = readBack.get();
+    Set<String> others = new HashSet<>(rows);
+    others.remove(transaction.value());
+    others.retainAll(notCommitted);
+    boolean ownLast = !rows.isEmpty() && rows.get(rows.size() - 1).equals(transaction.value());
+    result.check(
+        ownLast && others.isEmpty(),
+        "transaction %s read %s, of which %s were never committed"
+            .formatted(transaction.value(), rows, others));
+  }
+}
--- /dev/null
+++ b/standins/src/test/java/org/sardinebay/standins/driver/HistoryCheckerTest.java
@@ -0,0 +1,280 @@
+package org.sardinebay.standins.driver;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class HistoryCheckerTest {
+  private static final String LIST = "own:tablet-1:0";
+  private static final String PAIR = "pair:contracts-1:0:0";
+  private static final String FIRST_VALUE = Keys.value(LIST, "tablet-1", 1);
+  private static final String SECOND_VALUE = Keys.value(LIST, "tablet-1", 2);
+  private static final String PAIR_VALUE = Keys.value(PAIR, "tablet-1", 3);
+  private static final String OTHER_PAIR_VALUE = Keys.value(PAIR, "tablet-2", 4);
+
+  private final History history = new History();
+  private final Map<FinalState.ListName, List<String>> lists = new HashMap<>();
+
+  @Nested
+  class GoodHistory {
+    @Test
+    void should_pass_at_every_point() {
+      history.add(write(FIRST_VALUE, Attempts.write(key(FIRST_VALUE), 10, 1, 1)));
+      history.add(read(OptionalLong.empty(), Attempts.read(20, FIRST_VALUE)));
+      history.add(write(SECOND_VALUE, failed(Outcome.NOT_RUN, "no-primary", 30)));
+      history.add(read(OptionalLong.of(100), Attempts.read(500, FIRST_VALUE)));
+      history.add(transaction(PAIR_VALUE, Attempts.commit(key(PAIR_VALUE), 600, 2)));
+      finalList(LIST, FIRST_VALUE);
+      finalPair(List.of(PAIR_VALUE), List.of(PAIR_VALUE));
+
+      List<PointResult> results = HistoryChecker.check(history, new FinalState(lists));
+
+      assertThat(results).allMatch(PointResult::passed);
+    }
+  }
+
+  @Nested
+  class LostAndDoubledWrites {
+    @Test
+    void should_find_an_acknowledged_write_that_is_gone() {
+      history.add(write(FIRST_VALUE, Attempts.write(key(FIRST_VALUE), 10, 1, 1)));
+
+      assertViolated(Point.NOTHING_LOST_OR_DOUBLED);
+    }
+
+    @Test
+    void should_find_a_write_that_is_there_twice() {
+      history.add(write(FIRST_VALUE, Attempts.write(key(FIRST_VALUE), 10, 1, 1)));
+      finalList(LIST, FIRST_VALUE, FIRST_VALUE);
+
+      assertViolated(Point.NOTHING_LOST_OR_DOUBLED, Point.AT_MOST_ONCE);
+    }
+
+    @Test
+    void should_find_one_key_done_at_two_positions() {
+      history.add(
+          write(
+              FIRST_VALUE,
+              Attempts.write(key(FIRST_VALUE), 10, 1, 1),
+              Attempts.write(key(FIRST_VALUE), 11, 1, 2)));
+      finalList(LIST, FIRST_VALUE);
+
+      assertViolated(Point.AT_MOST_ONCE);
+    }
+  }
+
+  @Nested
+  class StaleReads {
+    @Test
+    void should_find_a_read_without_the_session_s_own_write() {
+      history.add(write(FIRST_VALUE, Attempts.write(key(FIRST_VALUE), 10, 1, 1)));
+      history.add(read(OptionalLong.empty(), Attempts.read(20)));
+      finalList(LIST, FIRST_VALUE);
+
+      assertViolated(Point.READ_YOUR_WRITES);
+    }
+
+    @Test
+    void should_find_a_read_older_than_an_earlier_one() {
+      history.add(read(OptionalLong.empty(), Attempts.read(10, FIRST_VALUE)));
+      history.add(read(OptionalLong.empty(), Attempts.read(20)));
+
+      assertViolated(Point.READ_YOUR_WRITES);
+    }
+
+    @Test
+    void should_take_an_older_read_after_the_session_started_anew() {
+      history.add(read(OptionalLong.empty(), Attempts.read(10, FIRST_VALUE)));
+      history.add(new Operation.SessionReset("tablet-1"));
+      history.add(read(OptionalLong.empty(), Attempts.read(20)));
+
+      assertThat(violated()).isEmpty();
+    }
+
+    @Test
+    void should_find_a_read_older_than_the_age_asked_for() {
+      history.add(write(FIRST_VALUE, Attempts.write(key(FIRST_VALUE), 10, 1, 1)));
+      history.add(read(OptionalLong.of(100), Attempts.read(500)));
+      finalList(LIST, FIRST_VALUE);
+
+      assertViolated(Point.AGE_WITHIN_BOUND);
+    }
+
+    @Test
+    void should_take_a_read_that_misses_a_write_younger_than_the_age() {
+      history.add(write(FIRST_VALUE, Attempts.write(key(FIRST_VALUE), 450, 1, 1)));
+      history.add(read(OptionalLong.of(100), Attempts.read(500)));
+      finalList(LIST, FIRST_VALUE);
+
+      assertThat(violated()).isEmpty();
+    }
+  }
+
+  @Nested
+  class NotRun {
+    @Test
+    void should_find_a_write_that_ran_after_it_was_answered_as_not_run() {
+      history.add(write(FIRST_VALUE, failed(Outcome.NOT_RUN, "no-primary", 10)));
+      finalList(LIST, FIRST_VALUE);
+
+      assertViolated(Point.NOT_RUN_MEANS_NOT_RUN);
+    }
+
+    @Test
+    void should_find_a_revoked_write_that_ran_although_an_answer_was_missing() {
+      history.add(
+          write(
+              FIRST_VALUE,
+              failed(Outcome.NO_ANSWER, "", 10),
+              failed(Outcome.NOT_RUN, "revoked", 20)));
+      finalList(LIST, FIRST_VALUE);
+
+      assertViolated(Point.NOT_RUN_MEANS_NOT_RUN);
+    }
+
+    @Test
+    void should_take_a_write_of_unknown_outcome_that_ran() {
+      history.add(write(FIRST_VALUE, failed(Outcome.UNKNOWN, "outcome-unknown", 10)));
+      finalList(LIST, FIRST_VALUE);
+
+      assertThat(violated()).isEmpty();
+    }
+  }
+
+  @Nested
+  class Transactions {
+    @Test
+    void should_find_a_transaction_of_which_half_is_there() {
+      history.add(transaction(PAIR_VALUE, Attempts.commit(key(PAIR_VALUE), 10, 1)));
+      finalPair(List.of(PAIR_VALUE), List.of());
+
+      assertViolated(Point.TRANSACTIONS_ISOLATED, Point.NOTHING_LOST_OR_DOUBLED);
+    }
+
+    @Test
+    void should_find_transactions_in_two_orders() {
+      history.add(transaction(PAIR_VALUE, Attempts.commit(key(PAIR_VALUE), 10, 1)));
+      history.add(transaction(OTHER_PAIR_VALUE, Attempts.commit(key(OTHER_PAIR_VALUE), 30, 2)));
+      finalPair(List.of(PAIR_VALUE, OTHER_PAIR_VALUE), List.of(OTHER_PAIR_VALUE, PAIR_VALUE));
+
+      assertViolated(Point.TRANSACTIONS_ISOLATED);
+    }
+
+    @Test
+    void should_find_a_transaction_that_read_what_was_rolled_back() {
+      history.add(
+          new Operation.Transaction(
+              "tablet-2",
+              PAIR,
+              OTHER_PAIR_VALUE,
+              key(OTHER_PAIR_VALUE),
+              List.of(Attempts.begin(5)),
+              List.of(),
+              Optional.empty()));
+      history.add(
+          transaction(
+              PAIR_VALUE,
+              List.of(OTHER_PAIR_VALUE, PAIR_VALUE),
+              Attempts.commit(key(PAIR_VALUE), 10, 1)));
+      finalPair(List.of(PAIR_VALUE), List.of(PAIR_VALUE));
+
+      assertViolated(Point.TRANSACTIONS_ISOLATED);
+    }
+  }
+
+  @Nested
+  class Answers {
+    @Test
+    void should_find_rows_of_another_list() {
+      history.add(read(OptionalLong.empty(), Attempts.read(10, Keys.value("own:other", "x", 1))));
+
+      assertViolated(Point.ANSWERS_NOT_CROSSED);
+    }
+
+    @Test
+    void should_find_an_answer_with_another_key() {
+      history.add(write(FIRST_VALUE, Attempts.write(key(SECOND_VALUE), 10, 1, 1)));
+      finalList(LIST, FIRST_VALUE);
+
+      assertViolated(Point.ANSWERS_NOT_CROSSED);
+    }
+  }
+
+  @Nested
+  class ReplacedPrimary {
+    @Test
+    void should_find_an_older_term_acknowledged_after_a_newer_one() {
+      history.add(write(FIRST_VALUE, Attempts.write(key(FIRST_VALUE), 10, 2, 5)));
+      history.add(write(SECOND_VALUE, Attempts.write(key(SECOND_VALUE), 50, 1, 6)));
+      finalList(LIST, FIRST_VALUE, SECOND_VALUE);
+
+      assertViolated(Point.NO_ACK_BY_REPLACED_PRIMARY);
+    }
+
+    @Test
+    void should_find_one_index_acknowledged_in_two_terms() {
+      history.add(write(FIRST_VALUE, Attempts.write(key(FIRST_VALUE), 10, 1, 5)));
+      history.add(write(SECOND_VALUE, Attempts.write(key(SECOND_VALUE), 12, 2, 5)));
+      finalList(LIST, FIRST_VALUE, SECOND_VALUE);
+
+      assertViolated(Point.NO_ACK_BY_REPLACED_PRIMARY);
+    }
+  }
+
+  private void assertViolated(Point... points) {
+    assertThat(violated()).containsExactlyInAnyOrder(points);
+  }
+
+  private List<Point> violated() {
+    return HistoryChecker.check(history, new FinalState(lists)).stream()
+        .filter(result -> !result.violations().isEmpty())
+        .map(PointResult::point)
+        .toList();
+  }
+
+  private void finalList(String key, String... values) {
+    lists.put(new FinalState.ListName(Attempts.DATABASE, key), List.of(values));
+  }
+
+  private void finalPair(List<String> first, List<String> second) {
+    lists.put(new FinalState.ListName(Attempts.DATABASE, Keys.first(PAIR)), first);
+    lists.put(new FinalState.ListName(Attempts.DATABASE, Keys.second(PAIR)), second);
+  }
+
+  private static String key(String value) {
+    return "key-" + value;
+  }
+
+  private static Attempt failed(Outcome outcome, String code, long sentMillis) {
+    return Attempts.failed(CallKind.WRITE, outcome, code, sentMillis);
+  }
+
+  private static Operation write(String value, Attempt... attempts) {
+    return new Operation.Write("tablet-1", LIST, value, false, key(value), List.of(attempts));
+  }
+
+  private static Operation read(OptionalLong maxAgeMillis, Attempt attempt) {
+    return new Operation.Read("tablet-1", LIST, maxAgeMillis, attempt);
+  }
+
+  private static Operation transaction(String value, Attempt commit) {
+    return transaction(value, List.of(value), commit);
+  }
+
+  private static Operation transaction(String value, List<String> readBack, Attempt commit) {
+    return new Operation.Transaction(
+        "tablet-1",
+        PAIR,
+        value,
+        key(value),
+        List.of(Attempts.begin(commit.sentMillis() - 1)),
+        List.of(commit),
+        Optional.of(readBack));
+  }
+}
