--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/FailoverWatch.java
@@ -0,0 +1,56 @@
+package org.sardinebay.standins.driver;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.sardinebay.Clock;
+
+/** Watches the platform's object of one promotion, to tell the parts of a failover apart. */
+final class FailoverWatch {
+  private static final long POLL_MILLIS = 10;
+  private static final String PUBLISHED = "published";
+
+  private final Controls controls;
+  private final Clock clock;
+
+  FailoverWatch(Controls controls, Clock clock) {
+    this.controls = controls;
+    this.clock = clock;
+  }
+
+  /**
+   * When a promotion took its steps.
+   *
+   * @param startMillis when the fault began
+   * @param claimedMillis when a driver had claimed the next term
+   * @param publishedMillis when the new primary was published
+   */
+  record Steps(long startMillis, OptionalLong claimedMillis, OptionalLong publishedMillis) {}
+
+  long term(String database) {
+    return controls
+        .object("promotions", database)
+        .map(promotion -> promotion.path("body").path("term").asLong())
+        .orElse(0L);
+  }
+
+  /** Waits until a term above the one given is published, or the time is over. */
+  Steps watch(String database, long term, long startMillis, long timeoutMillis)
+      throws InterruptedException {
+    OptionalLong claimed = OptionalLong.empty();
+    while (clock.millis() < startMillis + timeoutMillis) {
+      Optional<JsonNode> body =
+          controls.object("promotions", database).map(promotion -> promotion.path("body"));
+      if (body.isPresent() && body.get().path("term").asLong() > term) {
+        long now = clock.millis();
+        claimed = claimed.isPresent() ? claimed : OptionalLong.of(now);
+        if (body.get().path("step").asText().equals(PUBLISHED)) {
+          return new Steps(startMillis, claimed, OptionalLong.of(now));
+        }
+      }
+      TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+    }
+    return new Steps(startMillis, claimed, OptionalLong.empty());
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/MeasureCommand.java
@@ -0,0 +1,182 @@
+package org.sardinebay.standins.driver;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.sardinebay.Clock;
+import org.sardinebay.net.BinaryMain;
+import org.sardinebay.net.http.Json;
+
+/**
+ * Measures a deployment: first under load with replicas that lag, then through changes of primary.
+ */
+final class MeasureCommand implements Command {
+  private static final long WARM_UP_MILLIS = 5_000;
+  private static final long FAILOVER_MILLIS = 4_000;
+  private static final long RECOVERY_MILLIS = 3_500;
+  private static final long SERVING_TIMEOUT_MILLIS = 30_000;
+  private static final long MILLIS_PER_SECOND = 1_000;
+  private static final List<FaultKind> FAILOVERS =
+      List.of(FaultKind.KILL, FaultKind.FREEZE, FaultKind.CUT_PROCESS);
+
+  /** How far replicas apply behind, in turn; the last one of all applies nothing. */
+  private static final long[] LAGS_MILLIS = {5, 50, 200, 500, 2_000};
+
+  private final Clock clock = Clock.system();
+
+  @Override
+  public String summary() {
+    return "measure: prints replica share, failover gap, goodput and latencies, one key a line";
+  }
+
+  @Override
+  public int run(Options options, PrintStream out) throws IOException, InterruptedException {
+    DeploymentSpec spec = DeploymentSpec.load(options.deploymentFile());
+    out.printf("deployment=%s%n", spec.name());
+    out.printf("policy=%s%n", options.policy());
+    out.printf("seed=%d%n", options.seed());
+    out.printf("seconds=%d%n", options.seconds());
+    out.printf("callers=%d%n", options.callers());
+    try (Deployment deployment =
+            Deployment.start(spec, options.runFolder(), options.policy(), JvmMode.FULL);
+        FinalStateReader reader = new FinalStateReader(deployment)) {
+      Map<String, String> primaries = primaries(deployment);
+      setLags(deployment, primaries);
+      measure(deployment, options, primaries, reader, new MeasurementReport(out));
+    }
+    return BinaryMain.EXIT_OK;
+  }
+
+  private void measure(
+      Deployment deployment,
+      Options options,
+      Map<String, String> primaries,
+      FinalStateReader reader,
+      MeasurementReport report)
+      throws IOException, InterruptedException {
+    String direct = primaries.values().iterator().next();
+    try (PositionSampler positions = PositionSampler.start(deployment.topology(), clock);
+        DirectCaller directCaller =
+            new DirectCaller(
+                deployment
+                    .topology()
+                    .reach(Topology.CALLERS, deployment.topology().node(direct).listen()));
+        Traffic traffic =
+            Traffic.start(
+                deployment, Workload.MEASUREMENT, options.callers(), options.seed(), clock)) {
+      Thread directThread = new Thread(directCaller, "direct-caller");
+      directThread.setDaemon(true);
+      directThread.start();
+      TimeUnit.MILLISECONDS.sleep(WARM_UP_MILLIS);
+      long fromMillis = clock.millis();
+      TimeUnit.MILLISECONDS.sleep(options.seconds() * MILLIS_PER_SECOND);
+      long toMillis = clock.millis();
+      directCaller.close();
+      report.load(
+          traffic.history(),
+          new OracleRouter(deployment.topology(), positions),
+          primaries,
+          fromMillis,
+          toMillis);
+      report.direct(directCaller.latencyMicros());
+      clearLags(deployment);
+      List<Failover> failovers = failOver(deployment, options);
+      deployment.awaitServing(SERVING_TIMEOUT_MILLIS);
+      traffic.stop();
+      report.failovers(traffic.history(), failovers);
+      report.outcome(traffic.history(), reader.read(traffic.history()));
+    }
+  }
+
+  /**
+   * One change of primary that the measurement caused.
+   *
+   * @param database the database
+   * @param kind what happened to its primary
+   * @param term the term before
+   * @param steps when the promotion took its steps
+   */
+  record Failover(String database, FaultKind kind, long term, FailoverWatch.Steps steps) {}
+
+  private List<Failover> failOver(Deployment deployment, Options options)
+      throws IOException, InterruptedException {
+    ConfigurationMonitor monitor = ConfigurationMonitor.start(deployment, clock);
+    OperatorRace race = new OperatorRace(deployment.controls(), monitor, clock);
+    monitor.close();
+    FaultInjector injector = new FaultInjector(deployment, race, clock, new Random(options.seed()));
+    FailoverWatch watch = new FailoverWatch(deployment.controls(), clock);
+    List<Failover> failovers = new ArrayList<>();
+    for (FaultKind kind : FAILOVERS) {
+      for (DeploymentSpec.Database database : deployment.spec().databases()) {
+        long term = watch.term(database.id());
+        String target = Fault.PRIMARY_OF + database.id();
+        Fault fault = new Fault(kind, target, "", 0, FAILOVER_MILLIS, 0);
+        Thread injection = new Thread(() -> inject(injector, fault), "failover");
+        long startMillis = clock.millis();
+        injection.start();
+        FailoverWatch.Steps steps = watch.watch(database.id(), term, startMillis, FAILOVER_MILLIS);
+        injection.join();
+        failovers.add(new Failover(database.id(), kind, term, steps));
+        TimeUnit.MILLISECONDS.sleep(RECOVERY_MILLIS);
+      }
+    }
+    return failovers;
+  }
+
+  private static void inject(FaultInjector injector, Fault fault) {
+    try {
+      injector.run(List.of(fault));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static Map<String, String> primaries(Deployment deployment) throws IOException {
+    Map<String, String> primaries = new HashMap<>();
+    for (DeploymentSpec.Database database : deployment.spec().databases()) {
+      primaries.put(
+          database.id(),
+          deployment
+              .primary(database.id())
+              .orElseThrow(() -> new IOException(database.id() + " has no primary")));
+    }
+    return primaries;
+  }
+
+  private static void setLags(Deployment deployment, Map<String, String> primaries) {
+    int replica = 0;
+    for (Node member : deployment.topology().nodes(ProcessKind.ENDPOINT)) {
+      if (primaries.containsValue(member.name())) {
+        continue;
+      }
+      if (replica < LAGS_MILLIS.length) {
+        deployment
+            .controls()
+            .endpointFaults(
+                member.name(), Json.newObject().put("applyLagMillis", LAGS_MILLIS[replica]));
+      } else {
+        deployment
+            .controls()
+            .endpointFaults(member.name(), Json.newObject().put("freezeApply", true));
+      }
+      replica++;
+    }
+  }
+
+  private static void clearLags(Deployment deployment) {
+    for (Node member : deployment.topology().nodes(ProcessKind.ENDPOINT)) {
+      deployment
+          .controls()
+          .endpointFaults(
+              member.name(),
+              Json.newObject()
+                  .put("applyLagMillis", SettingsWriter.APPLY_LAG_MILLIS)
+                  .put("freezeApply", false));
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/MeasurementReport.java
@@ -0,0 +1,188 @@
+package org.sardinebay.standins.driver;
+
+import java.io.PrintStream;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.HdrHistogram.Histogram;
+
+/** Prints figures as {@code key=value}, one a line. */
+final class MeasurementReport {
+  private static final long MAX_MILLIS = 120_000;
+  private static final int DIGITS = 3;
+  private static final double MILLIS_PER_SECOND = 1_000;
+  private static final double MICROS_PER_MILLI = 1_000;
+  private static final String REPLICA = "replica";
+
+  private final PrintStream out;
+
+  MeasurementReport(PrintStream out) {
+    this.out = out;
+  }
+
+  /** Prints shares, rates and latencies of the load without faults. */
+  void load(
+      History history,
+      OracleRouter oracle,
+      Map<String, String> primaries,
+      long fromMillis,
+      long toMillis) {
+    List<Operation> operations = history.operations();
+    Predicate<Attempt> within =
+        attempt -> attempt.sentMillis() >= fromMillis && attempt.endMillis() <= toMillis;
+    Map<Operation.Read, Boolean> reads = oracle.judge(operations, primaries);
+    reads.keySet().removeIf(read -> !within.test(read.attempt()));
+    shares("", reads, read -> true);
+    shares("_session", reads, read -> read.maxAgeMillis().isEmpty());
+    shares("_aged", reads, read -> read.maxAgeMillis().isPresent());
+    List<Attempt> attempts =
+        operations.stream()
+            .flatMap(operation -> operation.attempts().stream())
+            .filter(within)
+            .toList();
+    for (Outcome outcome : Outcome.values()) {
+      long count = attempts.stream().filter(attempt -> attempt.outcome() == outcome).count();
+      print(outcome.name().toLowerCase(Locale.ROOT), count);
+    }
+    long done = attempts.stream().filter(Attempt::isDone).count();
+    print("goodput", done * MILLIS_PER_SECOND / (toMillis - fromMillis));
+    latency("latency", attempts, attempt -> true);
+    latency("read_latency", attempts, attempt -> attempt.kind() == CallKind.READ);
+    latency("write_latency", attempts, attempt -> attempt.kind() == CallKind.WRITE);
+    latency("commit_latency", attempts, attempt -> attempt.kind() == CallKind.COMMIT);
+  }
+
+  /** Prints the latency of a caller straight at a member. */
+  void direct(Histogram micros) {
+    print("direct_read_latency_p50_ms", micros.getValueAtPercentile(50) / MICROS_PER_MILLI);
+    print("direct_read_latency_p99_ms", micros.getValueAtPercentile(99) / MICROS_PER_MILLI);
+    print("direct_read_latency_p999_ms", micros.getValueAtPercentile(99.9) / MICROS_PER_MILLI);
+  }
+
+  /** Prints the gaps between the last write done in one term and the first done in a later one. */
+  void failovers(History history, List<MeasureCommand.Failover> failovers) {
+    List<Attempt> effects = history.doneEffects().toList();
+    Histogram gaps = histogram();
+    Histogram detection = histogram();
+    Histogram agreement = histogram();
+    Histogram reconnects = histogram();
+    for (MeasureCommand.Failover failover : failovers) {
+      FailoverWatch.Steps steps = failover.steps();
+      Optional<Attempt> first = firstOfLaterTerm(effects, failover);
+      if (first.isEmpty() || steps.publishedMillis().isEmpty()) {
+        print("failover_missing_" + failover.kind().spelling(), failover.database());
+        continue;
+      }
+      long gap = first.get().endMillis() - lastOfTerm(effects, failover);
+      gaps.recordValue(gap);
+      long claimed = steps.claimedMillis().orElseThrow();
+      long published = steps.publishedMillis().orElseThrow();
+      detection.recordValue(Math.max(0, claimed - steps.startMillis()));
+      agreement.recordValue(Math.max(0, published - claimed));
+      reconnects.recordValue(Math.max(0, first.get().endMillis() - published));
+      print("failover_gap_" + failover.kind().spelling() + "_" + failover.database(), gap);
+    }
+    print("failovers", gaps.getTotalCount());
+    print("failover_gap_p50_ms", gaps.getValueAtPercentile(50));
+    print("failover_gap_max_ms", gaps.getMaxValue());
+    print("failover_detection_p50_ms", detection.getValueAtPercentile(50));
+    print("failover_agreement_p50_ms", agreement.getValueAtPercentile(50));
+    print("failover_first_done_p50_ms", reconnects.getValueAtPercentile(50));
+  }
+
+  /** Prints what was lost and doubled over the whole run. */
+  void outcome(History history, FinalState state) {
+    long lost = 0;
+    long doubled = 0;
+    for (Operation.Write write : history.writes()) {
+      String database = write.attempts().get(0).database();
+      long count = state.count(database, write.key(), write.value());
+      lost += write.outcome() == Outcome.DONE && count == 0 ? 1 : 0;
+      doubled += count > 1 ? 1 : 0;
+    }
+    for (Operation.Transaction transaction : history.transactions()) {
+      String database = transaction.statements().get(0).database();
+      String value = transaction.value();
+      long count = state.count(database, Keys.first(transaction.pair()), value);
+      lost += transaction.outcome() == Outcome.DONE && count == 0 ? 1 : 0;
+      doubled += count > 1 ? 1 : 0;
+    }
+    long acknowledged = history.doneEffects().count();
+    print("acknowledged", acknowledged);
+    print("lost", lost);
+    print("doubled", doubled);
+  }
+
+  private void shares(
+      String suffix, Map<Operation.Read, Boolean> reads, Predicate<Operation.Read> wanted) {
+    long all = reads.keySet().stream().filter(wanted).count();
+    long replica =
+        reads.keySet().stream()
+            .filter(wanted)
+            .filter(read -> read.attempt().answer().servedBy().role().equals(REPLICA))
+            .count();
+    long oracle =
+        reads.entrySet().stream()
+            .filter(entry -> wanted.test(entry.getKey()) && entry.getValue())
+            .count();
+    print("reads" + suffix, all);
+    print("replica_share" + suffix, share(replica, all));
+    print("oracle_share" + suffix, share(oracle, all));
+    print("replica_of_oracle" + suffix, share(replica, oracle));
+  }
+
+  private void latency(String name, List<Attempt> attempts, Predicate<Attempt> wanted) {
+    Histogram millis = histogram();
+    attempts.stream()
+        .filter(wanted)
+        .filter(Attempt::isDone)
+        .forEach(attempt -> millis.recordValue(attempt.latencyMillis()));
+    print(name + "_p50_ms", millis.getValueAtPercentile(50));
+    print(name + "_p99_ms", millis.getValueAtPercentile(99));
+    print(name + "_p999_ms", millis.getValueAtPercentile(99.9));
+  }
+
+  private static Optional<Attempt> firstOfLaterTerm(
+      List<Attempt> effects, MeasureCommand.Failover failover) {
+    return effects.stream()
+        .filter(attempt -> attempt.database().equals(failover.database()))
+        .filter(attempt -> term(attempt) > failover.term() && !attempt.answer().replay())
+        .min(Comparator.comparingLong(Attempt::endMillis));
+  }
+
+  private static long lastOfTerm(List<Attempt> effects, MeasureCommand.Failover failover) {
+    return effects.stream()
+        .filter(attempt -> attempt.database().equals(failover.database()))
+        .filter(attempt -> term(attempt) == failover.term() && !attempt.answer().replay())
+        .mapToLong(Attempt::endMillis)
+        .max()
+        .orElse(failover.steps().startMillis());
+  }
+
+  private static long term(Attempt attempt) {
+    return attempt.answer().position().map(position -> position.term()).orElse(0L);
+  }
+
+  private static Histogram histogram() {
+    return new Histogram(MAX_MILLIS, DIGITS);
+  }
+
+  private static double share(long part, long whole) {
+    return whole == 0 ? 0 : (double) part / whole;
+  }
+
+  private void print(String key, long value) {
+    out.println(key + "=" + value);
+  }
+
+  private void print(String key, double value) {
+    out.println(key + "=" + "%.4f".formatted(value));
+  }
+
+  private void print(String key, String value) {
+    out.println(key + "=" + value);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/OperatorTool.java
@@ -0,0 +1,21 @@
+package org.sardinebay.standins.driver;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Runs the operators' command line as a process of its own; its output goes to this one's. */
+final class OperatorTool {
+  private static final String MAIN_CLASS = "org.sardinebay.ctl.CtlMain";
+
+  private OperatorTool() {}
+
+  static int run(List<String> arguments) throws IOException, InterruptedException {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(List.of("-cp", System.getProperty("java.class.path"), MAIN_CLASS));
+    command.addAll(arguments);
+    return new ProcessBuilder(command).inheritIO().start().waitFor();
+  }
+}
