--- a/standins/src/main/java/org/sardinebay/standins/driver/DemoCommand.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/DemoCommand.java
@@ -26,7 +26,7 @@
 
   @Override
   public String summary() {
-    return "demo: starts a deployment, kills a primary and shows that a session goes on";
+    return "starts a deployment, kills a primary and shows that a session goes on";
   }
 
   @Override
--- a/standins/src/main/java/org/sardinebay/standins/driver/MeasureCommand.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/MeasureCommand.java
@@ -31,7 +31,7 @@
 
   @Override
   public String summary() {
-    return "measure: prints replica share, failover gap, goodput and latencies, one key a line";
+    return "prints replica share, failover gap, goodput and latencies, one key a line";
   }
 
   @Override
--- a/standins/src/main/java/org/sardinebay/standins/driver/ProveCommand.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/ProveCommand.java
@@ -39,7 +39,7 @@
 
   @Override
   public String summary() {
-    return "prove: runs callers and faults drawn from a seed, then checks what must always hold";
+    return "runs callers and faults drawn from a seed, then checks what must always hold";
   }
 
   @Override
