Judge domains that are cut off, and let a run end with its report

Cause: a review of the driver: a cut of a whole failure domain was not judged as a loss of primaries; a process that ended by itself ended the whole run without a report; two faults on one process could start it twice and leave one JVM behind.

Ruled out: a schedule without two faults on one process (such pairs are wanted).

Change: fault events name the databases whose primaries they hit; processes that ended are reported and started again; a start of a running process does nothing; the last reads are tried again while a primary comes up.

No run with real processes yet, the controller is missing.

Conclusion: the proofs can be run as soon as the controller is there.

--- a/standins/src/main/java/org/sardinebay/standins/driver/FaultEvent.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/FaultEvent.java
@@ -1,11 +1,13 @@
 package org.sardinebay.standins.driver;
 
+import java.util.Set;
+
 /**
  * A fault as it took place, on the driver's clock.
  *
  * @param fault what was planned
  * @param target the process, failure domain or record that it hit
- * @param wasPrimary whether the target led a database when the fault began
+ * @param lostPrimaries the databases whose primaries it hit
  * @param database the target's database, empty if it is not an endpoint
  * @param startMillis when it began
  * @param endMillis when it was healed
@@ -13,7 +15,7 @@
 record FaultEvent(
     Fault fault,
     String target,
-    boolean wasPrimary,
+    Set<String> lostPrimaries,
     String database,
     long startMillis,
     long endMillis) {
--- a/standins/src/main/java/org/sardinebay/standins/driver/FaultInjector.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/FaultInjector.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.sardinebay.Clock;
 import org.sardinebay.net.http.Json;
 import org.sardinebay.standins.relay.Cut;
@@ -63,7 +65,8 @@
     String target = resolve(fault.target());
     String other = resolve(fault.other());
     String database = databaseOf(target);
-    boolean wasPrimary = !database.isEmpty() && isPrimary(database, target);
+    Set<String> lostPrimaries =
+        databasesLedIn(fault.kind() == FaultKind.CUT_DOMAIN ? namesIn(target) : List.of(target));
     long startMillis = clock.millis();
     log("fault_started", fault, target);
     try {
@@ -75,7 +78,7 @@
     }
     log("fault_ended", fault, target);
     FaultEvent event =
-        new FaultEvent(fault, target, wasPrimary, database, startMillis, clock.millis());
+        new FaultEvent(fault, target, lostPrimaries, database, startMillis, clock.millis());
     synchronized (events) {
       events.add(event);
     }
@@ -214,6 +217,13 @@
     return target;
   }
 
+  private Set<String> databasesLedIn(List<String> names) {
+    return deployment.spec().databases().stream()
+        .map(DeploymentSpec.Database::id)
+        .filter(database -> deployment.primary(database).filter(names::contains).isPresent())
+        .collect(Collectors.toSet());
+  }
+
   private boolean isPrimary(String database, String member) {
     return deployment.primary(database).filter(member::equals).isPresent();
   }
--- a/standins/src/main/java/org/sardinebay/standins/driver/FinalStateReader.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/FinalStateReader.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.sardinebay.Address;
 import org.sardinebay.net.http.HttpResult;
 import org.sardinebay.net.http.Json;
@@ -19,6 +20,8 @@
 /** Reads every list of a history straight from the primary of its database. */
 final class FinalStateReader implements AutoCloseable {
   private static final long TIMEOUT_MILLIS = 5_000;
+  private static final long RETRY_MILLIS = 1_000;
+  private static final int MAX_TRIES = 20;
 
   private final Deployment deployment;
   private final JsonHttpClient http = JsonHttpClient.start("final-state", 1);
@@ -27,23 +30,42 @@
     this.deployment = deployment;
   }
 
-  FinalState read(History history) throws IOException {
+  /** Reads each database, again for some time if its primary does not answer yet. */
+  FinalState read(History history) throws IOException, InterruptedException {
     Map<FinalState.ListName, List<String>> lists = new HashMap<>();
     for (DeploymentSpec.Database database : deployment.spec().databases()) {
-      String primary =
-          deployment
-              .primary(database.id())
-              .orElseThrow(() -> new IOException(database.id() + " has no primary"));
-      Address member = deployment.topology().node(primary).listen();
-      String connection = open(member);
-      for (String key : keys(history, database.id())) {
-        lists.put(new FinalState.ListName(database.id(), key), get(member, connection, key));
+      Set<String> keys = keys(history, database.id());
+      for (int tries = 1; ; tries++) {
+        try {
+          lists.putAll(read(database.id(), keys));
+          break;
+        } catch (IOException e) {
+          if (tries == MAX_TRIES) {
+            throw e;
+          }
+          TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
+        }
       }
-      call(member, "/v1/close", Json.newObject().put("connection", connection));
     }
     return new FinalState(Map.copyOf(lists));
   }
 
+  private Map<FinalState.ListName, List<String>> read(String database, Set<String> keys)
+      throws IOException {
+    String primary =
+        deployment
+            .primary(database)
+            .orElseThrow(() -> new IOException(database + " has no primary"));
+    Address member = deployment.topology().node(primary).listen();
+    Map<FinalState.ListName, List<String>> lists = new HashMap<>();
+    String connection = open(member);
+    for (String key : keys) {
+      lists.put(new FinalState.ListName(database, key), get(member, connection, key));
+    }
+    call(member, "/v1/close", Json.newObject().put("connection", connection));
+    return lists;
+  }
+
   @Override
   public void close() {
     http.stop();
--- a/standins/src/main/java/org/sardinebay/standins/driver/ManagedProcess.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/ManagedProcess.java
@@ -43,7 +43,11 @@
     return name;
   }
 
+  /** Starts the process unless it runs. */
   synchronized void start() throws IOException {
+    if (isAlive()) {
+      return;
+    }
     process =
         new ProcessBuilder(command)
             .redirectErrorStream(true)
--- a/standins/src/main/java/org/sardinebay/standins/driver/ProveCommand.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/ProveCommand.java
@@ -69,7 +69,7 @@
       FaultInjector injector =
           new FaultInjector(deployment, race, clock, new Random(options.seed()));
       List<FaultEvent> faults = injector.run(schedule);
-      List<String> processFailures = new ArrayList<>(exits(deployment));
+      List<String> processFailures = restartExited(deployment);
       deployment.awaitServing(SERVING_TIMEOUT_MILLIS);
       TimeUnit.MILLISECONDS.sleep(QUIET_MILLIS);
       traffic.stop();
@@ -140,11 +140,16 @@
     return counts.getOrDefault(Outcome.DONE, 0L);
   }
 
-  private static List<String> exits(Deployment deployment) {
-    return deployment.processes().stream()
-        .filter(process -> !process.isAlive())
-        .map(process -> "exit of " + process.name())
-        .toList();
+  /** Starts processes again that ended by themselves, and tells which. */
+  private static List<String> restartExited(Deployment deployment) throws IOException {
+    List<String> exited = new ArrayList<>();
+    for (ManagedProcess process : deployment.processes()) {
+      if (!process.isAlive()) {
+        exited.add("exit of " + process.name());
+        process.start();
+      }
+    }
+    return exited;
   }
 
   private static List<String> loggedViolations(Path folder) throws IOException {
--- a/standins/src/main/java/org/sardinebay/standins/driver/ServingCheck.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/ServingCheck.java
@@ -13,7 +13,12 @@
   private static final long MAX_GAP_MILLIS = 6_000;
   private static final long OUTAGE_SETTLE_MILLIS = 300;
   private static final Set<FaultKind> LOSES_PRIMARY =
-      Set.of(FaultKind.KILL, FaultKind.FREEZE, FaultKind.CUT_PROCESS, FaultKind.CUT_ONE_WAY);
+      Set.of(
+          FaultKind.KILL,
+          FaultKind.FREEZE,
+          FaultKind.CUT_PROCESS,
+          FaultKind.CUT_ONE_WAY,
+          FaultKind.CUT_DOMAIN);
   private static final Set<FaultKind> HARMLESS =
       Set.of(
           FaultKind.RACING_OPERATORS,
@@ -32,8 +37,10 @@
   PointResult check(DeploymentSpec spec, long trafficEndMillis) {
     PointResult result = new PointResult(Point.SERVES_THROUGH_FAULTS);
     for (FaultEvent fault : faults) {
-      if (fault.wasPrimary() && LOSES_PRIMARY.contains(fault.kind())) {
-        checkChangeOfPrimary(result, fault, trafficEndMillis);
+      if (LOSES_PRIMARY.contains(fault.kind())) {
+        fault
+            .lostPrimaries()
+            .forEach(database -> checkChange(result, fault, database, trafficEndMillis));
       } else if (fault.kind() == FaultKind.PLATFORM_OUTAGE) {
         spec.databases().forEach(database -> checkOutage(result, fault, database.id()));
       }
@@ -47,18 +54,20 @@
     return result;
   }
 
-  private void checkChangeOfPrimary(PointResult result, FaultEvent fault, long trafficEndMillis) {
+  private void checkChange(
+      PointResult result, FaultEvent fault, String database, long trafficEndMillis) {
     long dueMillis = fault.startMillis() + MAX_GAP_MILLIS;
-    if (trafficEndMillis < dueMillis || disturbed(fault, dueMillis, fault.database())) {
+    if (trafficEndMillis < dueMillis || disturbed(fault, dueMillis, database)) {
       return;
     }
-    Optional<Attempt> first = firstDone(fault.database(), fault.startMillis());
+    Optional<Attempt> first = firstDone(database, fault.startMillis());
     result.check(
         first.isPresent() && first.get().endMillis() <= dueMillis,
-        "%s of primary %s at %d ms: the first write done after it ended at %s"
+        "%s of %s with the primary of %s at %d ms: the first write done after it ended at %s"
             .formatted(
                 fault.kind().spelling(),
                 fault.target(),
+                database,
                 fault.startMillis(),
                 first.map(Attempt::endMillis)));
   }
