Refuse to list or watch a kind that does not exist

Cause: list with a misspelt kind printed nothing and succeeded. Change: list and watch take the kinds of records, accepted and promotions.

--- a/ctl/src/main/java/org/sardinebay/ctl/internal/process/CommandLine.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/process/CommandLine.java
@@ -89,7 +89,7 @@
         "  --version                        prints the version and exits",
         "  --help                           prints this page and exits",
         "",
-        "kinds: databases, proxies, staleness",
+        "kinds: databases, proxies, staleness; to get, list and watch also accepted, promotions",
         "exit status: 0 done, 1 failed, 2 wrong arguments or record, 3 conflict");
   }
 
--- a/ctl/src/main/java/org/sardinebay/ctl/internal/request/ListCommand.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/request/ListCommand.java
@@ -33,6 +33,10 @@
 
   @Override
   public Optional<Failure> run() {
+    Optional<Failure> unknownKind = Kinds.check(kind);
+    if (unknownKind.isPresent()) {
+      return unknownKind;
+    }
     PlatformResult result = platform.list(kind);
     if (result instanceof PlatformResult.Listing listing) {
       listing.objects().stream()
--- a/ctl/src/main/java/org/sardinebay/ctl/internal/request/StatusCommand.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/request/StatusCommand.java
@@ -19,8 +19,6 @@
  * }</pre>
  */
 public final class StatusCommand implements Command {
-  private static final String ACCEPTED_KIND = "accepted";
-  private static final String PROMOTIONS_KIND = "promotions";
   private static final String PENDING = "pending";
   private static final List<String> PROMOTION_FIELDS =
       List.of("term", "primary", "step", "cause", "driver");
@@ -49,10 +47,10 @@
     }
     PlatformResult record = platform.read(key);
     PlatformResult accepted =
-        platform.read(new ObjectKey(ACCEPTED_KIND, key.kind() + "." + key.name()));
+        platform.read(new ObjectKey(Kinds.ACCEPTED, key.kind() + "." + key.name()));
     PlatformResult promotion =
         key.kind().equals(DatabaseCodec.KIND)
-            ? platform.read(new ObjectKey(PROMOTIONS_KIND, key.name()))
+            ? platform.read(new ObjectKey(Kinds.PROMOTIONS, key.name()))
             : new PlatformResult.Absent();
     for (PlatformResult result : List.of(record, accepted, promotion)) {
       if (result instanceof PlatformResult.Failed failed) {
--- a/ctl/src/main/java/org/sardinebay/ctl/internal/request/WatchCommand.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/request/WatchCommand.java
@@ -39,6 +39,10 @@
 
   @Override
   public Optional<Failure> run() {
+    Optional<Failure> unknownKind = Kinds.check(kind);
+    if (unknownKind.isPresent()) {
+      return unknownKind;
+    }
     long revision = 0;
     boolean reported = false;
     while (!isOver()) {
--- a/standins/src/test/java/org/sardinebay/ctl/CtlMainTest.java
+++ b/standins/src/test/java/org/sardinebay/ctl/CtlMainTest.java
@@ -80,6 +80,8 @@
               CtlRun.of("--platform", address.toString(), "destroy"),
               CtlRun.of("list", "databases"),
               CtlRun.of("--platform", address.toString(), "list"),
+              CtlRun.of("--platform", address.toString(), "list", "databasess"),
+              CtlRun.of("--platform", address.toString(), "watch", "databasess"),
               CtlRun.of("--platform", address.toString(), "list", "databases", "--schema", "1"),
               CtlRun.of("--platform", address.toString(), "delete", "databases", "d"),
               CtlRun.of("--platform", address.toString(), "get", "a", "b", "--schema", "x"));
