Don't take the time between two answers for a replica's stall

Cause: by hand, on a deployment that was otherwise quiet, 2 of 6 reads after a write went to the primary as replicas-behind: an entry became known between two answers of a replica, and the wait for the next answer counted as a stall. Change: a stall lasts from when the missing entry became known until the replica's last answer.

--- a/core/src/main/java/org/sardinebay/internal/version/DatabaseView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/DatabaseView.java
@@ -114,7 +114,7 @@
   public void observeWritten(MemberId member, Position position, long now) {
     if (position.term() == term && primary.equals(Optional.of(member))) {
       members.get(member).observeReceived(position.index());
-      members.get(member).observeApplied(position.index());
+      members.get(member).observeApplied(position.index(), now);
       timeline.add(now, position.index());
       updateConfirmed();
     }
@@ -130,7 +130,7 @@
   public void observeApplied(MemberId member, Position position, long now) {
     MemberEstimate estimate = members.get(member);
     if (estimate != null && estimate.term() == term && history.contains(position)) {
-      estimate.observeApplied(position.index());
+      estimate.observeApplied(position.index(), now);
       estimate.updateLag(timeline, now);
     }
   }
--- a/core/src/main/java/org/sardinebay/internal/version/MemberEstimate.java
+++ b/core/src/main/java/org/sardinebay/internal/version/MemberEstimate.java
@@ -15,6 +15,7 @@
 
   private long answeredAskedAt = Long.MIN_VALUE;
   private long lastAnswerAt = Long.MIN_VALUE;
+  private long appliedAt = Long.MIN_VALUE;
   private long term;
   private MemberRole role = MemberRole.FENCED;
   private long receivedIndex;
@@ -32,6 +33,7 @@
     role = standing.role();
     answeredAskedAt = askedAt;
     lastAnswerAt = now;
+    appliedAt = Math.max(appliedAt, askedAt);
     synced = standing.synced() || role == MemberRole.PRIMARY;
     leaving = standing.leaving();
     receivedIndex = standing.received().index();
@@ -39,8 +41,9 @@
         newTerm ? standing.applied().index() : Math.max(appliedIndex, standing.applied().index());
   }
 
-  void observeApplied(long index) {
+  void observeApplied(long index, long now) {
     appliedIndex = Math.max(appliedIndex, index);
+    appliedAt = Math.max(appliedAt, now);
   }
 
   void observeReceived(long index) {
@@ -72,8 +75,9 @@
     return Math.max(now, timeline.knownAt(index, now) + Math.round(lagMillis));
   }
 
+  /** For how long the member was seen to lack the next entry; what it did since is not known. */
   private double stalledMillis(PositionTimeline timeline, long now) {
-    return (double) (now - timeline.knownAt(appliedIndex + 1, now));
+    return (double) Math.max(0, appliedAt - timeline.knownAt(appliedIndex + 1, now));
   }
 
   void leave() {
--- a/core/src/test/java/org/sardinebay/internal/version/DatabaseViewTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/DatabaseViewTest.java
@@ -153,5 +153,13 @@
       assertThat(view.expectedAt(Samples.B, 9, 2_101)).isGreaterThanOrEqualTo(2_101);
       assertThat(view.expectedAt(Samples.B, 5, 2_101)).isEqualTo(2_101);
     }
+
+    @Test
+    void should_not_take_the_time_between_two_answers_for_a_stall() {
+      view.observe(Samples.replica(Samples.B, 1, 5, 5), 0, 1);
+      view.observe(Samples.primary(Samples.A, 1, 1, 6), 10, 11);
+
+      assertThat(view.expectedAt(Samples.B, 6, 150)).isEqualTo(150);
+    }
   }
 }
