Test the machines of watching, promotion and acceptance

Cause: the random runs show safety, but neither the timing of a takeover nor what each lost answer leads to.

Ruled out: faults at random times in these tests too; each test names the step and the fault.

Change: nested tests with a bench in virtual time; a test of the controller process without a platform; attempts pause for 500 ms while the platform is down.

--- a/controller/src/main/java/org/sardinebay/controller/internal/version/DatabaseSupervisor.java
+++ b/controller/src/main/java/org/sardinebay/controller/internal/version/DatabaseSupervisor.java
@@ -19,6 +19,7 @@
 import org.sardinebay.internal.version.Promotion;
 import org.sardinebay.internal.version.PromotionEffect;
 import org.sardinebay.internal.version.PromotionEvent;
+import org.sardinebay.internal.version.PromotionFailure;
 import org.sardinebay.internal.version.PromotionMachine;
 import org.sardinebay.internal.version.PromotionOutcome;
 import org.sardinebay.internal.version.PromotionPlan;
@@ -50,6 +51,7 @@
   private static final long PROGRESS_TIMEOUT_MILLIS = 300;
   private static final long SUSPICION_TIMEOUT_MILLIS = 300;
   private static final long RETRY_MILLIS = 200;
+  private static final long PLATFORM_RETRY_MILLIS = 500;
   private static final long RETRY_RANK_DELAY_MILLIS = 150;
 
   private final ControllerRuntime runtime;
@@ -238,8 +240,12 @@
       note(published.record());
     } else if (outcome instanceof PromotionOutcome.Superseded superseded) {
       note(superseded.record());
-    } else {
-      notBeforeMillis = now + RETRY_MILLIS + duty.rank() * RETRY_RANK_DELAY_MILLIS;
+    } else if (outcome instanceof PromotionOutcome.Failed failed) {
+      long pause =
+          failed.reason() == PromotionFailure.PLATFORM_UNAVAILABLE
+              ? PLATFORM_RETRY_MILLIS
+              : RETRY_MILLIS;
+      notBeforeMillis = now + pause + duty.rank() * RETRY_RANK_DELAY_MILLIS;
     }
     LOG.atInfo()
         .setMessage("promotion_ended")
--- /dev/null
+++ b/controller/src/test/java/org/sardinebay/controller/internal/process/ControllerProcessTest.java
@@ -0,0 +1,108 @@
+package org.sardinebay.controller.internal.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.Address;
+import org.sardinebay.Clock;
+import org.sardinebay.internal.version.ConfigStore;
+import org.sardinebay.net.RunningProcess;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.net.peer.ConfigFeedServer;
+import org.sardinebay.net.peer.ConfigStoreFeed;
+import org.sardinebay.net.peer.PeerServer;
+import org.sardinebay.platform.ObjectKey;
+import org.sardinebay.platform.PlatformObject;
+import org.sardinebay.record.FieldReader;
+
+class ControllerProcessTest {
+  private static final long LONG_MILLIS = 20_000;
+
+  private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+
+  @AfterEach
+  void stop() {
+    timer.shutdownNow();
+  }
+
+  @Nested
+  class WithoutThePlatform {
+    @Test
+    void should_take_its_configuration_from_peers_and_watch_the_databases() throws Exception {
+      ConfigStoreFeed feed = new ConfigStoreFeed(new ConfigStore());
+      feed.merge(new PlatformObject(new ObjectKey("databases", "db"), 5, false, database()));
+      ConfigFeedServer server = new ConfigFeedServer(feed, timer);
+      Address peer = freeAddress();
+      PeerServer peers = PeerServer.start(peer, call -> server.handle(call.getConfigCall()));
+
+      RunningProcess controller = new ControllerBinary().start(settings(peer));
+
+      awaitDatabases(controller);
+      JsonNode dump = controller.dump();
+      assertThat(controller.ready()).isTrue();
+      assertThat(dump.path("generations").path("databases/db").asLong()).isEqualTo(5);
+      assertThat(dump.path("platform").path("listed").asBoolean()).isFalse();
+      assertThat(dump.path("databases").get(0).path("decision").asText()).isEqualTo("NONE");
+      controller.shutdown();
+      peers.stop();
+    }
+  }
+
+  @Nested
+  class Settings {
+    @Test
+    void should_be_refused_field_by_field() {
+      FieldReader reader = FieldReader.of(Json.newObject().put("host", "waco-1"));
+
+      new ControllerBinary().settings(reader);
+
+      assertThat(reader.problems())
+          .extracting("field")
+          .containsExactlyInAnyOrder("failureDomain", "peerListen", "listen", "platform");
+    }
+  }
+
+  private static void awaitDatabases(RunningProcess controller) throws InterruptedException {
+    long deadline = Clock.system().millis() + LONG_MILLIS;
+    while (controller.dump().path("databases").isEmpty()) {
+      assertThat(Clock.system().millis()).as("deadline").isLessThan(deadline);
+      Thread.sleep(20);
+    }
+  }
+
+  private static ControllerSettings settings(Address peer) throws IOException {
+    ObjectNode tree = Json.newObject().put("host", "waco-1").put("failureDomain", "waco-hall");
+    for (String field : List.of("listen", "peerListen", "platform")) {
+      tree.put(field, freeAddress().toString());
+    }
+    tree.putArray("peers").add(peer.toString());
+    return new ControllerBinary().settings(FieldReader.of(tree));
+  }
+
+  private static ObjectNode database() throws IOException {
+    ObjectNode body = Json.newObject().put("schemaVersion", 1).put("service", "contracts-db");
+    body.put("connectionLimit", 20).put("slots", 3).put("acknowledgement", "majority");
+    body.putArray("members")
+        .addObject()
+        .put("id", "a")
+        .put("address", freeAddress().toString())
+        .put("failureDomain", "waco-hall");
+    return body;
+  }
+
+  private static Address freeAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new Address("127.0.0.1", socket.getLocalPort());
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinebay/internal/version/AcceptanceQueueTest.java
@@ -0,0 +1,150 @@
+package org.sardinebay.internal.version;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.HostId;
+import org.sardinebay.internal.process.InvariantName;
+import org.sardinebay.platform.ObjectKey;
+import org.sardinebay.platform.PlatformObject;
+import org.sardinebay.record.AcceptanceState;
+import org.sardinebay.record.AcceptedRecord;
+
+class AcceptanceQueueTest {
+  private static final ObjectKey RULE = new ObjectKey("staleness", "tablets");
+  private static final HostId SELF = new HostId("waco-1");
+  private static final List<HostId> ALONE = List.of(SELF);
+  private static final long LONG_AFTER = 60_000;
+
+  private final List<InvariantName> violations = new ArrayList<>();
+  private final AcceptanceQueue queue = new AcceptanceQueue((name, detail) -> violations.add(name));
+
+  @Nested
+  class Decision {
+    @Test
+    void should_accept_a_valid_record_with_its_version_as_generation() {
+      queue.listed(List.of(record(7, 5_000)), 0);
+
+      AcceptedRecord status = due(0).get(0).status();
+
+      assertThat(status.state()).isEqualTo(AcceptanceState.ACCEPTED);
+      assertThat(status.generation()).isEqualTo(7);
+      assertThat(status.specGeneration()).isEqualTo(7);
+    }
+
+    @Test
+    void should_keep_the_last_accepted_content_when_it_rejects() {
+      accept(record(7, 5_000), 8);
+      queue.listed(List.of(record(9, -1)), 0);
+
+      AcceptedRecord status = due(LONG_AFTER).get(0).status();
+
+      assertThat(status.state()).isEqualTo(AcceptanceState.REJECTED);
+      assertThat(status.problems()).extracting("field").contains("maxAgeMillis");
+      assertThat(status.generation()).isEqualTo(9);
+      assertThat(status.specGeneration()).isEqualTo(7);
+      assertThat(status.spec()).isEqualTo(record(7, 5_000).body());
+    }
+
+    @Test
+    void should_accept_a_deletion() {
+      accept(record(7, 5_000), 8);
+      ObjectNode empty = JsonNodeFactory.instance.objectNode();
+      queue.listed(List.of(new PlatformObject(RULE, 9, true, empty)), 0);
+
+      AcceptedRecord status = due(LONG_AFTER).get(0).status();
+
+      assertThat(status.deleted()).isTrue();
+      assertThat(status.specGeneration()).isEqualTo(9);
+    }
+
+    @Test
+    void should_be_left_alone_when_this_or_a_newer_generation_has_a_status() {
+      accept(record(7, 5_000), 8);
+
+      queue.listed(List.of(record(6, 1_000)), 0);
+
+      assertThat(due(LONG_AFTER)).isEmpty();
+    }
+
+    @Test
+    void should_expect_the_version_of_the_present_status() {
+      accept(record(7, 5_000), 8);
+      queue.listed(List.of(record(9, 6_000)), 0);
+
+      assertThat(due(LONG_AFTER).get(0).expectedVersion()).isEqualTo(8);
+    }
+  }
+
+  @Nested
+  class Turns {
+    @Test
+    void should_go_to_one_controller_first_and_to_the_others_later() {
+      List<HostId> hosts = List.of(SELF, new HostId("waco-2"), new HostId("lubbock-1"));
+      queue.listed(List.of(record(7, 5_000)), 0);
+
+      long first = hosts.stream().filter(host -> !queue.due(host, hosts, 0).isEmpty()).count();
+
+      assertThat(first).isEqualTo(1);
+      assertThat(queue.due(hosts.get(1), hosts, LONG_AFTER)).hasSize(1);
+    }
+
+    @Test
+    void should_hand_a_write_out_again_only_after_a_while() {
+      queue.listed(List.of(record(7, 5_000)), 0);
+      due(0);
+
+      assertThat(due(100)).isEmpty();
+      assertThat(due(1_000)).hasSize(1);
+    }
+  }
+
+  @Nested
+  class Statuses {
+    @Test
+    void should_yield_what_is_in_force_for_the_store() {
+      List<VersionedRecord> accepted = accept(record(7, 5_000), 8);
+
+      assertThat(accepted)
+          .containsExactly(new VersionedRecord(RULE, 7, false, record(7, 5_000).body()));
+    }
+
+    @Test
+    void should_violate_the_invariant_when_a_generation_falls() {
+      accept(record(7, 5_000), 8);
+
+      accept(record(6, 5_000), 9);
+
+      assertThat(violations).containsExactly(InvariantName.CONFIGURATION_NEVER_REVERTS);
+    }
+  }
+
+  private List<AcceptanceQueue.StatusWrite> due(long nowMillis) {
+    return queue.due(SELF, ALONE, nowMillis);
+  }
+
+  private List<VersionedRecord> accept(PlatformObject record, long version) {
+    AcceptedRecord status =
+        new AcceptedRecord(
+            record.version(),
+            AcceptanceState.ACCEPTED,
+            List.of(),
+            record.body(),
+            record.version(),
+            false);
+    ObjectKey key = AcceptedRecord.key(record.key());
+    return queue.listed(List.of(record, new PlatformObject(key, version, false, status.body())), 0);
+  }
+
+  private static PlatformObject record(long version, long maxAgeMillis) {
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
+    body.put("schemaVersion", 2).put("database", "contracts-1").put("callerPrefix", "tablet-");
+    body.put("maxAgeMillis", maxAgeMillis);
+    return new PlatformObject(RULE, version, false, body);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinebay/internal/version/DatabaseWatchTest.java
@@ -0,0 +1,259 @@
+package org.sardinebay.internal.version;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.FailureDomain;
+import org.sardinebay.MemberId;
+import org.sardinebay.Position;
+import org.sardinebay.endpoint.EndpointCall;
+import org.sardinebay.endpoint.EndpointReply;
+import org.sardinebay.internal.process.InvariantName;
+import org.sardinebay.record.DatabaseRecord;
+import org.sardinebay.record.MemberRecord;
+
+class DatabaseWatchTest {
+  private static final MemberId A = PromotionSamples.member(0);
+  private static final MemberId B = PromotionSamples.member(1);
+  private static final MemberId C = PromotionSamples.member(2);
+  private static final FailureDomain OWN = new FailureDomain("hall-1");
+  private static final FailureDomain OTHER = new FailureDomain("hall-2");
+
+  private final DatabaseRecord database = PromotionSamples.database(3);
+  private final List<InvariantName> violations = new ArrayList<>();
+  private final Map<MemberId, FakeMember> members = new TreeMap<>();
+  private final Set<MemberId> down = new TreeSet<>();
+  private final DatabaseWatch watch =
+      new DatabaseWatch(database, OWN, (name, detail) -> violations.add(name), 0);
+  private long nowMillis;
+  private WatchStep step;
+
+  @BeforeEach
+  void createMembers() {
+    for (MemberRecord record : database.members()) {
+      members.put(record.id(), new FakeMember(record.id(), member -> {}));
+    }
+  }
+
+  @Nested
+  class NoPrimary {
+    @Test
+    void should_be_the_cause_at_the_first_start_once_a_majority_answers() {
+      poll(300);
+
+      assertThat(watch.cause()).contains(PromotionCause.NO_PRIMARY);
+    }
+
+    @Test
+    void should_not_be_the_cause_while_only_a_minority_answers() {
+      down.addAll(Set.of(A, B));
+
+      poll(2_000);
+
+      assertThat(watch.cause()).isEmpty();
+    }
+  }
+
+  @Nested
+  class PrimarySilent {
+    @BeforeEach
+    void lead() {
+      leadWith(A, 1);
+      poll(1_000);
+      down.add(A);
+    }
+
+    @Test
+    void should_be_the_cause_when_another_failure_domain_agrees() {
+      poll(500);
+      watch.reported(OTHER, 1, 550, nowMillis);
+
+      poll(100);
+
+      assertThat(watch.cause()).contains(PromotionCause.PRIMARY_SILENT);
+      assertThat(step.promotion()).map(PromotionPlan::silent).contains(Optional.of(A));
+    }
+
+    @Test
+    void should_not_be_the_cause_on_the_word_of_one_failure_domain() {
+      poll(3_000);
+
+      assertThat(watch.cause()).isEmpty();
+      assertThat(step.askWatchers()).isTrue();
+    }
+
+    @Test
+    void should_not_be_the_cause_right_after_this_process_was_frozen() {
+      nowMillis += 10_000;
+      watch.reported(OTHER, 1, 0, nowMillis);
+
+      poll(100);
+
+      assertThat(watch.cause()).isEmpty();
+    }
+
+    @Test
+    void should_wait_for_the_watchers_of_higher_rank() {
+      poll(500);
+      watch.reported(OTHER, 1, 550, nowMillis);
+
+      step = watch.poll(2, nowMillis + 100);
+
+      assertThat(step.promotionNeeded()).isTrue();
+      assertThat(step.promotion()).isEmpty();
+    }
+  }
+
+  @Nested
+  class PrimaryPresent {
+    @BeforeEach
+    void lead() {
+      leadWith(A, 1);
+      poll(1_000);
+    }
+
+    @Test
+    void should_give_no_cause_while_it_leads() {
+      assertThat(watch.cause()).isEmpty();
+      assertThat(watch.leader()).map(Leader::member).contains(A);
+    }
+
+    @Test
+    void should_be_replaced_at_once_after_it_was_restarted() {
+      members.get(A).restart();
+
+      poll(200);
+
+      assertThat(watch.cause()).contains(PromotionCause.PRIMARY_DEPOSED);
+    }
+
+    @Test
+    void should_be_replaced_when_it_is_leaving() {
+      watch.configured(database, Set.of(A));
+
+      poll(200);
+
+      assertThat(watch.cause()).contains(PromotionCause.PRIMARY_LEAVING);
+      assertThat(step.promotion()).map(PromotionPlan::leaving).contains(Set.of(A));
+    }
+
+    @Test
+    void should_be_replaced_when_a_majority_has_seen_a_newer_term() {
+      members.get(B).take(new EndpointCall.Fence(2, "dead driver"));
+      members.get(C).take(new EndpointCall.Fence(2, "dead driver"));
+
+      poll(700);
+
+      assertThat(watch.cause()).contains(PromotionCause.TERM_ABANDONED);
+    }
+
+    @Test
+    void should_be_replaced_later_when_one_member_is_ahead() {
+      members.get(B).take(new EndpointCall.Fence(2, "dead driver"));
+
+      poll(900);
+      Optional<PromotionCause> early = watch.cause();
+      poll(1_000);
+
+      assertThat(early).isEmpty();
+      assertThat(watch.cause()).contains(PromotionCause.TERM_ABANDONED);
+    }
+
+    @Test
+    void should_be_published_when_its_driver_did_not() {
+      boolean due = false;
+      for (int i = 0; i < 30; i++) {
+        poll(100);
+        due |= step.publication().isPresent();
+      }
+
+      assertThat(due).isTrue();
+    }
+  }
+
+  @Nested
+  class Followers {
+    @Test
+    void should_be_set_to_follow_when_they_come_back() {
+      leadWith(B, 2);
+      poll(200);
+      members.get(C).restart();
+
+      List<MemberId> followed = new ArrayList<>();
+      for (int i = 0; i < 10; i++) {
+        poll(100);
+        step.follows().forEach(follow -> followed.add(follow.member()));
+      }
+
+      assertThat(followed).contains(C).doesNotContain(A, B);
+    }
+  }
+
+  @Nested
+  class Invariant {
+    @Test
+    void should_be_violated_by_two_primaries_in_one_term() {
+      leadWith(A, 1);
+      poll(600);
+      FakeMember rogue = new FakeMember(B, member -> {});
+      rogue.take(new EndpointCall.Fence(1, "rogue"));
+      rogue.take(new EndpointCall.Promote(1, "rogue"));
+
+      watch.replied(B, rogue.standing(), nowMillis, nowMillis);
+
+      assertThat(violations).contains(InvariantName.TERM_HAS_ONE_DRIVER);
+    }
+
+    @Test
+    void should_be_violated_by_a_term_that_starts_below_a_confirmed_entry() {
+      leadWith(A, 1);
+      for (int i = 0; i < 5; i++) {
+        members.get(A).append();
+      }
+      poll(1_200);
+
+      watch.promoted(2, B, new Position(2, 3), nowMillis);
+
+      assertThat(violations).containsExactly(InvariantName.CONFIRMED_ENTRIES_SURVIVE);
+    }
+  }
+
+  private void leadWith(MemberId primary, long term) {
+    members.get(primary).take(new EndpointCall.Fence(term, "driver"));
+    members.get(primary).take(new EndpointCall.Promote(term, "driver"));
+    for (MemberRecord record : database.members()) {
+      if (!record.id().equals(primary)) {
+        members.get(record.id()).take(new EndpointCall.Follow(term, primary, record.address()));
+      }
+    }
+  }
+
+  /** Polls every 100 ms and answers at once for the members that are up. */
+  private void poll(long millis) {
+    for (long end = nowMillis + millis; nowMillis < end; ) {
+      nowMillis += DatabaseWatch.POLL_MILLIS;
+      replicate();
+      step = watch.poll(0, nowMillis);
+      for (MemberId member : step.polls()) {
+        EndpointReply reply =
+            down.contains(member) ? new EndpointReply.NoReply() : members.get(member).standing();
+        watch.replied(member, reply, nowMillis, nowMillis);
+      }
+    }
+  }
+
+  private void replicate() {
+    for (FakeMember member : members.values()) {
+      member.primary().ifPresent(primary -> member.pull(members.get(primary), 100));
+    }
+  }
+}
--- a/core/src/test/java/org/sardinebay/internal/version/PromotionSimulation.java
+++ b/core/src/test/java/org/sardinebay/internal/version/PromotionSimulation.java
@@ -15,8 +15,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.sardinebay.Address;
-import org.sardinebay.DatabaseId;
-import org.sardinebay.FailureDomain;
 import org.sardinebay.MemberId;
 import org.sardinebay.Position;
 import org.sardinebay.endpoint.EndpointCall;
@@ -24,7 +22,6 @@
 import org.sardinebay.endpoint.MemberRole;
 import org.sardinebay.platform.PlatformFailure;
 import org.sardinebay.platform.PlatformResult;
-import org.sardinebay.record.AckPolicyName;
 import org.sardinebay.record.DatabaseRecord;
 import org.sardinebay.record.MemberRecord;
 
@@ -62,16 +59,10 @@
 
   PromotionSimulation(long seed, int memberCount) {
     random = new Random(seed);
-    List<MemberRecord> records = new ArrayList<>();
-    for (int i = 0; i < memberCount; i++) {
-      MemberId id = new MemberId("m" + i);
-      records.add(
-          new MemberRecord(id, new Address("127.0.0.1", i + 1), new FailureDomain("hall-" + i)));
-      members.put(id, new FakeMember(id, this::promoted));
+    database = PromotionSamples.database(memberCount);
+    for (MemberRecord record : database.members()) {
+      members.put(record.id(), new FakeMember(record.id(), this::promoted));
     }
-    database =
-        new DatabaseRecord(
-            new DatabaseId("contracts-1"), "s", records, 20, 3, AckPolicyName.MAJORITY);
     for (int i = 0; i < DRIVERS; i++) {
       drivers.add(new Driver(i));
     }
--- /dev/null
+++ b/core/src/test/java/org/sardinebay/internal/version/SilenceEvidenceTest.java
@@ -0,0 +1,54 @@
+package org.sardinebay.internal.version;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.FailureDomain;
+
+class SilenceEvidenceTest {
+  private static final FailureDomain WACO = new FailureDomain("waco-hall");
+  private static final FailureDomain LUBBOCK = new FailureDomain("lubbock-hall");
+  private static final FailureDomain VICTORIA = new FailureDomain("victoria-hall");
+  private static final Set<FailureDomain> ALL = Set.of(WACO, LUBBOCK, VICTORIA);
+  private static final long TERM = 4;
+
+  private final SilenceEvidence evidence = new SilenceEvidence();
+
+  @Nested
+  class Conclusive {
+    @Test
+    void should_hold_when_two_of_three_failure_domains_find_the_primary_silent() {
+      evidence.reported(WACO, TERM, 600, 1_000);
+      evidence.reported(LUBBOCK, TERM, 500, 1_000);
+      evidence.reported(VICTORIA, TERM, 20, 1_000);
+
+      assertThat(evidence.conclusive(ALL, TERM, 1_000)).isTrue();
+    }
+
+    @Test
+    void should_not_hold_when_only_one_host_is_cut_off_from_the_primary() {
+      evidence.reported(WACO, TERM, 60_000, 1_000);
+      evidence.reported(LUBBOCK, TERM, 20, 1_000);
+
+      assertThat(evidence.conclusive(ALL, TERM, 1_000)).isFalse();
+    }
+
+    @Test
+    void should_not_hold_on_reports_about_another_term() {
+      evidence.reported(WACO, TERM, 600, 1_000);
+      evidence.reported(LUBBOCK, TERM - 1, 600, 1_000);
+
+      assertThat(evidence.conclusive(ALL, TERM, 1_000)).isFalse();
+    }
+
+    @Test
+    void should_not_hold_on_old_reports() {
+      evidence.reported(WACO, TERM, 600, 1_000);
+      evidence.reported(LUBBOCK, TERM, 600, 1_000);
+
+      assertThat(evidence.conclusive(ALL, TERM, 2_000)).isFalse();
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinebay/internal/version/WatcherAssignmentTest.java
@@ -0,0 +1,99 @@
+package org.sardinebay.internal.version;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.Address;
+import org.sardinebay.FailureDomain;
+import org.sardinebay.HostId;
+import org.sardinebay.record.DatabaseRecord;
+
+class WatcherAssignmentTest {
+  private static final int HOSTS_PER_DOMAIN = 4;
+
+  private final DatabaseRecord database = PromotionSamples.database(3);
+  private final List<ControllerInfo> controllers = controllers();
+
+  @Nested
+  class Duties {
+    @Test
+    void should_make_one_controller_of_each_failure_domain_active() {
+      List<WatchDuty> active = activeDuties(Set.of());
+
+      assertThat(active).extracting(WatchDuty::rank).containsExactlyInAnyOrder(0, 1, 2);
+    }
+
+    @Test
+    void should_pass_to_the_next_controller_when_the_first_is_silent() {
+      Set<HostId> silent = new HashSet<>();
+      for (ControllerInfo controller : controllers) {
+        duties(controller).stream()
+            .filter(duty -> duty.predecessors().isEmpty())
+            .forEach(duty -> silent.add(controller.host()));
+      }
+
+      List<WatchDuty> active = activeDuties(silent);
+
+      assertThat(active).hasSize(6);
+    }
+
+    @Test
+    void should_be_empty_in_a_failure_domain_without_members() {
+      ControllerInfo elsewhere =
+          new ControllerInfo(
+              new HostId("far-1"), new FailureDomain("far"), new Address("127.0.0.1", 99));
+
+      assertThat(duties(elsewhere)).isEmpty();
+    }
+
+    @Test
+    void should_name_two_controllers_to_ask_in_each_other_failure_domain() {
+      WatchDuty duty =
+          controllers.stream().flatMap(own -> duties(own).stream()).findFirst().orElseThrow();
+
+      assertThat(duty.otherWatchers()).hasSize(4);
+    }
+  }
+
+  @Nested
+  class PlatformWatchers {
+    @Test
+    void should_be_two_of_each_failure_domain_and_the_same_on_every_process() {
+      List<HostId> first = watchers(controllers.get(0));
+
+      assertThat(first).hasSize(6);
+      assertThat(controllers).allSatisfy(own -> assertThat(watchers(own)).isEqualTo(first));
+    }
+  }
+
+  private List<HostId> watchers(ControllerInfo own) {
+    return new WatcherAssignment(own, controllers).platformWatchers();
+  }
+
+  private List<WatchDuty> duties(ControllerInfo own) {
+    return new WatcherAssignment(own, controllers).duties(List.of(database));
+  }
+
+  private List<WatchDuty> activeDuties(Set<HostId> silent) {
+    return controllers.stream()
+        .flatMap(own -> duties(own).stream())
+        .filter(duty -> duty.active(silent::contains))
+        .toList();
+  }
+
+  private List<ControllerInfo> controllers() {
+    List<ControllerInfo> all = new ArrayList<>();
+    for (FailureDomain domain : WatcherAssignment.domains(database)) {
+      for (int i = 0; i < HOSTS_PER_DOMAIN; i++) {
+        HostId host = new HostId(domain + "-" + i);
+        all.add(new ControllerInfo(host, domain, new Address("127.0.0.1", all.size() + 1)));
+      }
+    }
+    return all;
+  }
+}
