Name lists by database, and draw more faults in a short run

And a run of 30 s had only the faults that every schedule has.

Change: list names hold the database; rounds of 5.7 s instead of 7 s, five at least, each fault on a primary perhaps with another beside it; a change of primary that was in time counts even if a second fault was near.

--- a/standins/src/main/java/org/sardinebay/standins/driver/CallerSession.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/CallerSession.java
@@ -103,7 +103,7 @@
   }
 
   private void write(String database) {
-    String key = random.nextBoolean() ? lists.own(name) : lists.shared(database, random);
+    String key = random.nextBoolean() ? lists.own(database, name) : lists.shared(database, random);
     String value = Keys.value(key, name, number++);
     boolean repeatable = chance(REPEATABLE_PERCENT);
     String idempotencyKey = "key-" + value;
--- a/standins/src/main/java/org/sardinebay/standins/driver/FaultSchedule.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/FaultSchedule.java
@@ -16,8 +16,8 @@
  */
 final class FaultSchedule {
   private static final long FIRST_MILLIS = 1_500;
-  private static final long ROUND_MILLIS = 7_000;
-  private static final int MIN_ROUNDS = 4;
+  private static final long ROUND_MILLIS = 5_700;
+  private static final int MIN_ROUNDS = 5;
   private static final long MIN_DURATION_MILLIS = 3_200;
   private static final int DURATION_RANGE_MILLIS = 2_000;
   private static final int MAX_OFFSET_MILLIS = 1_200;
@@ -83,19 +83,22 @@
   /** The first rounds, wherever they come, hold what every schedule has. */
   private List<Fault> round(int number, long startMillis) {
     return switch (number) {
-      case 0 -> List.of(onPrimary(startMillis));
+      case 0 -> perhapsWithAnother(onPrimary(startMillis));
       case 1 -> List.of(terminate(startMillis), free(later(startMillis), BESIDE_SHUTDOWN));
       case 2 -> List.of(leaving(startMillis), racing(later(startMillis)));
       case 3 -> List.of(outage(startMillis), racing(later(startMillis)));
       default ->
-          random.nextBoolean()
-              ? List.of(free(startMillis, FREE))
-              : List.of(
-                  random.nextBoolean() ? onPrimary(startMillis) : free(startMillis, FREE),
-                  free(later(startMillis), FREE));
+          perhapsWithAnother(
+              random.nextBoolean() ? onPrimary(startMillis) : free(startMillis, FREE));
     };
   }
 
+  private List<Fault> perhapsWithAnother(Fault fault) {
+    return random.nextBoolean()
+        ? List.of(fault)
+        : List.of(fault, free(later(fault.atMillis()), FREE));
+  }
+
   private long later(long startMillis) {
     return startMillis + random.nextInt(MAX_OFFSET_MILLIS);
   }
--- a/standins/src/main/java/org/sardinebay/standins/driver/ListNames.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/ListNames.java
@@ -6,7 +6,10 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** Names the lists that sessions write to; moves on to a new list before one grows long. */
+/**
+ * Names the lists that sessions write to; moves on to a new list before one grows long. No two
+ * databases have a list of the same name.
+ */
 final class ListNames {
   private static final int MAX_LIST_LENGTH = 40;
   private static final int SHARED_LISTS = 4;
@@ -15,8 +18,8 @@
   private final Map<String, AtomicLong> uses = new ConcurrentHashMap<>();
 
   /** A list of one session's own. */
-  String own(String session) {
-    return next("own:" + session);
+  String own(String database, String session) {
+    return next("own:" + database + ":" + session);
   }
 
   /** A list that all sessions write to. */
--- a/standins/src/main/java/org/sardinebay/standins/driver/ServingCheck.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/ServingCheck.java
@@ -57,12 +57,13 @@
   private void checkChange(
       PointResult result, FaultEvent fault, String database, long trafficEndMillis) {
     long dueMillis = fault.startMillis() + MAX_GAP_MILLIS;
-    if (trafficEndMillis < dueMillis || disturbed(fault, dueMillis, database)) {
+    Optional<Attempt> first = firstDone(database, fault.startMillis());
+    boolean inTime = first.isPresent() && first.get().endMillis() <= dueMillis;
+    if (!inTime && (trafficEndMillis < dueMillis || disturbed(fault, dueMillis, database))) {
       return;
     }
-    Optional<Attempt> first = firstDone(database, fault.startMillis());
     result.check(
-        first.isPresent() && first.get().endMillis() <= dueMillis,
+        inTime,
         "%s of %s with the primary of %s at %d ms: the first write done after it ended at %s"
             .formatted(
                 fault.kind().spelling(),
@@ -73,13 +74,14 @@
   }
 
   private void checkOutage(PointResult result, FaultEvent fault, String database) {
-    if (disturbed(fault, fault.endMillis(), database)) {
-      return;
-    }
     long fromMillis = fault.startMillis() + OUTAGE_SETTLE_MILLIS;
     Optional<Attempt> first = firstDone(database, fromMillis);
+    boolean inTime = first.isPresent() && first.get().endMillis() <= fault.endMillis();
+    if (!inTime && disturbed(fault, fault.endMillis(), database)) {
+      return;
+    }
     result.check(
-        first.isPresent() && first.get().endMillis() <= fault.endMillis(),
+        inTime,
         "%s took no write in the platform's outage of %d to %d ms"
             .formatted(database, fromMillis, fault.endMillis()));
   }
