Change no fault of the endpoint stand-in when one field is wrong

Cause: a try with a real process showed that /admin/faults answered 400 for an unknown field, yet had already taken over the others.

Change: the fields are read first and taken over together, or not at all.

Before the change the process kept loseReplies from a refused call.

--- a/standins/src/main/java/org/sardinebay/standins/endpoint/EndpointProcess.java
+++ b/standins/src/main/java/org/sardinebay/standins/endpoint/EndpointProcess.java
@@ -202,18 +202,7 @@
 
   private CompletableFuture<HttpReply> changeFaults(HttpCall call) {
     FieldReader reader = FieldReader.of(call.body().orElseGet(MissingNode::getInstance));
-    step(
-        now -> {
-          replyFaults.read(reader);
-          faults =
-              new MemberFaults(
-                  reader.number("applyLagMillis", 0, MAX_LAG_MILLIS, faults.applyLagMillis()),
-                  reader.number("receiveLagMillis", 0, MAX_LAG_MILLIS, faults.receiveLagMillis()),
-                  reader.flag("leaving", faults.leaving()),
-                  reader.flag("freezeApply", faults.freezeApply()));
-          member.faults(now, faults);
-        });
-    reader.rejectUnknownFields();
+    step(now -> changeFaults(now, reader));
     HttpReply reply;
     if (reader.problems().isEmpty()) {
       synchronized (lock) {
@@ -225,6 +214,22 @@
     return CompletableFuture.completedFuture(reply);
   }
 
+  private void changeFaults(long now, FieldReader reader) {
+    ReplyFaults.Counts counts = replyFaults.read(reader);
+    MemberFaults changed =
+        new MemberFaults(
+            reader.number("applyLagMillis", 0, MAX_LAG_MILLIS, faults.applyLagMillis()),
+            reader.number("receiveLagMillis", 0, MAX_LAG_MILLIS, faults.receiveLagMillis()),
+            reader.flag("leaving", faults.leaving()),
+            reader.flag("freezeApply", faults.freezeApply()));
+    reader.rejectUnknownFields();
+    if (reader.problems().isEmpty()) {
+      replyFaults.set(counts);
+      faults = changed;
+      member.faults(now, faults);
+    }
+  }
+
   private ObjectNode dumpFaults() {
     ObjectNode tree = Json.newObject();
     tree.put("applyLagMillis", faults.applyLagMillis())
--- a/standins/src/main/java/org/sardinebay/standins/endpoint/ReplyFaults.java
+++ b/standins/src/main/java/org/sardinebay/standins/endpoint/ReplyFaults.java
@@ -35,6 +35,14 @@
    */
   record Delivery(PendingReply pending, ObjectNode body) {}
 
+  /**
+   * How many replies are still to be disturbed.
+   *
+   * @param lose how many are lost
+   * @param cross how many pairs are swapped
+   */
+  record Counts(long lose, long cross) {}
+
   /** What is delivered now, when a reply is ready. */
   List<Delivery> pass(Delivery delivery, EndpointReply reply) {
     if (!delivery.pending().execute()) {
@@ -61,9 +69,16 @@
     return List.of(delivery);
   }
 
-  void read(FieldReader reader) {
-    lose = reader.number(LOSE_REPLIES, 0, MAX_COUNT, lose);
-    cross = reader.number(CROSS_REPLIES, 0, MAX_COUNT, cross);
+  /** Reads new counts; what is absent stays. Nothing changes before {@link #set}. */
+  Counts read(FieldReader reader) {
+    return new Counts(
+        reader.number(LOSE_REPLIES, 0, MAX_COUNT, lose),
+        reader.number(CROSS_REPLIES, 0, MAX_COUNT, cross));
+  }
+
+  void set(Counts counts) {
+    lose = counts.lose();
+    cross = counts.cross();
   }
 
   void dump(ObjectNode tree) {
--- a/standins/src/test/java/org/sardinebay/standins/endpoint/HttpEndpointClientContractTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/endpoint/HttpEndpointClientContractTest.java
@@ -169,6 +169,13 @@
       assertThat(again).isEqualTo(new EndpointReply.Done(List.of(), new Position(1, 2), true));
     }
 
+    @Test
+    void should_change_no_fault_when_one_field_is_wrong() {
+      faults(Json.newObject().put("loseReplies", 3).put("unheardOf", 1));
+
+      assertThat(primaryProcess.dump().path("faults").path("loseReplies").asInt()).isZero();
+    }
+
     @Test
     void should_recognise_swapped_replies() {
       String one = open(primary);
