Cover two gaps that taking mechanisms out showed

Cause: with the comparison of generations in Acceptance, or the filter on when a standing was asked for in DatabaseWatch, taken out, no test failed.

Change: a test for each.

--- a/core/src/test/java/org/sardinebay/internal/version/AcceptanceQueueTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/AcceptanceQueueTest.java
@@ -72,6 +72,15 @@
       assertThat(due(LONG_AFTER)).isEmpty();
     }
 
+    @Test
+    void should_wait_for_the_record_when_the_status_is_ahead_of_it() {
+      queue.listed(List.of(record(6, 1_000)), 0);
+
+      queue.listed(List.of(status(record(7, 5_000), 8)), 0);
+
+      assertThat(due(LONG_AFTER)).isEmpty();
+    }
+
     @Test
     void should_expect_the_version_of_the_present_status() {
       accept(record(7, 5_000), 8);
@@ -129,6 +138,10 @@
   }
 
   private List<VersionedRecord> accept(PlatformObject record, long version) {
+    return queue.listed(List.of(record, status(record, version)), 0);
+  }
+
+  private static PlatformObject status(PlatformObject record, long version) {
     AcceptedRecord status =
         new AcceptedRecord(
             record.version(),
@@ -137,8 +150,7 @@
             record.body(),
             record.version(),
             false);
-    ObjectKey key = AcceptedRecord.key(record.key());
-    return queue.listed(List.of(record, new PlatformObject(key, version, false, status.body())), 0);
+    return new PlatformObject(AcceptedRecord.key(record.key()), version, false, status.body());
   }
 
   private static PlatformObject record(long version, long maxAgeMillis) {
--- a/core/src/test/java/org/sardinebay/internal/version/DatabaseWatchTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/DatabaseWatchTest.java
@@ -136,6 +136,19 @@
       assertThat(watch.cause()).contains(PromotionCause.PRIMARY_DEPOSED);
     }
 
+    @Test
+    void should_not_be_replaced_for_what_it_said_before_it_was_promoted() {
+      members.get(B).take(new EndpointCall.Fence(2, "driver"));
+      watch.replied(B, members.get(B).standing(), nowMillis, nowMillis);
+      members.get(C).take(new EndpointCall.Follow(2, B, database.members().get(1).address()));
+      watch.replied(C, members.get(C).standing(), nowMillis, nowMillis);
+
+      watch.poll(0, nowMillis + 50);
+
+      assertThat(watch.leader()).map(Leader::member).contains(B);
+      assertThat(watch.cause()).isEmpty();
+    }
+
     @Test
     void should_be_replaced_when_it_is_leaving() {
       watch.configured(database, Set.of(A));
--- a/core/src/test/java/org/sardinebay/internal/version/PromotionBench.java
+++ b/core/src/test/java/org/sardinebay/internal/version/PromotionBench.java
@@ -83,7 +83,7 @@
     while (outcome.isEmpty() && nowMillis < end) {
       next();
     }
-    events.forEach(event -> event.action.run());
+    List.copyOf(events).forEach(event -> event.action.run());
     events.clear();
   }
 
