Print reads by reason and failures by code in the driver

Cause: the share of refused requests in bin/prove and of aged reads at the primary had no explanation in the output. Ruled out: reading it from logs. Change: one line for each reason and code.

--- a/standins/src/main/java/org/sardinebay/standins/driver/MeasurementReport.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/MeasurementReport.java
@@ -6,7 +6,9 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.HdrHistogram.Histogram;
 
 /** Prints figures as {@code key=value}, one a line. */
@@ -132,6 +134,11 @@
     print("replica_share" + suffix, share(replica, all));
     print("oracle_share" + suffix, share(oracle, all));
     print("replica_of_oracle" + suffix, share(replica, oracle));
+    reads.keySet().stream()
+        .filter(wanted)
+        .map(read -> read.attempt().answer().servedBy().reason())
+        .collect(Collectors.groupingBy(reason -> reason, TreeMap::new, Collectors.counting()))
+        .forEach((reason, count) -> print("reads" + suffix + "_" + reason, count));
   }
 
   private void latency(String name, List<Attempt> attempts, Predicate<Attempt> wanted) {
--- a/standins/src/main/java/org/sardinebay/standins/driver/ProveCommand.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/ProveCommand.java
@@ -137,6 +137,11 @@
             out.printf(
                 "outcome=%s share=%.4f count=%d%n",
                 FieldReader.spelling(outcome), (double) count / all, count));
+    history
+        .attempts()
+        .filter(attempt -> !attempt.code().isEmpty())
+        .collect(Collectors.groupingBy(Attempt::code, TreeMap::new, Collectors.counting()))
+        .forEach((code, count) -> out.printf("code=%s count=%d%n", code, count));
     return counts.getOrDefault(Outcome.DONE, 0L);
   }
 
