--- a/standins/src/main/java/org/sardinebay/standins/driver/ProveCommand.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/ProveCommand.java
@@ -139,8 +139,9 @@
                 FieldReader.spelling(outcome), (double) count / all, count));
     history
         .attempts()
-        .filter(attempt -> !attempt.code().isEmpty())
-        .collect(Collectors.groupingBy(Attempt::code, TreeMap::new, Collectors.counting()))
+        .map(attempt -> attempt.answer().code())
+        .filter(code -> !code.isEmpty())
+        .collect(Collectors.groupingBy(code -> code, TreeMap::new, Collectors.counting()))
         .forEach((code, count) -> out.printf("code=%s count=%d%n", code, count));
     return counts.getOrDefault(Outcome.DONE, 0L);
   }
