Ask all members of a database on the same ticks

Change: questions fall on common ticks and count as asked at the tick; reads whose age is not proved say so in their reason.

--- a/core/src/main/java/org/sardinebay/RouteReason.java
+++ b/core/src/main/java/org/sardinebay/RouteReason.java
@@ -14,6 +14,8 @@
   REPLICA_EXPECTED_IN_TIME,
   /** No replica is expected to reach the position in time. */
   REPLICAS_BEHIND,
+  /** No answer of the primary young enough is ratified yet, so that no replica's age is proved. */
+  AGE_NOT_PROVED,
   /** Replicas that were tried had not reached the position. */
   REPLICAS_TRIED
 }
--- a/core/src/main/java/org/sardinebay/internal/request/ReadRouter.java
+++ b/core/src/main/java/org/sardinebay/internal/request/ReadRouter.java
@@ -82,7 +82,7 @@
 
   private ReadRoute ageUnproved(
       DatabaseView view, ReadNeed need, Position least, Set<MemberId> tried, long now) {
-    ReadRoute primary = toPrimary(view, least, tried, RouteReason.REPLICAS_BEHIND, now);
+    ReadRoute primary = toPrimary(view, least, tried, RouteReason.AGE_NOT_PROVED, now);
     return primary instanceof ReadRoute.ToMember
         ? primary
         : new ReadRoute.Nowhere(new Failure.AgeNotProvable(need.maxAgeMillis().getAsLong()));
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/version/ProgressPoller.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/version/ProgressPoller.java
@@ -10,12 +10,17 @@
 /**
  * Asks one member again and again where it stands: at an interval while all is quiet, and with a
  * waiting question while writes wait to be confirmed.
+ *
+ * <p>The questions to all members of a database fall on the same ticks, and count as asked at the
+ * tick, so that one round of answers proves an age; a proof needs a majority whose questions are
+ * not older than the one to the primary.
  */
 final class ProgressPoller {
   private static final long BUSY_INTERVAL_MILLIS = 50;
   private static final long QUIET_INTERVAL_MILLIS = 150;
   private static final long WAIT_MILLIS = 60;
   private static final long ANSWER_TIMEOUT_MILLIS = 300;
+  private static final long ASKED_AT_GRAIN_MILLIS = 10;
 
   private final ProxyRuntime runtime;
   private final DatabaseShard shard;
@@ -41,7 +46,8 @@
       pending.cancel(false);
     }
     asking = true;
-    long askedAt = runtime.clock().millis();
+    long now = runtime.clock().millis();
+    long askedAt = now - now % ASKED_AT_GRAIN_MILLIS;
     long waitMillis = shard.confirmationsAwaited() ? WAIT_MILLIS : 0;
     EndpointCall call = new EndpointCall.Progress(shard.term(), receivedIndex, waitMillis);
     var unused =
@@ -80,7 +86,8 @@
       }
     }
     long interval = shard.busy() ? BUSY_INTERVAL_MILLIS : QUIET_INTERVAL_MILLIS;
-    pending = runtime.timer().schedule(this::ask, interval, TimeUnit.MILLISECONDS);
+    long delay = interval - runtime.clock().millis() % interval;
+    pending = runtime.timer().schedule(this::ask, delay, TimeUnit.MILLISECONDS);
     return false;
   }
 }
