--- a/core/src/main/java/org/sardinebay/internal/request/WriteMachine.java
+++ b/core/src/main/java/org/sardinebay/internal/request/WriteMachine.java
@@ -127,14 +127,17 @@
   }
 
   /**
-   * Takes in that the call was given up before it was sent, for lack of a connection.
+   * Takes in that no connection was to be had before the call was sent.
    *
    * @param failure why
    * @param retryAfterMillis when the caller may come back
-   * @return the final answer
+   * @param view what is known of the database
+   * @param now the time
+   * @return the final answer: what is wrong with the primary, if anything is, else the failure
    */
-  public WriteStep onNotSent(Failure failure, long retryAfterMillis) {
-    return giveUp(failure, retryAfterMillis);
+  public WriteStep onNotSent(Failure failure, long retryAfterMillis, DatabaseView view, long now) {
+    WriteStep next = next(view, now);
+    return next instanceof WriteStep.Send ? giveUp(failure, retryAfterMillis) : next;
   }
 
   /**
--- a/core/src/main/java/org/sardinebay/internal/version/DatabaseWatch.java
+++ b/core/src/main/java/org/sardinebay/internal/version/DatabaseWatch.java
@@ -46,6 +46,7 @@
   private final FailureDomain ownDomain;
   private final Invariants invariants;
   private final FailureDetector<MemberId> detector;
+  private final ReplicationStall stall = new ReplicationStall();
   private final SilenceEvidence evidence = new SilenceEvidence();
   private final MemberViews views = new MemberViews();
   private final Map<MemberId, Long> lastAsked = new HashMap<>();
@@ -245,11 +246,25 @@
     if (abandoned(known, nowMillis)) {
       return Optional.of(PromotionCause.TERM_ABANDONED);
     }
+    if (cutOff(known, nowMillis)) {
+      return Optional.of(PromotionCause.PRIMARY_CUT_OFF);
+    }
     return leaving(known, nowMillis)
         ? Optional.of(PromotionCause.PRIMARY_LEAVING)
         : Optional.empty();
   }
 
+  private boolean cutOff(Leader known, long nowMillis) {
+    long followers = views.fresh(nowMillis).stream().filter(view -> view.follows(known)).count();
+    Optional<Position> primaryHas =
+        views
+            .fresh(known.member(), nowMillis)
+            .filter(view -> view.leads(known.term()) && followers >= database.majority())
+            .map(view -> view.standing().received());
+    Optional<Position> majorityHas = views.receivedBy(database.majority(), known.term());
+    return stall.observe(primaryHas, majorityHas, nowMillis);
+  }
+
   private boolean silent(Leader known, long nowMillis) {
     return detector.suspects(known.member(), nowMillis)
         && evidence.conclusive(WatcherAssignment.domains(database), known.term(), nowMillis);
@@ -281,9 +296,7 @@
         views.fresh(nowMillis).stream()
             .filter(view -> !leaving.contains(view.standing().member()))
             .count();
-    return leaving.contains(known.member())
-        && staying > 0
-        && views.fresh(nowMillis).size() >= database.majority();
+    return leaving.contains(known.member()) && staying >= database.majority();
   }
 
   private Set<MemberId> leavingMembers(long nowMillis) {
@@ -304,6 +317,10 @@
   }
 
   private PromotionPlan plan(PromotionCause why, long nowMillis) {
+    Set<MemberId> passedOver = leavingMembers(nowMillis);
+    if (why == PromotionCause.PRIMARY_CUT_OFF) {
+      passedOver.add(leader.orElseThrow().member());
+    }
     Optional<MemberId> silentMember =
         why == PromotionCause.PRIMARY_SILENT ? leader.map(Leader::member) : Optional.empty();
     return new PromotionPlan(
@@ -312,7 +329,7 @@
         leader.map(Leader::term).orElse(0L),
         views.highestTerm(),
         silentMember,
-        leavingMembers(nowMillis),
+        passedOver,
         views.applyLags());
   }
 
@@ -374,7 +391,8 @@
   }
 
   private long pollInterval(MemberId member) {
-    boolean settled = leader.isPresent() && cause.isEmpty() && aheadSinceMillis.isEmpty();
+    boolean settled =
+        leader.isPresent() && cause.isEmpty() && aheadSinceMillis.isEmpty() && !stall.pending();
     boolean replica = leader.filter(known -> known.member().equals(member)).isEmpty();
     return settled && replica ? REPLICA_POLL_MILLIS : POLL_MILLIS;
   }
--- a/core/src/main/java/org/sardinebay/internal/version/PromotionCause.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PromotionCause.java
@@ -6,6 +6,8 @@
   PRIMARY_SILENT,
   /** The primary is closing down. */
   PRIMARY_LEAVING,
+  /** The primary is there, but its entries reach no majority of the members. */
+  PRIMARY_CUT_OFF,
   /** The former primary answers, but leads its term no more: it was restarted or fenced. */
   PRIMARY_DEPOSED,
   /** Some member has seen a newer term that nobody leads. */
--- a/core/src/test/java/org/sardinebay/internal/version/DatabaseWatchTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/DatabaseWatchTest.java
@@ -36,6 +36,7 @@
       new DatabaseWatch(database, OWN, (name, detail) -> violations.add(name), 0);
   private long nowMillis;
   private WatchStep step;
+  private boolean linked = true;
 
   @BeforeEach
   void createMembers() {
@@ -159,6 +160,36 @@
       assertThat(step.promotion()).map(PromotionPlan::leaving).contains(Set.of(A));
     }
 
+    @Test
+    void should_not_be_replaced_for_leaving_while_too_few_others_stay() {
+      watch.configured(database, Set.of(A, B));
+
+      poll(2_000);
+
+      assertThat(watch.cause()).isEmpty();
+    }
+
+    @Test
+    void should_be_replaced_by_another_when_its_entries_reach_no_majority() {
+      members.get(A).append();
+
+      linked = false;
+      poll(2_000);
+
+      assertThat(watch.cause()).contains(PromotionCause.PRIMARY_CUT_OFF);
+      assertThat(step.promotion()).map(PromotionPlan::leaving).contains(Set.of(A));
+    }
+
+    @Test
+    void should_not_be_replaced_while_entries_still_reach_a_majority() {
+      for (int i = 0; i < 30; i++) {
+        members.get(A).append();
+        poll(100);
+      }
+
+      assertThat(watch.cause()).isEmpty();
+    }
+
     @Test
     void should_be_replaced_when_a_majority_has_seen_a_newer_term() {
       members.get(B).take(new EndpointCall.Fence(2, "dead driver"));
@@ -265,6 +296,9 @@
   }
 
   private void replicate() {
+    if (!linked) {
+      return;
+    }
     for (FakeMember member : members.values()) {
       member.primary().ifPresent(primary -> member.pull(members.get(primary), 100));
     }
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/connection/MemberGateway.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/connection/MemberGateway.java
@@ -44,6 +44,7 @@
   private static final long OPEN_TIMEOUT_MILLIS = 500;
   private static final long CLOSE_TIMEOUT_MILLIS = 500;
   private static final long OPEN_BACKOFF_MILLIS = 50;
+  private static final long MIN_RETRY_AFTER_MILLIS = 100;
   private static final double HOLD_WEIGHT = 0.05;
 
   private final MemberId member;
@@ -368,7 +369,8 @@
     }
 
     void deny(Failure failure, long retryAfterMillis) {
-      acquired.complete(new Acquired.Denied(failure, retryAfterMillis));
+      long later = Math.max(MIN_RETRY_AFTER_MILLIS, retryAfterMillis);
+      acquired.complete(new Acquired.Denied(failure, later));
     }
   }
 }
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/process/EntryService.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/process/EntryService.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.protobuf.ByteString;
 import io.micrometer.core.instrument.Timer;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -129,6 +130,10 @@
     return homes.isEmpty() ? runner.run(request, false) : flow(request, body, homes);
   }
 
+  /**
+   * Brings a request to its transaction's host. A commit whose host does not answer is settled at a
+   * home of the database, by its key.
+   */
   private CompletableFuture<? extends JsonNode> routeTransaction(
       CallerRequest request, JsonNode body) {
     Optional<HostId> host = TransactionTable.host(request.transaction().orElseThrow());
@@ -136,8 +141,12 @@
     if (address.isEmpty() || host.get().equals(runtime.identity().host())) {
       return runner.run(request, false);
     }
-    Home home = new Home(host.get(), address.get(), false);
-    return flow(request, body, List.of(home));
+    List<Home> homes = new ArrayList<>();
+    homes.add(new Home(host.get(), address.get(), false));
+    if (request.kind() == RequestKind.COMMIT) {
+      homes.addAll(fleet.homes(request.database()));
+    }
+    return flow(request, body, homes);
   }
 
   private CompletableFuture<JsonNode> flow(CallerRequest request, JsonNode body, List<Home> homes) {
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/request/RouteFlow.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/request/RouteFlow.java
@@ -34,17 +34,16 @@
   private static final long MIN_ATTEMPT_MILLIS = 500;
   private static final int ATTEMPT_SHARE = 3;
 
-  /** Answers that another home may better. */
+  /** Answers to any request that another home may better. */
   private static final Set<String> WORTH_ANOTHER_HOME =
-      Set.of(
-          "no-primary",
-          "primary-unreachable",
-          "majority-unreachable",
-          "home-unreachable",
-          "shutting-down",
-          "no-configuration",
-          "age-not-provable",
-          "session-not-reached");
+      Set.of("primary-unreachable", "home-unreachable", "shutting-down", "no-configuration");
+
+  /**
+   * Answers to reads that another home may better. A write would be put in doubt by a home that
+   * can't be reached, where the first one could say that it was not run.
+   */
+  private static final Set<String> READS_WORTH_ANOTHER_HOME =
+      Set.of("no-primary", "majority-unreachable", "age-not-provable", "session-not-reached");
 
   private final ProxyRuntime runtime;
   private final RequestRunner runner;
@@ -144,7 +143,7 @@
 
   private void onAnswer(JsonNode json) {
     boolean notRun = json.path("outcome").asText().equals(AnswerWriter.NOT_RUN);
-    if (notRun && WORTH_ANOTHER_HOME.contains(json.path("code").asText())) {
+    if (notRun && worthAnotherHome(json.path("code").asText())) {
       lastNotRun = Optional.of(json);
       retry();
       return;
@@ -153,6 +152,11 @@
     answer.complete(doubtful ? unknown() : json);
   }
 
+  private boolean worthAnotherHome(String code) {
+    boolean read = request.kind() == RequestKind.READ;
+    return WORTH_ANOTHER_HOME.contains(code) || (read && READS_WORTH_ANOTHER_HOME.contains(code));
+  }
+
   private void retry() {
     if (homes.isEmpty() || !runtime.retries().tryRetry()) {
       giveUp();
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/request/WriteFlow.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/request/WriteFlow.java
@@ -117,7 +117,8 @@
   private void onAcquired(MemberId member, Acquired acquired) {
     if (acquired instanceof Acquired.Denied denied) {
       Observed<WriteStep> observed =
-          shard.decide(view -> machine.onNotSent(denied.failure(), denied.retryAfterMillis()));
+          shard.decide(
+              view -> machine.onNotSent(denied.failure(), denied.retryAfterMillis(), view, now()));
       take(observed);
     } else if (acquired instanceof Acquired.Leased leased) {
       sendIfStillPrimary(member, leased.lease());
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/version/ProgressPoller.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/version/ProgressPoller.java
@@ -18,6 +18,10 @@
 final class ProgressPoller {
   private static final long BUSY_INTERVAL_MILLIS = 50;
   private static final long QUIET_INTERVAL_MILLIS = 150;
+
+  /** A member that answers at once, such as one out of sync, is not asked without a pause. */
+  private static final long AWAITING_INTERVAL_MILLIS = 4;
+
   private static final long WAIT_MILLIS = 60;
   private static final long ANSWER_TIMEOUT_MILLIS = 300;
   private static final long ASKED_AT_GRAIN_MILLIS = 10;
@@ -68,26 +72,20 @@
     if (reply instanceof EndpointReply.Standing standing) {
       shard.observe(standing, askedAt);
     }
-    boolean again = schedule(reply);
-    if (again) {
-      ask();
-    }
+    schedule(reply);
   }
 
-  private synchronized boolean schedule(EndpointReply reply) {
+  private synchronized void schedule(EndpointReply reply) {
     asking = false;
     if (stopped) {
-      return false;
+      return;
     }
+    long interval = shard.busy() ? BUSY_INTERVAL_MILLIS : QUIET_INTERVAL_MILLIS;
     if (reply instanceof EndpointReply.Standing standing) {
       receivedIndex = standing.received().index();
-      if (shard.confirmationsAwaited()) {
-        return true;
-      }
+      interval = shard.confirmationsAwaited() ? AWAITING_INTERVAL_MILLIS : interval;
     }
-    long interval = shard.busy() ? BUSY_INTERVAL_MILLIS : QUIET_INTERVAL_MILLIS;
     long delay = interval - runtime.clock().millis() % interval;
     pending = runtime.timer().schedule(this::ask, delay, TimeUnit.MILLISECONDS);
-    return false;
   }
 }
