Hold transactions open at a proxy while it is shut down

Ruled out: easing the rule that a point which checked nothing has failed.

Change: before SIGTERM a transaction of each database is opened at that proxy; it goes on 400 ms after the signal and commits there. The steps of a transaction are a class of their own, which sessions use too.

--- a/standins/src/main/java/org/sardinebay/standins/driver/CallerSession.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/CallerSession.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -125,61 +124,32 @@
   private void transact(String database) {
     String pair = lists.pair(database, random);
     String value = Keys.value(pair, name, number++);
-    String idempotencyKey = "commit-" + value;
-    List<Attempt> statements = new ArrayList<>();
-    List<Attempt> commits = new ArrayList<>();
-    Attempt begin = client.call(proxy, CallRequest.begin(database), TIMEOUT_MILLIS);
-    statements.add(begin);
-    Optional<List<String>> readBack = Optional.empty();
-    if (begin.isDone() && begin.answer().transaction().isPresent()) {
-      String transaction = begin.answer().transaction().get();
+    PairTransaction transaction = new PairTransaction(client, name, proxy, database, pair, value);
+    if (transaction.begin()) {
       boolean ran =
-          runStatement(database, transaction, append(Keys.first(pair), value), statements)
-              && runStatement(database, transaction, append(Keys.second(pair), value), statements)
-              && runStatement(database, transaction, "get " + Keys.first(pair), statements);
-      if (ran) {
-        readBack = Optional.of(statements.get(statements.size() - 1).answer().rows());
-      }
-      Optional<String> key = Optional.of(idempotencyKey);
+          think(transaction.appendFirst())
+              && think(transaction.appendSecond())
+              && transaction.readBack();
       if (ran && !chance(ROLLBACK_PERCENT)) {
-        sendUntilCertain(
-            CallRequest.inTransaction(CallKind.COMMIT, database, "", transaction, key), commits);
+        List<Attempt> commits = new ArrayList<>();
+        sendUntilCertain(transaction.commit(), commits);
+        transaction.committed(commits);
       } else {
-        CallRequest rollback =
-            CallRequest.inTransaction(
-                CallKind.ROLLBACK, database, "", transaction, Optional.empty());
-        statements.add(client.call(proxy, rollback, TIMEOUT_MILLIS));
+        transaction.rollBack();
       }
     } else {
-      settle(begin);
+      settle(transaction.last());
     }
-    history.add(
-        new Operation.Transaction(
-            name,
-            pair,
-            value,
-            idempotencyKey,
-            List.copyOf(statements),
-            List.copyOf(commits),
-            readBack));
+    history.add(transaction.operation());
     remember(database, Keys.first(pair));
   }
 
-  private boolean runStatement(
-      String database, String transaction, String statement, List<Attempt> statements) {
-    if (chance(SLOW_TRANSACTION_PERCENT)) {
+  /** Pauses now and then within a transaction. */
+  private boolean think(boolean goOn) {
+    if (goOn && chance(SLOW_TRANSACTION_PERCENT)) {
       pause(random.nextInt(MAX_THINKING_MILLIS));
     }
-    CallRequest request =
-        CallRequest.inTransaction(
-            CallKind.STATEMENT, database, statement, transaction, Optional.empty());
-    Attempt attempt = client.call(proxy, request, TIMEOUT_MILLIS);
-    statements.add(attempt);
-    return attempt.isDone();
-  }
-
-  private static String append(String key, String value) {
-    return "append " + key + " " + value;
+    return goOn;
   }
 
   /** Sends a request, and again at other proxies while its outcome is not certain. */
--- a/standins/src/main/java/org/sardinebay/standins/driver/FaultInjector.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/FaultInjector.java
@@ -27,13 +27,20 @@
   private final Deployment deployment;
   private final Controls controls;
   private final OperatorRace race;
+  private final OpenTransactions openTransactions;
   private final PlatformFlood flood;
   private final Clock clock;
   private final Random random;
   private final List<FaultEvent> events = new ArrayList<>();
 
-  FaultInjector(Deployment deployment, OperatorRace race, Clock clock, Random random) {
+  FaultInjector(
+      Deployment deployment,
+      OperatorRace race,
+      OpenTransactions openTransactions,
+      Clock clock,
+      Random random) {
     this.deployment = deployment;
+    this.openTransactions = openTransactions;
     this.controls = deployment.controls();
     this.race = race;
     this.flood = new PlatformFlood(controls);
@@ -67,10 +74,13 @@
     String database = databaseOf(target);
     Set<String> lostPrimaries =
         databasesLedIn(fault.kind() == FaultKind.CUT_DOMAIN ? namesIn(target) : List.of(target));
+    List<OpenTransactions.Held> held =
+        fault.kind() == FaultKind.TERMINATE ? openTransactions.open(target) : List.of();
     long startMillis = clock.millis();
     log("fault_started", fault, target);
     try {
       start(fault, target, other);
+      openTransactions.finish(target, held);
       sleep(fault.durationMillis());
       heal(fault, target, other);
     } catch (IOException e) {
--- a/standins/src/main/java/org/sardinebay/standins/driver/MeasureCommand.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/MeasureCommand.java
@@ -85,7 +85,7 @@
           toMillis);
       report.direct(directCaller.latencyMicros());
       clearLags(deployment);
-      List<Failover> failovers = failOver(deployment, options);
+      List<Failover> failovers = failOver(deployment, traffic, options);
       deployment.awaitServing(SERVING_TIMEOUT_MILLIS);
       traffic.stop();
       report.failovers(traffic.history(), failovers);
@@ -103,12 +103,14 @@
    */
   record Failover(String database, FaultKind kind, long term, FailoverWatch.Steps steps) {}
 
-  private List<Failover> failOver(Deployment deployment, Options options)
+  private List<Failover> failOver(Deployment deployment, Traffic traffic, Options options)
       throws IOException, InterruptedException {
     ConfigurationMonitor monitor = ConfigurationMonitor.start(deployment, clock);
     OperatorRace race = new OperatorRace(deployment.controls(), monitor, clock);
     monitor.close();
-    FaultInjector injector = new FaultInjector(deployment, race, clock, new Random(options.seed()));
+    FaultInjector injector =
+        new FaultInjector(
+            deployment, race, traffic.openTransactions(), clock, new Random(options.seed()));
     FailoverWatch watch = new FailoverWatch(deployment.controls(), clock);
     List<Failover> failovers = new ArrayList<>();
     for (FaultKind kind : FAILOVERS) {
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/OpenTransactions.java
@@ -0,0 +1,75 @@
+package org.sardinebay.standins.driver;
+
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+
+/** Holds a transaction of each database open at a proxy while that proxy is shut down. */
+final class OpenTransactions {
+  private static final long TIMEOUT_MILLIS = 2_000;
+  private static final long HOLD_MILLIS = 400;
+  private static final String SESSION = "holder-";
+
+  private final List<String> databases;
+  private final Function<String, CallerClient> clients;
+  private final ListNames lists;
+  private final History history;
+  private final Random random;
+  private final AtomicLong number = new AtomicLong();
+
+  OpenTransactions(
+      List<String> databases,
+      Function<String, CallerClient> clients,
+      ListNames lists,
+      History history,
+      Random random) {
+    this.databases = databases;
+    this.clients = clients;
+    this.lists = lists;
+    this.history = history;
+    this.random = random;
+  }
+
+  /** A transaction that was begun, and whether its first statement ran. */
+  record Held(PairTransaction transaction, CallerClient client, boolean open) {}
+
+  List<Held> open(String proxy) {
+    return databases.stream().map(database -> open(proxy, database)).toList();
+  }
+
+  /** Runs the transactions to their end after a while. */
+  void finish(String proxy, List<Held> held) {
+    if (held.isEmpty()) {
+      return;
+    }
+    pause();
+    for (Held one : held) {
+      PairTransaction transaction = one.transaction();
+      if (one.open() && transaction.appendSecond() && transaction.readBack()) {
+        Attempt commit = one.client().call(proxy, transaction.commit(), TIMEOUT_MILLIS);
+        transaction.committed(List.of(commit));
+      }
+      history.add(transaction.operation());
+    }
+  }
+
+  private Held open(String proxy, String database) {
+    String session = SESSION + database + "-" + number.getAndIncrement();
+    String pair = lists.pair(database, random);
+    CallerClient client = clients.apply(session);
+    PairTransaction transaction =
+        new PairTransaction(client, session, proxy, database, pair, Keys.value(pair, session, 0));
+    boolean open = transaction.begin() && transaction.appendFirst();
+    return new Held(transaction, client, open);
+  }
+
+  private static void pause() {
+    try {
+      TimeUnit.MILLISECONDS.sleep(HOLD_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/standins/src/main/java/org/sardinebay/standins/driver/ProveCommand.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/ProveCommand.java
@@ -67,7 +67,8 @@
         FinalStateReader reader = new FinalStateReader(deployment)) {
       OperatorRace race = new OperatorRace(deployment.controls(), monitor, clock);
       FaultInjector injector =
-          new FaultInjector(deployment, race, clock, new Random(options.seed()));
+          new FaultInjector(
+              deployment, race, traffic.openTransactions(), clock, new Random(options.seed()));
       List<FaultEvent> faults = injector.run(schedule);
       List<String> processFailures = restartExited(deployment);
       deployment.awaitServing(SERVING_TIMEOUT_MILLIS);
--- a/standins/src/main/java/org/sardinebay/standins/driver/Traffic.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/Traffic.java
@@ -27,19 +27,27 @@
   private final JsonHttpClient http = JsonHttpClient.start("callers", HTTP_LOOPS);
   private final List<CallerSession> sessions = new ArrayList<>();
   private final List<Thread> threads = new ArrayList<>();
+  private final ListNames lists = new ListNames();
   private final Balancer balancer;
+  private final OpenTransactions openTransactions;
 
-  private Traffic(Map<String, Address> proxies) {
+  private Traffic(Map<String, Address> proxies, List<String> databases, long seed, Clock clock) {
     this.balancer = Balancer.start(proxies, http);
+    this.openTransactions =
+        new OpenTransactions(
+            databases,
+            session -> new CallerClient(session, proxies, http, clock),
+            lists,
+            history,
+            new Random(seed));
   }
 
   static Traffic start(
       Deployment deployment, Workload workload, int callers, long seed, Clock clock) {
     Map<String, Address> proxies = proxies(deployment.topology());
-    Traffic traffic = new Traffic(proxies);
     List<String> databases =
         deployment.spec().databases().stream().map(DeploymentSpec.Database::id).toList();
-    ListNames lists = new ListNames();
+    Traffic traffic = new Traffic(proxies, databases, seed, clock);
     for (int i = 0; i < callers; i++) {
       String name = deployment.spec().callerPrefix() + i;
       CallerSession session =
@@ -49,7 +57,7 @@
               workload,
               new CallerClient(name, proxies, traffic.http, clock),
               traffic.balancer,
-              lists,
+              traffic.lists,
               traffic.history,
               new Random(seed * SEED_STEP + i));
       traffic.sessions.add(session);
@@ -73,6 +81,10 @@
     return history;
   }
 
+  OpenTransactions openTransactions() {
+    return openTransactions;
+  }
+
   /** Lets each session end its operation in progress. */
   void stop() {
     sessions.forEach(CallerSession::stop);
