--- a/standins/src/main/java/org/sardinebay/standins/driver/ProveCommand.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/ProveCommand.java
@@ -138,6 +138,12 @@
             out.printf(
                 "outcome=%s share=%.4f count=%d%n",
                 FieldReader.spelling(outcome), (double) count / all, count));
+    history
+        .attempts()
+        .map(attempt -> attempt.answer().code())
+        .filter(code -> !code.isEmpty())
+        .collect(Collectors.groupingBy(code -> code, TreeMap::new, Collectors.counting()))
+        .forEach((code, count) -> out.printf("code=%s count=%d%n", code, count));
     return counts.getOrDefault(Outcome.DONE, 0L);
   }
 
