Log when the platform stops answering, and count unreadable records in the dump

Cause: an operator saw an outage of the platform only in a debug event and in the age of the last listing, and couldn't tell a proxy that leaves out records of a newer schema.

Ruled out: an event for each failed watch, two a second for as long as the outage lasts.

Change: platform_lost (cause) and platform_back, once each time; platform.answering in a controller's dump; unreadableRecords in a proxy's. ControllerProcessTest waits by a condition and has one more test; none was weakened.

Not run: platform_back, unreadableRecords with a real newer schema, the module standins.

--- a/controller/src/main/java/org/sardinebay/controller/internal/process/PlatformIntake.java
+++ b/controller/src/main/java/org/sardinebay/controller/internal/process/PlatformIntake.java
@@ -52,6 +52,7 @@
   private long revision;
   private long lastListingMillis;
   private boolean listed;
+  private boolean answering = true;
 
   PlatformIntake(
       ControllerRuntime runtime, Topology topology, FeedStore store, Supervisors supervisors) {
@@ -80,6 +81,7 @@
       ObjectNode json = Json.newObject().put("revision", revision);
       json.put("watching", topology.watchesPlatform());
       json.put("listed", listed);
+      json.put("answering", answering);
       json.put("sinceListingMillis", runtime.clock().millis() - lastListingMillis);
       ObjectNode statuses = json.putObject("statuses");
       for (Map.Entry<ObjectKey, AcceptedRecord> status : queue.statuses().entrySet()) {
@@ -115,9 +117,11 @@
   private void watched(PlatformResult result) {
     if (!(result instanceof PlatformResult.Listing listing)) {
       LOG.atDebug().setMessage("platform_watch_failed").addKeyValue("result", result).log();
+      noteAnswering(result);
       later(this::watch, BACKOFF_MILLIS);
       return;
     }
+    noteAnswering(result);
     synchronized (lock) {
       revision = listing.revision();
       listed = true;
@@ -128,6 +132,22 @@
     decideNow();
   }
 
+  private void noteAnswering(PlatformResult result) {
+    boolean answers = result instanceof PlatformResult.Listing;
+    synchronized (lock) {
+      if (answers == answering) {
+        return;
+      }
+      answering = answers;
+    }
+    String cause =
+        result instanceof PlatformResult.Failed failed ? failed.failure().name() : "NONE";
+    LOG.atWarn()
+        .setMessage(answers ? "platform_back" : "platform_lost")
+        .addKeyValue("cause", cause)
+        .log();
+  }
+
   private void take(List<PlatformObject> objects) {
     List<VersionedRecord> accepted;
     synchronized (lock) {
--- a/controller/src/test/java/org/sardinebay/controller/internal/process/ControllerProcessTest.java
+++ b/controller/src/test/java/org/sardinebay/controller/internal/process/ControllerProcessTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -47,7 +48,7 @@
 
       RunningProcess controller = new ControllerBinary().start(settings(peer));
 
-      awaitDatabases(controller);
+      await(controller, dump -> !dump.path("databases").isEmpty());
       JsonNode dump = controller.dump();
       assertThat(controller.ready()).isTrue();
       assertThat(dump.path("generations").path("databases/db").asLong()).isEqualTo(5);
@@ -56,6 +57,16 @@
       controller.shutdown();
       peers.stop();
     }
+
+    @Test
+    void should_say_that_it_does_not_answer() throws Exception {
+      RunningProcess controller = new ControllerBinary().start(settings(freeAddress()));
+
+      await(controller, dump -> !dump.path("platform").path("answering").asBoolean(true));
+
+      assertThat(controller.ready()).isFalse();
+      controller.shutdown();
+    }
   }
 
   @Nested
@@ -72,9 +83,10 @@
     }
   }
 
-  private static void awaitDatabases(RunningProcess controller) throws InterruptedException {
+  private static void await(RunningProcess controller, Predicate<JsonNode> condition)
+      throws InterruptedException {
     long deadline = Clock.system().millis() + LONG_MILLIS;
-    while (controller.dump().path("databases").isEmpty()) {
+    while (!condition.test(controller.dump())) {
       assertThat(Clock.system().millis()).as("deadline").isLessThan(deadline);
       Thread.sleep(20);
     }
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/process/ProxyDump.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/process/ProxyDump.java
@@ -46,6 +46,7 @@
     dump.put("failureDomain", runtime.identity().failureDomain().value());
     dump.put("requestsInProgress", entry.inProgress());
     dump.put("openTransactions", transactions.size());
+    dump.put("unreadableRecords", store.views().unreadable());
     ObjectNode generations = dump.putObject("generations");
     store.versions().forEach((key, version) -> generations.put(key.toString(), version));
     ArrayNode databases = dump.putArray("databases");
