Measure what each role uses as a deployment grows

Cause: docs/CAPACITY.md has to rest on slopes, and no run gave any.

Ruled out: counting calls in the members, as every process would need a counter; the relay sees each connection.

Change: the relay counts bytes and messages of each link; `bin/capacity` starts idle deployments (1 to 8 databases, 3 to 12 hosts), prints what each role uses, the least-squares slopes, how long a configuration takes, and the processor time of what follows a change at up to 650 databases.

--- a/standins/src/main/java/org/sardinebay/standins/driver/DriverMain.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/DriverMain.java
@@ -23,7 +23,8 @@
       Map.of(
           "demo", new DemoCommand(),
           "prove", new ProveCommand(),
-          "measure", new MeasureCommand());
+          "measure", new MeasureCommand(),
+          "capacity", new CapacityCommand());
 
   private final OptionParser parser = new OptionParser();
   private final OptionSpec<Void> help = parser.accepts("help", "prints this page");
@@ -93,7 +94,7 @@
       return printHelp(command);
     }
     if (command.isEmpty()) {
-      System.err.println("driver: name one command: demo, prove or measure; see --help");
+      System.err.println("driver: name one command: demo, prove, measure or capacity; see --help");
       return BinaryMain.EXIT_USAGE;
     }
     return run(command.get(), read(options));
--- a/standins/src/main/java/org/sardinebay/standins/driver/ManagedProcess.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/ManagedProcess.java
@@ -60,6 +60,11 @@
     return process != null && process.isAlive();
   }
 
+  /** The running process, as the operating system knows it. */
+  ProcessHandle handle() {
+    return current().toHandle();
+  }
+
   /** How often it was started. */
   synchronized int incarnation() {
     return incarnation;
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/RefreshTiming.java
@@ -0,0 +1,169 @@
+package org.sardinebay.standins.driver;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.List;
+import org.sardinebay.Address;
+import org.sardinebay.FailureDomain;
+import org.sardinebay.HostId;
+import org.sardinebay.internal.version.ConfigStore;
+import org.sardinebay.internal.version.ConfigViews;
+import org.sardinebay.internal.version.ControllerInfo;
+import org.sardinebay.internal.version.VersionedRecord;
+import org.sardinebay.internal.version.WatcherAssignment;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.platform.ObjectKey;
+import org.sardinebay.proxy.internal.process.ProxyIdentity;
+import org.sardinebay.proxy.internal.version.HomeOrder;
+import org.sardinebay.record.DatabaseRecord;
+
+/**
+ * Times, in this JVM and without I/O, what a process works out after a change of configuration.
+ *
+ * <pre>{@code
+ * RefreshTiming.Cost cost = new RefreshTiming(650, 430).measure();
+ * }</pre>
+ */
+final class RefreshTiming {
+  private static final int DOMAINS = 8;
+  private static final int MEMBERS = 3;
+  private static final int WARM_UP_ROUNDS = 3;
+  private static final int ROUNDS = 5;
+  private static final int CONNECTION_LIMIT = 20;
+  private static final int SLOTS = 3;
+  private static final double NANOS_PER_MILLI = 1_000_000;
+
+  private final int databases;
+  private final int hosts;
+  private long nextVersion;
+
+  RefreshTiming(int databases, int hosts) {
+    this.databases = databases;
+    this.hosts = hosts;
+  }
+
+  /**
+   * Processor time for one change.
+   *
+   * @param viewsMillis to merge one record and build the typed views
+   * @param homesMillis to order the homes of all databases, at a proxy
+   * @param dutiesMillis to assign the watches of all databases, at a controller
+   */
+  record Cost(double viewsMillis, double homesMillis, double dutiesMillis) {}
+
+  Cost measure() {
+    ConfigStore store = filledStore();
+    for (int round = 0; round < WARM_UP_ROUNDS; round++) {
+      once(store);
+    }
+    List<Cost> costs = new ArrayList<>();
+    for (int round = 0; round < ROUNDS; round++) {
+      costs.add(once(store));
+    }
+    return new Cost(
+        costs.stream().mapToDouble(Cost::viewsMillis).average().orElseThrow(),
+        costs.stream().mapToDouble(Cost::homesMillis).average().orElseThrow(),
+        costs.stream().mapToDouble(Cost::dutiesMillis).average().orElseThrow());
+  }
+
+  private Cost once(ConfigStore store) {
+    return new Cost(
+        cpuMillis(() -> store.merge(database(0))),
+        cpuMillis(() -> orderHomes(store.views())),
+        cpuMillis(() -> assignDuties(store.views())));
+  }
+
+  private static double cpuMillis(Runnable work) {
+    long before = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+    work.run();
+    long after = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+    return (after - before) / NANOS_PER_MILLI;
+  }
+
+  private static void orderHomes(ConfigViews views) {
+    ProxyIdentity self = new ProxyIdentity(new HostId(host(0)), new FailureDomain(domain(0)));
+    HomeOrder order = new HomeOrder(views, self);
+    for (DatabaseRecord database : views.databases().values()) {
+      order.homes(database);
+      order.rank(database);
+    }
+  }
+
+  private static void assignDuties(ConfigViews views) {
+    List<ControllerInfo> controllers =
+        views.proxies().values().stream()
+            .map(
+                proxy ->
+                    new ControllerInfo(proxy.host(), proxy.failureDomain(), proxy.peerAddress()))
+            .toList();
+    WatcherAssignment assignment = new WatcherAssignment(controllers.get(0), controllers);
+    assignment.duties(views.databases().values());
+    assignment.platformWatchers();
+  }
+
+  private ConfigStore filledStore() {
+    ConfigStore store = new ConfigStore();
+    List<VersionedRecord> records = new ArrayList<>();
+    for (int number = 0; number < databases; number++) {
+      records.add(database(number));
+    }
+    for (int number = 0; number < hosts; number++) {
+      records.add(proxy(number));
+    }
+    records.forEach(store::merge);
+    ConfigViews views = store.views();
+    if (views.databases().size() != databases || views.proxies().size() != hosts) {
+      throw new IllegalStateException("a record was not taken");
+    }
+    return store;
+  }
+
+  private VersionedRecord database(int number) {
+    ObjectNode body =
+        Json.newObject()
+            .put("schemaVersion", 1)
+            .put("service", "capacity-db")
+            .put("connectionLimit", CONNECTION_LIMIT)
+            .put("slots", SLOTS)
+            .put("acknowledgement", "majority");
+    ArrayNode members = body.putArray("members");
+    for (int member = 0; member < MEMBERS; member++) {
+      members
+          .addObject()
+          .put("id", "capacity-" + number + "-" + member)
+          .put("address", address(number * MEMBERS + member).toString())
+          .put("failureDomain", domain(number + member));
+    }
+    return record("databases", "capacity-" + number, body);
+  }
+
+  private VersionedRecord proxy(int number) {
+    String address = address(number).toString();
+    ObjectNode body =
+        Json.newObject()
+            .put("schemaVersion", 1)
+            .put("failureDomain", domain(number))
+            .put("callerAddress", address)
+            .put("peerAddress", address)
+            .put("controllerAddress", address);
+    return record("proxies", host(number), body);
+  }
+
+  private VersionedRecord record(String kind, String name, ObjectNode body) {
+    return new VersionedRecord(new ObjectKey(kind, name), ++nextVersion, false, body);
+  }
+
+  private static String host(int number) {
+    return "entry-" + number;
+  }
+
+  private static String domain(int number) {
+    return "domain-" + number % DOMAINS;
+  }
+
+  private static Address address(int number) {
+    return new Address("127.0.0.1", 1_024 + number);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/driver/ResourceSample.java
@@ -0,0 +1,184 @@
+package org.sardinebay.standins.driver;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.sardinebay.Clock;
+
+/**
+ * What the processes of a deployment have used since they started.
+ *
+ * <pre>{@code
+ * ResourceSample before = ResourceSample.take(deployment, clock);
+ * ResourceSample after = ResourceSample.take(deployment, clock);
+ * Map<Quantity, Double> used = after.since(before);
+ * }</pre>
+ */
+final class ResourceSample {
+  private static final int ATTEMPTS = 5;
+  private static final double MILLIS_PER_SECOND = 1_000;
+  private static final double KILOBYTES_PER_MEGABYTE = 1_024;
+  private static final String RESIDENT = "VmRSS:";
+
+  private final long atMillis;
+  private final Map<ProcessKind, Integer> processes = new EnumMap<>(ProcessKind.class);
+  private final Map<ProcessKind, Double> cpuMillis = new EnumMap<>(ProcessKind.class);
+  private final Map<ProcessKind, Double> residentMegabytes = new EnumMap<>(ProcessKind.class);
+  private final Map<Road, Traffic> traffic = new HashMap<>();
+  private final JsonNode platform;
+
+  /** All links from processes of one kind to those of another. */
+  private record Road(ProcessKind source, ProcessKind target) {}
+
+  private record Traffic(double messages, double bytes) {
+    static final Traffic NONE = new Traffic(0, 0);
+
+    Traffic plus(Traffic other) {
+      return new Traffic(messages + other.messages, bytes + other.bytes);
+    }
+
+    Traffic minus(Traffic other) {
+      return new Traffic(messages - other.messages, bytes - other.bytes);
+    }
+  }
+
+  private ResourceSample(long atMillis, JsonNode platform) {
+    this.atMillis = atMillis;
+    this.platform = platform;
+  }
+
+  static ResourceSample take(Deployment deployment, Clock clock) throws IOException {
+    Node relay = deployment.topology().nodes(ProcessKind.RELAY).get(0);
+    JsonNode platform = answer("platform", deployment.controls()::platformCounters);
+    JsonNode links = answer("relay", () -> deployment.controls().dump(relay));
+    ResourceSample sample = new ResourceSample(clock.millis(), platform);
+    for (Node node : deployment.topology().nodes()) {
+      sample.addProcess(node.kind(), deployment.process(node.name()).handle());
+    }
+    links.path("links").forEach(link -> sample.addLink(deployment.topology(), link));
+    return sample;
+  }
+
+  private static JsonNode answer(String name, Question question) throws IOException {
+    for (int i = 0; i < ATTEMPTS; i++) {
+      Optional<JsonNode> answer = question.ask();
+      if (answer.isPresent()) {
+        return answer.get();
+      }
+    }
+    throw new IOException("no answer from the " + name);
+  }
+
+  private interface Question {
+    Optional<JsonNode> ask();
+  }
+
+  private void addProcess(ProcessKind kind, ProcessHandle handle) {
+    Duration cpu = handle.info().totalCpuDuration().orElse(Duration.ZERO);
+    processes.merge(kind, 1, Integer::sum);
+    cpuMillis.merge(kind, (double) cpu.toMillis(), Double::sum);
+    residentMegabytes.merge(kind, residentMegabytes(handle.pid()), Double::sum);
+  }
+
+  private static double residentMegabytes(long pid) {
+    try {
+      List<String> status = Files.readAllLines(Path.of("/proc", Long.toString(pid), "status"));
+      return status.stream()
+          .filter(line -> line.startsWith(RESIDENT))
+          .map(line -> line.substring(RESIDENT.length()).strip().split(" ", -1)[0])
+          .mapToDouble(kilobytes -> Long.parseLong(kilobytes) / KILOBYTES_PER_MEGABYTE)
+          .sum();
+    } catch (IOException e) {
+      return Double.NaN;
+    }
+  }
+
+  private void addLink(Topology topology, JsonNode link) {
+    String source = link.path("source").asText();
+    if (source.equals(Topology.CALLERS)) {
+      return;
+    }
+    Road road =
+        new Road(topology.node(source).kind(), topology.node(link.path("target").asText()).kind());
+    Traffic passed = new Traffic(link.path("messages").asDouble(), link.path("bytes").asDouble());
+    traffic.merge(road, passed, Traffic::plus);
+  }
+
+  /** What each quantity was between an earlier sample and this one. */
+  Map<Quantity, Double> since(ResourceSample earlier) {
+    Map<Quantity, Double> used = new EnumMap<>(Quantity.class);
+    used.put(Quantity.PROXY_CPU_MS_PER_S, cpu(earlier, ProcessKind.PROXY));
+    used.put(Quantity.CONTROLLER_CPU_MS_PER_S, cpu(earlier, ProcessKind.CONTROLLER));
+    used.put(Quantity.MEMBER_CPU_MS_PER_S, cpu(earlier, ProcessKind.ENDPOINT));
+    used.put(Quantity.PLATFORM_CPU_MS_PER_S, cpu(earlier, ProcessKind.PLATFORM));
+    used.put(Quantity.PROXY_RESIDENT_MB, resident(ProcessKind.PROXY));
+    used.put(Quantity.CONTROLLER_RESIDENT_MB, resident(ProcessKind.CONTROLLER));
+    used.put(Quantity.MEMBER_RESIDENT_MB, resident(ProcessKind.ENDPOINT));
+    used.put(Quantity.PLATFORM_RESIDENT_MB, resident(ProcessKind.PLATFORM));
+    putTraffic(used, earlier);
+    used.put(Quantity.PLATFORM_READS_PER_S, calls(earlier, "reads"));
+    used.put(Quantity.PLATFORM_WRITES_PER_S, calls(earlier, "writes"));
+    used.put(Quantity.PLATFORM_WATCHES_PER_S, calls(earlier, "watches"));
+    return used;
+  }
+
+  private void putTraffic(Map<Quantity, Double> used, ResourceSample earlier) {
+    Traffic proxyMembers = rate(earlier, ProcessKind.PROXY, ProcessKind.ENDPOINT);
+    used.put(Quantity.PROXY_MEMBER_CALLS_PER_S, proxyMembers.messages());
+    used.put(Quantity.PROXY_MEMBER_BYTES_PER_S, proxyMembers.bytes());
+    Traffic proxyPeers =
+        rate(earlier, ProcessKind.PROXY, ProcessKind.PROXY)
+            .plus(rate(earlier, ProcessKind.PROXY, ProcessKind.CONTROLLER));
+    used.put(Quantity.PROXY_PEER_MESSAGES_PER_S, proxyPeers.messages());
+    used.put(Quantity.PROXY_PEER_BYTES_PER_S, proxyPeers.bytes());
+    Traffic controllerMembers = rate(earlier, ProcessKind.CONTROLLER, ProcessKind.ENDPOINT);
+    used.put(Quantity.CONTROLLER_MEMBER_CALLS_PER_S, controllerMembers.messages());
+    used.put(Quantity.CONTROLLER_MEMBER_BYTES_PER_S, controllerMembers.bytes());
+    Traffic controllerPeers =
+        rate(earlier, ProcessKind.CONTROLLER, ProcessKind.CONTROLLER)
+            .plus(rate(earlier, ProcessKind.CONTROLLER, ProcessKind.PROXY));
+    used.put(Quantity.CONTROLLER_PEER_MESSAGES_PER_S, controllerPeers.messages());
+    used.put(Quantity.CONTROLLER_PEER_BYTES_PER_S, controllerPeers.bytes());
+    Traffic controllerPlatform = rate(earlier, ProcessKind.CONTROLLER, ProcessKind.PLATFORM);
+    used.put(Quantity.CONTROLLER_PLATFORM_CALLS_PER_S, controllerPlatform.messages());
+    used.put(Quantity.CONTROLLER_PLATFORM_BYTES_PER_S, controllerPlatform.bytes());
+    Traffic pulls = rate(earlier, ProcessKind.ENDPOINT, ProcessKind.ENDPOINT);
+    used.put(Quantity.MEMBER_PULLS_PER_S, pulls.messages());
+    used.put(Quantity.MEMBER_PULL_BYTES_PER_S, pulls.bytes());
+  }
+
+  private double cpu(ResourceSample earlier, ProcessKind kind) {
+    double used = cpuMillis.get(kind) - earlier.cpuMillis.get(kind);
+    return used / processes.get(kind) / secondsSince(earlier);
+  }
+
+  private double resident(ProcessKind kind) {
+    return residentMegabytes.get(kind) / processes.get(kind);
+  }
+
+  private Traffic rate(ResourceSample earlier, ProcessKind source, ProcessKind target) {
+    Road road = new Road(source, target);
+    Traffic passed =
+        traffic
+            .getOrDefault(road, Traffic.NONE)
+            .minus(earlier.traffic.getOrDefault(road, Traffic.NONE));
+    double share = processes.get(source) * secondsSince(earlier);
+    return new Traffic(passed.messages() / share, passed.bytes() / share);
+  }
+
+  private double calls(ResourceSample earlier, String kind) {
+    double made = platform.path(kind).asDouble() - earlier.platform.path(kind).asDouble();
+    return made / secondsSince(earlier);
+  }
+
+  private double secondsSince(ResourceSample earlier) {
+    return (atMillis - earlier.atMillis) / MILLIS_PER_SECOND;
+  }
+}
--- a/standins/src/main/java/org/sardinebay/standins/relay/Link.java
+++ b/standins/src/main/java/org/sardinebay/standins/relay/Link.java
@@ -12,6 +12,7 @@
 import java.util.HashSet;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.atomic.LongAdder;
 import org.sardinebay.net.http.Json;
 import org.sardinebay.record.FieldReader;
 
@@ -23,6 +24,8 @@
   private final LinkSettings settings;
   private final EventLoop loop;
   private final Set<RelayedConnection> connections = new HashSet<>();
+  private final LongAdder bytes = new LongAdder();
+  private final LongAdder messages = new LongAdder();
   private volatile Cut cut = Cut.NONE;
   private volatile long delayMillis;
 
@@ -87,7 +90,17 @@
         .put("listen", settings.listen().toString())
         .put("forward", settings.forward().toString())
         .put("cut", FieldReader.spelling(cut))
-        .put("delayMillis", delayMillis);
+        .put("delayMillis", delayMillis)
+        .put("bytes", bytes.sum())
+        .put("messages", messages.sum());
+  }
+
+  /** Counts what was read from one side: bytes both ways, and pieces on the way to the target. */
+  void passed(Flow flow, int count) {
+    bytes.add(count);
+    if (flow == Flow.TO_TARGET && count > 0) {
+      messages.increment();
+    }
   }
 
   void closed(RelayedConnection connection) {
--- a/standins/src/main/java/org/sardinebay/standins/relay/RelayedConnection.java
+++ b/standins/src/main/java/org/sardinebay/standins/relay/RelayedConnection.java
@@ -138,6 +138,7 @@
         bytes.release();
         return;
       }
+      link.passed(flow, bytes.readableBytes());
       long delayNanos = TimeUnit.MILLISECONDS.toNanos(link.delayMillis());
       lastDueNanos = Math.max(lastDueNanos, System.nanoTime() + delayNanos);
       pieces.add(new Piece(bytes, lastDueNanos));
--- a/standins/src/test/java/org/sardinebay/standins/relay/RelayProcessTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/relay/RelayProcessTest.java
@@ -68,6 +68,22 @@
       }
     }
 
+    @Test
+    void should_count_bytes_both_ways_and_messages_to_the_target() throws IOException {
+      try (Socket source = connect();
+          Socket accepted = accept()) {
+        send(source, "ping");
+        receive(accepted);
+        send(accepted, "pong");
+        receive(source);
+
+        JsonNode counted = relay.dump().path("links").path(0);
+
+        assertThat(counted.path("messages").asLong()).isEqualTo(1);
+        assertThat(counted.path("bytes").asLong()).isEqualTo(8);
+      }
+    }
+
     @Test
     void should_pass_on_the_end_of_a_connection() throws IOException {
       try (Socket source = connect();
