Drop former homes, take a configuration as a whole, wait for transactions that run elsewhere

Ruled out: stopping a former home at once, which would cut its open transactions. Change: a shard whose quota is 0 is dropped once nothing runs on it; a reply of the feed is one change; a shutdown counts the transactions that entered here too.

--- a/core/src/main/java/org/sardinebay/internal/version/ConfigStore.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ConfigStore.java
@@ -52,15 +52,13 @@
    * Merges several records.
    *
    * @param batch the records and tombstones
-   * @return how many were applied
+   * @return those that were applied
    */
-  public int mergeAll(Collection<VersionedRecord> batch) {
+  public List<VersionedRecord> mergeAll(Collection<VersionedRecord> batch) {
     synchronized (records) {
-      int applied = 0;
-      for (VersionedRecord record : batch) {
-        applied += put(record) == MergeResult.APPLIED ? 1 : 0;
-      }
-      refresh(applied > 0);
+      List<VersionedRecord> applied =
+          batch.stream().filter(record -> put(record) == MergeResult.APPLIED).toList();
+      refresh(!applied.isEmpty());
       return applied;
     }
   }
--- a/core/src/main/java/org/sardinebay/internal/version/ConnectionShare.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ConnectionShare.java
@@ -69,6 +69,15 @@
     changedAt = now;
   }
 
+  /**
+   * The quota assigned last.
+   *
+   * @return the quota, whether it is in force yet or not; 0 before any
+   */
+  public int quota() {
+    return current;
+  }
+
   /**
    * How many connections may be held now.
    *
--- a/net/src/main/java/org/sardinebay/net/peer/ConfigFeedClient.java
+++ b/net/src/main/java/org/sardinebay/net/peer/ConfigFeedClient.java
@@ -125,7 +125,7 @@
   private void take(PeerResult result, ConfigCall call, long tookMillis) {
     if (result instanceof PeerResult.Reply reply && reply.frame().hasConfigReply()) {
       List<ConfigRecord> records = reply.frame().getConfigReply().getRecordsList();
-      records.forEach(this::merge);
+      merge(records);
       askLater(noteReply(call, records.isEmpty(), tookMillis));
     } else {
       askLater(noteFailure());
@@ -153,7 +153,20 @@
     }
   }
 
-  private void merge(ConfigRecord message) {
+  /** Takes a reply as one change, so that nobody acts on a part of the configuration. */
+  private void merge(List<ConfigRecord> messages) {
+    List<PlatformObject> records =
+        messages.stream().map(ConfigFeedClient::read).flatMap(Optional::stream).toList();
+    for (PlatformObject applied : store.mergeAll(records)) {
+      LOG.atInfo()
+          .setMessage("config_applied")
+          .addKeyValue("record", applied.key())
+          .addKeyValue("generation", applied.version())
+          .log();
+    }
+  }
+
+  private static Optional<PlatformObject> read(ConfigRecord message) {
     Optional<PlatformObject> record = FeedCodec.object(message);
     if (record.isEmpty()) {
       LOG.atWarn()
@@ -161,15 +174,8 @@
           .addKeyValue("kind", message.getKind())
           .addKeyValue("name", message.getName())
           .log();
-      return;
-    }
-    if (store.merge(record.get())) {
-      LOG.atInfo()
-          .setMessage("config_applied")
-          .addKeyValue("record", record.get().key())
-          .addKeyValue("generation", record.get().version())
-          .log();
     }
+    return record;
   }
 
   private void askLater(long delayMillis) {
--- a/net/src/main/java/org/sardinebay/net/peer/ConfigStoreFeed.java
+++ b/net/src/main/java/org/sardinebay/net/peer/ConfigStoreFeed.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.sardinebay.internal.version.ConfigStore;
-import org.sardinebay.internal.version.MergeResult;
 import org.sardinebay.internal.version.VersionedRecord;
 import org.sardinebay.platform.ObjectKey;
 import org.sardinebay.platform.PlatformObject;
@@ -50,14 +49,21 @@
   }
 
   @Override
-  public boolean merge(PlatformObject object) {
-    VersionedRecord record =
-        new VersionedRecord(object.key(), object.version(), object.deleted(), object.body());
-    boolean applied = store.merge(record) == MergeResult.APPLIED;
-    if (applied) {
+  public List<PlatformObject> mergeAll(List<PlatformObject> objects) {
+    List<VersionedRecord> records = objects.stream().map(ConfigStoreFeed::record).toList();
+    List<VersionedRecord> applied = store.mergeAll(records);
+    if (!applied.isEmpty()) {
       listeners.forEach(Runnable::run);
     }
-    return applied;
+    return applied.stream().map(ConfigStoreFeed::object).toList();
+  }
+
+  private static VersionedRecord record(PlatformObject object) {
+    return new VersionedRecord(object.key(), object.version(), object.deleted(), object.body());
+  }
+
+  private static PlatformObject object(VersionedRecord record) {
+    return new PlatformObject(record.key(), record.version(), record.deleted(), record.body());
   }
 
   @Override
--- a/net/src/main/java/org/sardinebay/net/peer/FeedStore.java
+++ b/net/src/main/java/org/sardinebay/net/peer/FeedStore.java
@@ -29,16 +29,26 @@
    */
   List<PlatformObject> changedSince(Map<ObjectKey, Long> versions);
 
+  /**
+   * Takes those of some records that are newer than what it has, as one change.
+   *
+   * @param records the records
+   * @return the records that were taken
+   */
+  List<PlatformObject> mergeAll(List<PlatformObject> records);
+
   /**
    * Takes a record unless it has that version or a newer one.
    *
    * @param record the record
    * @return whether it was taken
    */
-  boolean merge(PlatformObject record);
+  default boolean merge(PlatformObject record) {
+    return !mergeAll(List.of(record)).isEmpty();
+  }
 
   /**
-   * Adds a listener, called after each change, on the thread that made it and under no lock.
+   * Adds a listener, called once after each change, on the thread that made it and under no lock.
    *
    * @param listener what to call
    */
--- a/net/src/test/java/org/sardinebay/net/peer/MapFeedStore.java
+++ b/net/src/test/java/org/sardinebay/net/peer/MapFeedStore.java
@@ -37,15 +37,20 @@
   }
 
   @Override
-  public boolean merge(PlatformObject record) {
-    synchronized (this) {
-      PlatformObject current = records.get(record.key());
-      if (current != null && current.version() >= record.version()) {
-        return false;
-      }
-      records.put(record.key(), record);
+  public List<PlatformObject> mergeAll(List<PlatformObject> batch) {
+    List<PlatformObject> taken = batch.stream().filter(this::take).toList();
+    if (!taken.isEmpty()) {
+      listeners.forEach(Runnable::run);
+    }
+    return taken;
+  }
+
+  private synchronized boolean take(PlatformObject record) {
+    PlatformObject current = records.get(record.key());
+    if (current != null && current.version() >= record.version()) {
+      return false;
     }
-    listeners.forEach(Runnable::run);
+    records.put(record.key(), record);
     return true;
   }
 
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/connection/MemberGateway.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/connection/MemberGateway.java
@@ -138,6 +138,20 @@
     }
   }
 
+  /**
+   * Whether nothing runs on the member, waits for it or is being closed.
+   *
+   * @return true if no connection is held and no request waits
+   */
+  public boolean unused() {
+    lock.lock();
+    try {
+      return held() == 0 && waiters.size() == 0;
+    } finally {
+      lock.unlock();
+    }
+  }
+
   /** Answers the requests that waited for too long, and closes connections that are not needed. */
   public void sweep() {
     List<Runnable> actions = new ArrayList<>();
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/process/EntryService.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/process/EntryService.java
@@ -23,6 +23,7 @@
 import org.sardinebay.net.peer.generated.ForwardCall;
 import org.sardinebay.net.peer.generated.ForwardReply;
 import org.sardinebay.net.peer.generated.Frame;
+import org.sardinebay.proxy.internal.connection.EnteredTransactions;
 import org.sardinebay.proxy.internal.connection.TransactionTable;
 import org.sardinebay.proxy.internal.request.AnswerWriter;
 import org.sardinebay.proxy.internal.request.RequestReader;
@@ -43,6 +44,7 @@
   private final Forwarder forwarder;
   private final PeerSuspicion suspicion;
   private final Supplier<String> names;
+  private final EnteredTransactions entered;
   private final AtomicInteger inProgress = new AtomicInteger();
   private volatile boolean refusing;
 
@@ -69,6 +71,7 @@
     this.forwarder = forwarder;
     this.suspicion = suspicion;
     this.names = names;
+    this.entered = new EnteredTransactions(runtime.clock());
   }
 
   /**
@@ -90,10 +93,32 @@
     long startedAt = runtime.clock().millis();
     inProgress.incrementAndGet();
     return route(request, body)
+        .thenApply(answer -> noteTransaction(request, answer))
         .thenApply(AnswerWriter::reply)
         .whenComplete((reply, e) -> onAnswered(request, reply, startedAt));
   }
 
+  private JsonNode noteTransaction(CallerRequest request, JsonNode answer) {
+    boolean done = answer.path("outcome").asText().equals(AnswerWriter.DONE);
+    switch (request.kind()) {
+      case BEGIN -> {
+        if (done) {
+          entered.used(answer.path("transaction").asText());
+        }
+      }
+      case STATEMENT -> {
+        if (done) {
+          entered.used(request.transaction().orElseThrow());
+        }
+      }
+      case COMMIT, ROLLBACK -> entered.ended(request.transaction().orElseThrow());
+      default -> {
+        // Reads and writes leave nothing open.
+      }
+    }
+    return answer;
+  }
+
   private void onAnswered(CallerRequest request, HttpReply reply, long startedAt) {
     inProgress.decrementAndGet();
     String outcome = reply == null ? "failed" : reply.body().path("outcome").asText();
@@ -196,6 +221,15 @@
     refusing = true;
   }
 
+  /**
+   * How many transactions are open whose callers come through this proxy.
+   *
+   * @return the number, those that run elsewhere included
+   */
+  public int enteredTransactions() {
+    return entered.size();
+  }
+
   /**
    * How many requests are in progress.
    *
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/process/Fleet.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/process/Fleet.java
@@ -96,6 +96,22 @@
     }
   }
 
+  /** Does what is due regularly; drops the shards of former homes once nothing runs on them. */
+  public void sweep() {
+    shards.values().forEach(DatabaseShard::sweep);
+    if (shards.values().stream().anyMatch(DatabaseShard::retired)) {
+      dropRetired();
+    }
+  }
+
+  private synchronized void dropRetired() {
+    for (DatabaseShard shard : List.copyOf(shards.values())) {
+      if (shard.retired()) {
+        drop(shard.database().id());
+      }
+    }
+  }
+
   private void drop(DatabaseId database) {
     DatabaseShard shard = shards.remove(database);
     if (shard != null) {
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/process/ProxyProcess.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/process/ProxyProcess.java
@@ -31,7 +31,6 @@
 import org.sardinebay.net.peer.PeerServer;
 import org.sardinebay.net.peer.generated.Frame;
 import org.sardinebay.proxy.internal.connection.TransactionTable;
-import org.sardinebay.proxy.internal.version.DatabaseShard;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -141,7 +140,7 @@
 
   private void sweep() {
     try {
-      fleet.shards().forEach(DatabaseShard::sweep);
+      fleet.sweep();
       transactions.sweep();
     } catch (RuntimeException e) {
       LOG.atError().setMessage("sweep_failed").setCause(e).log();
@@ -175,7 +174,7 @@
   }
 
   private int unfinished() {
-    return entry.inProgress() + transactions.size();
+    return entry.inProgress() + transactions.size() + entry.enteredTransactions();
   }
 
   private static void sleep(long millis) {
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/request/AnswerWriter.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/request/AnswerWriter.java
@@ -22,7 +22,9 @@
   /** The value of {@code outcome} for a request that did not run. */
   public static final String NOT_RUN = "not-run";
 
-  private static final String DONE = "done";
+  /** The value of {@code outcome} for a request that ran. */
+  public static final String DONE = "done";
+
   private static final String REFUSED = "refused";
   private static final String UNKNOWN = "unknown";
   private static final int STATUS_OK = 200;
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/version/DatabaseShard.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/version/DatabaseShard.java
@@ -227,6 +227,20 @@
     }
   }
 
+  /**
+   * Whether this proxy is no home of the database any more and nothing runs here.
+   *
+   * @return true if the shard may be dropped
+   */
+  public boolean retired() {
+    synchronized (share) {
+      if (share.quota() > 0) {
+        return false;
+      }
+    }
+    return gateways.values().stream().allMatch(MemberGateway::unused);
+  }
+
   boolean confirmationsAwaited() {
     return awaitingConfirmation.get() > 0;
   }
--- a/standins/src/main/java/org/sardinebay/standins/driver/OracleRouter.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/OracleRouter.java
@@ -18,7 +18,8 @@
   }
 
   /**
-   * Judges reads by a replica's true position.
+   * Judges reads by a replica's true position. A read of a stated age must show what its session
+   * wrote and read too, as it must at the proxies.
    *
    * @param operations the operations of all sessions, in each session's order
    * @param primaries the primary of each database while the reads ran
@@ -45,10 +46,12 @@
       Operation.Read read, Map<String, Long> sessionIndex, Map<String, String> primaries) {
     Attempt attempt = read.attempt();
     String primary = primaries.getOrDefault(attempt.database(), "");
-    long needed =
+    long ofSession = sessionIndex.getOrDefault(session(read, attempt.database()), 0L);
+    long ofAge =
         read.maxAgeMillis().isPresent()
             ? positions.appliedAt(primary, attempt.sentMillis() - read.maxAgeMillis().getAsLong())
-            : sessionIndex.getOrDefault(session(read, attempt.database()), 0L);
+            : 0L;
+    long needed = Math.max(ofSession, ofAge);
     return topology.nodes(ProcessKind.ENDPOINT).stream()
         .filter(node -> node.group().equals(attempt.database()) && !node.name().equals(primary))
         .anyMatch(node -> positions.appliedAt(node.name(), attempt.endMillis()) >= needed);
