Let replicas lag in what they receive, too

Cause: replica-lag set the lag of what reads show only, so that promotion never met a replica that had not received an acknowledged write.

Change: replica-lag sets both lags; waiting for a process looks at that process only; a proxy that does not exit after SIGTERM counts as failed.

--- a/standins/src/main/java/org/sardinebay/standins/driver/Deployment.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/Deployment.java
@@ -116,15 +116,27 @@
   /** Waits until every database has a primary that leads, and every proxy is ready. */
   void awaitServing(long timeoutMillis) throws IOException {
     for (DeploymentSpec.Database database : spec.databases()) {
-      await("primary of " + database.id(), timeoutMillis, () -> primary(database.id()).isPresent());
+      await(
+          "primary of " + database.id(),
+          processes.values(),
+          timeoutMillis,
+          () -> primary(database.id()).isPresent());
     }
     for (Node proxy : topology.nodes(ProcessKind.PROXY)) {
-      await("proxy " + proxy.name(), timeoutMillis, () -> controls.isReady(proxy));
+      await(
+          "proxy " + proxy.name(),
+          processes.values(),
+          timeoutMillis,
+          () -> controls.isReady(proxy));
     }
   }
 
   void awaitHealthy(Node node, long timeoutMillis) throws IOException {
-    await("health of " + node.name(), timeoutMillis, () -> controls.isHealthy(node));
+    await(
+        "health of " + node.name(),
+        List.of(process(node.name())),
+        timeoutMillis,
+        () -> controls.isHealthy(node));
   }
 
   @Override
@@ -180,12 +192,13 @@
     }
   }
 
-  private void await(String what, long timeoutMillis, BooleanSupplier condition)
+  private void await(
+      String what, Collection<ManagedProcess> needed, long timeoutMillis, BooleanSupplier condition)
       throws IOException {
     Clock clock = Clock.system();
     long deadline = clock.millis() + timeoutMillis;
     while (!condition.getAsBoolean()) {
-      checkAlive();
+      checkAlive(needed);
       if (clock.millis() > deadline) {
         throw new IOException(what + " did not come up within " + timeoutMillis + " ms");
       }
@@ -193,8 +206,8 @@
     }
   }
 
-  private void checkAlive() throws IOException {
-    for (ManagedProcess process : processes.values()) {
+  private void checkAlive(Collection<ManagedProcess> needed) throws IOException {
+    for (ManagedProcess process : needed) {
       if (process.incarnation() > 0 && !process.isAlive()) {
         throw new ProcessExitedException(process.name(), folder);
       }
--- a/standins/src/main/java/org/sardinebay/standins/driver/FaultInjector.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/FaultInjector.java
@@ -32,6 +32,7 @@
   private final Clock clock;
   private final Random random;
   private final List<FaultEvent> events = new ArrayList<>();
+  private final List<String> failures = new ArrayList<>();
 
   FaultInjector(
       Deployment deployment,
@@ -67,6 +68,13 @@
     }
   }
 
+  /** What processes failed to do while faults were healed. */
+  List<String> failures() {
+    synchronized (events) {
+      return List.copyOf(failures);
+    }
+  }
+
   private void carryOut(Fault fault, long scheduleStartMillis) {
     sleep(scheduleStartMillis + fault.atMillis() - clock.millis());
     String target = resolve(fault.target());
@@ -107,7 +115,7 @@
           controls.changeLinks(ANY, List.of(target), Cut.NONE, OptionalLong.of(fault.amount()));
       case LOSE_REPLIES -> endpointFault(target, "loseReplies", fault.amount());
       case CROSS_REPLIES -> endpointFault(target, "crossReplies", fault.amount());
-      case REPLICA_LAG -> endpointFault(target, "applyLagMillis", fault.amount());
+      case REPLICA_LAG -> lag(target, fault.amount(), fault.amount());
       case FREEZE_APPLY -> endpointFlag(target, "freezeApply", true);
       case LEAVING_ENDPOINT -> endpointFlag(target, "leaving", true);
       case PLATFORM_OUTAGE -> controls.platformFaults(platformFault(true, 0, 0));
@@ -125,7 +133,10 @@
       case FREEZE -> deployment.process(target).thaw();
       case TERMINATE -> {
         if (!deployment.process(target).awaitExit(EXIT_TIMEOUT_SECONDS)) {
-          throw new IOException(target + " did not exit after SIGTERM");
+          synchronized (events) {
+            failures.add(target + " did not exit after SIGTERM");
+          }
+          deployment.process(target).kill();
         }
         restart(target);
       }
@@ -135,7 +146,7 @@
       case SLOW_LINKS -> restoreDelays(target);
       case LOSE_REPLIES -> endpointFault(target, "loseReplies", 0);
       case CROSS_REPLIES -> endpointFault(target, "crossReplies", 0);
-      case REPLICA_LAG -> endpointFault(target, "applyLagMillis", SettingsWriter.APPLY_LAG_MILLIS);
+      case REPLICA_LAG -> lag(target, SettingsWriter.APPLY_LAG_MILLIS, 0);
       case FREEZE_APPLY -> endpointFlag(target, "freezeApply", false);
       case LEAVING_ENDPOINT -> endpointFlag(target, "leaving", false);
       case PLATFORM_OUTAGE, PLATFORM_SLOW, PLATFORM_LOSES_ANSWERS ->
@@ -177,6 +188,14 @@
     controls.changeLinks(ANY, ANY, Cut.NONE, OptionalLong.empty());
   }
 
+  private void lag(String member, long applyLagMillis, long receiveLagMillis) {
+    controls.endpointFaults(
+        member,
+        Json.newObject()
+            .put("applyLagMillis", applyLagMillis)
+            .put("receiveLagMillis", receiveLagMillis));
+  }
+
   private void endpointFault(String member, String field, long amount) {
     controls.endpointFaults(member, Json.newObject().put(field, amount));
   }
--- a/standins/src/main/java/org/sardinebay/standins/driver/ProveCommand.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/ProveCommand.java
@@ -71,6 +71,7 @@
               deployment, race, traffic.openTransactions(), clock, new Random(options.seed()));
       List<FaultEvent> faults = injector.run(schedule);
       List<String> processFailures = restartExited(deployment);
+      processFailures.addAll(injector.failures());
       deployment.awaitServing(SERVING_TIMEOUT_MILLIS);
       TimeUnit.MILLISECONDS.sleep(QUIET_MILLIS);
       traffic.stop();
