Take test ports below the range of outgoing connections

Cause: one of 132 tests of standins failed with 'Address already in use': a port found by binding port 0 lies in the range from which the system takes outgoing ports, and was taken between its choice and its use. Ruled out: a left-over process; none ran. Change: tests take ports from 10000 to 31999, never twice in one process, as the driver does.

--- a/controller/src/test/java/org/sardinebay/controller/internal/process/ControllerProcessTest.java
+++ b/controller/src/test/java/org/sardinebay/controller/internal/process/ControllerProcessTest.java
@@ -5,8 +5,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -43,7 +41,7 @@
       ConfigStoreFeed feed = new ConfigStoreFeed(new ConfigStore());
       feed.merge(new PlatformObject(new ObjectKey("databases", "db"), 5, false, database()));
       ConfigFeedServer server = new ConfigFeedServer(feed, timer);
-      Address peer = freeAddress();
+      Address peer = FreePorts.next();
       PeerServer peers = PeerServer.start(peer, call -> server.handle(call.getConfigCall()));
 
       RunningProcess controller = new ControllerBinary().start(settings(peer));
@@ -60,7 +58,7 @@
 
     @Test
     void should_say_that_it_does_not_answer() throws Exception {
-      RunningProcess controller = new ControllerBinary().start(settings(freeAddress()));
+      RunningProcess controller = new ControllerBinary().start(settings(FreePorts.next()));
 
       await(controller, dump -> !dump.path("platform").path("answering").asBoolean(true));
 
@@ -95,7 +93,7 @@
   private static ControllerSettings settings(Address peer) throws IOException {
     ObjectNode tree = Json.newObject().put("host", "waco-1").put("failureDomain", "waco-hall");
     for (String field : List.of("listen", "peerListen", "platform")) {
-      tree.put(field, freeAddress().toString());
+      tree.put(field, FreePorts.next().toString());
     }
     tree.putArray("peers").add(peer.toString());
     return new ControllerBinary().settings(FieldReader.of(tree));
@@ -107,14 +105,8 @@
     body.putArray("members")
         .addObject()
         .put("id", "a")
-        .put("address", freeAddress().toString())
+        .put("address", FreePorts.next().toString())
         .put("failureDomain", "waco-hall");
     return body;
   }
-
-  private static Address freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new Address("127.0.0.1", socket.getLocalPort());
-    }
-  }
 }
--- a/net/src/test/java/org/sardinebay/net/peer/ConfigFeedTest.java
+++ b/net/src/test/java/org/sardinebay/net/peer/ConfigFeedTest.java
@@ -77,8 +77,8 @@
     void should_take_records_from_a_fallback_when_no_preferred_source_answers() throws Exception {
       PeerClient peers =
           PeerClient.start(AddressTranslation.none(), Clock.system(), new SimpleMeterRegistry());
-      Address dead = PeerTransportTest.freeAddress();
-      Address live = PeerTransportTest.freeAddress();
+      Address dead = FreePorts.next();
+      Address live = FreePorts.next();
       PeerServer transport = PeerServer.start(live, call -> server.handle(call.getConfigCall()));
       MapFeedStore store = new MapFeedStore();
       ConfigFeedClient client =
--- a/net/src/test/java/org/sardinebay/net/peer/PeerTransportTest.java
+++ b/net/src/test/java/org/sardinebay/net/peer/PeerTransportTest.java
@@ -76,7 +76,7 @@
   class Connections {
     @Test
     void should_report_a_call_as_not_sent_when_nobody_listens() throws Exception {
-      Address address = freeAddress();
+      Address address = FreePorts.next();
 
       PeerResult result =
           client.call(address, call(1), LONG_MILLIS).get(LONG_MILLIS, TimeUnit.MILLISECONDS);
@@ -86,7 +86,7 @@
 
     @Test
     void should_be_reopened_when_the_server_comes_back() throws Exception {
-      Address address = freeAddress();
+      Address address = FreePorts.next();
       PeerServer before = PeerServer.start(address, call -> done(reply(1)));
       assertThat(term(client.call(address, call(1), LONG_MILLIS))).isEqualTo(1);
       before.stop();
@@ -119,7 +119,7 @@
   }
 
   private Address serve(PeerHandler handler) throws IOException {
-    Address address = freeAddress();
+    Address address = FreePorts.next();
     servers.add(PeerServer.start(address, handler));
     return address;
   }
@@ -137,12 +137,6 @@
     return answer;
   }
 
-  static Address freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new Address("127.0.0.1", socket.getLocalPort());
-    }
-  }
-
   static void await(Condition condition) throws Exception {
     long deadline = Clock.system().millis() + LONG_MILLIS;
     while (!condition.holds()) {
--- a/standins/src/test/java/org/sardinebay/standins/endpoint/HttpEndpointClientContractTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/endpoint/HttpEndpointClientContractTest.java
@@ -5,8 +5,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.activej.http.HttpMethod;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
@@ -31,6 +29,7 @@
 import org.sardinebay.net.http.Json;
 import org.sardinebay.net.http.JsonHttpClient;
 import org.sardinebay.record.FieldReader;
+import org.sardinebay.standins.platform.FreePorts;
 
 class HttpEndpointClientContractTest {
   private static final long TIMEOUT_MILLIS = 10_000;
@@ -46,8 +45,8 @@
 
   @BeforeEach
   void startMembers() throws IOException {
-    primary = freeAddress();
-    replica = freeAddress();
+    primary = FreePorts.next();
+    replica = FreePorts.next();
     primaryProcess = start("a", primary);
     replicaProcess = start("b", replica);
     call(primary, new EndpointCall.Fence(1, "driver"));
@@ -135,7 +134,7 @@
       call(primary, write(open(primary), "put pump open", KEY));
       primaryProcess.shutdown();
 
-      primary = freeAddress();
+      primary = FreePorts.next();
       primaryProcess = start("a", primary);
 
       EndpointReply.Standing standing =
@@ -152,7 +151,7 @@
   class Failures {
     @Test
     void should_say_not_sent_when_nobody_listens() throws IOException {
-      EndpointReply reply = call(freeAddress(), new EndpointCall.Open("test"));
+      EndpointReply reply = call(FreePorts.next(), new EndpointCall.Open("test"));
 
       assertThat(reply).isEqualTo(new EndpointReply.NotSent());
     }
@@ -250,10 +249,4 @@
         Optional.empty(),
         TIMEOUT_MILLIS);
   }
-
-  private static Address freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new Address("127.0.0.1", socket.getLocalPort());
-    }
-  }
 }
--- a/standins/src/test/java/org/sardinebay/standins/relay/RelayProcessTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/relay/RelayProcessTest.java
@@ -21,6 +21,7 @@
 import org.sardinebay.net.http.HttpResult;
 import org.sardinebay.net.http.Json;
 import org.sardinebay.net.http.JsonHttpClient;
+import org.sardinebay.standins.platform.FreePorts;
 
 class RelayProcessTest {
   private static final int SILENCE_MILLIS = 200;
@@ -35,8 +36,8 @@
   @BeforeEach
   void startRelay() throws IOException {
     target = new ServerSocket(0);
-    commands = freeAddress();
-    link = freeAddress();
+    commands = FreePorts.next();
+    link = FreePorts.next();
     Address forward = new Address("127.0.0.1", target.getLocalPort());
     relay =
         RelayProcess.start(
@@ -218,10 +219,4 @@
         .isInstanceOf(SocketTimeoutException.class);
     socket.setSoTimeout(TIMEOUT_MILLIS);
   }
-
-  private static Address freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return new Address("127.0.0.1", socket.getLocalPort());
-    }
-  }
 }
