Excuse a process that has just started from holding a configuration

The check counts 16 s from the write only, so it asks a process in its first moments for what was written before it lived. Ruled out: a proxy that holds a part of the configuration, since a reply of the feed is taken as a whole; a process that stays without fails the check at the end. The product's code is unchanged. Conclusion: the check was wrong for starting processes and stays as strict for all others.

--- a/standins/src/main/java/org/sardinebay/standins/driver/ConfigurationMonitor.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/ConfigurationMonitor.java
@@ -31,7 +31,14 @@
 
   /** What one process held. */
   private record Sample(
-      String process, int incarnation, long atMillis, Map<String, Long> generations) {}
+      String process, int incarnation, long atMillis, Map<String, Long> generations) {
+    private Incarnation of() {
+      return new Incarnation(process, incarnation);
+    }
+  }
+
+  /** One life of a process. */
+  private record Incarnation(String process, int number) {}
 
   private ConfigurationMonitor(Deployment deployment, Clock clock) {
     this.deployment = deployment;
@@ -82,12 +89,25 @@
       }
     }
     latest.values().forEach(sample -> checkFinal(result, sample));
+    Map<Incarnation, Long> firstSeen = new HashMap<>();
     for (Sample sample : samples) {
-      checkInTime(result, sample, faults);
+      long sinceMillis = firstSeen.computeIfAbsent(sample.of(), unused -> sample.atMillis());
+      if (!starting(sample.generations(), sample.atMillis() - sinceMillis)) {
+        checkInTime(result, sample, faults);
+      }
     }
     return result;
   }
 
+  /**
+   * Whether a process has just started and has no configuration at all yet. It takes no requests
+   * then. One with any configuration, or without for longer than a change may take, is no such
+   * process.
+   */
+  static boolean starting(Map<String, Long> generations, long runningMillis) {
+    return generations.isEmpty() && runningMillis < MAX_SPREAD_MILLIS;
+  }
+
   @Override
   public void close() {
     poller.shutdownNow();
--- /dev/null
+++ b/standins/src/test/java/org/sardinebay/standins/driver/ConfigurationMonitorTest.java
@@ -0,0 +1,29 @@
+package org.sardinebay.standins.driver;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationMonitorTest {
+  private static final long SPREAD_MILLIS = 16_000;
+
+  @Nested
+  class Starting {
+    @Test
+    void should_excuse_a_process_that_has_no_configuration_yet() {
+      assertThat(ConfigurationMonitor.starting(Map.of(), 0)).isTrue();
+    }
+
+    @Test
+    void should_not_excuse_a_process_that_has_a_part_of_the_configuration() {
+      assertThat(ConfigurationMonitor.starting(Map.of("databases/contracts-1", 1L), 0)).isFalse();
+    }
+
+    @Test
+    void should_not_excuse_a_process_that_stays_without() {
+      assertThat(ConfigurationMonitor.starting(Map.of(), SPREAD_MILLIS)).isFalse();
+    }
+  }
+}
