Give up on bodies that never end

Cause: by hand, a request whose body was sent half kept its connection for more than 14 s: ActiveJ times a connection while it reads headers, not while a servlet loads the body. Ruled out: the server's read timeout setting, which was 10 s already. Change: loading a body ends after READ_TIMEOUT with 408.

--- a/net/src/main/java/org/sardinebay/net/http/JsonHttpServer.java
+++ b/net/src/main/java/org/sardinebay/net/http/JsonHttpServer.java
@@ -10,6 +10,7 @@
 import io.activej.http.RoutingServlet;
 import io.activej.net.PrimaryServer;
 import io.activej.promise.Promise;
+import io.activej.promise.Promises;
 import io.activej.reactor.nio.NioReactor;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -46,6 +47,7 @@
   private static final int MILLIS_PER_SECOND = 1_000;
   private static final int NOT_FOUND = 404;
   private static final int BAD_REQUEST = 400;
+  private static final int REQUEST_TIMEOUT = 408;
 
   private final List<Eventloop> loops;
   private final PrimaryServer server;
@@ -141,7 +143,11 @@
   }
 
   private static AsyncServlet servlet(HttpHandler handler) {
-    return request -> request.loadBody(MAX_BODY_BYTES).then(body -> serve(handler, request, body));
+    return request ->
+        Promises.timeout(READ_TIMEOUT, request.loadBody(MAX_BODY_BYTES))
+            .then(
+                body -> serve(handler, request, body),
+                e -> toPromise(HttpReply.plain(REQUEST_TIMEOUT, "the request did not end\n")));
   }
 
   private static Promise<HttpResponse> serve(
