--- /dev/null
+++ b/core/src/main/java/org/sardinebay/internal/version/MemberDirectory.java
@@ -0,0 +1,93 @@
+package org.sardinebay.internal.version;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.sardinebay.MemberId;
+import org.sardinebay.session.MemberEntry;
+
+/**
+ * The registered members, with a delay before one whose entry has vanished counts as gone: entries
+ * also lapse while the registry is away, and come back soon after its return.
+ *
+ * <pre>{@code
+ * directory.replaceAll(entries, now);
+ * directory.remove(id, now);
+ * Collection<MemberEntry> members = directory.members(now);
+ * }</pre>
+ */
+public final class MemberDirectory {
+  /**
+   * How long a vanished entry is still used, in milliseconds: above the two seconds within which
+   * members register again after an outage, below the time after which nothing may be sent to a
+   * member that has left.
+   */
+  public static final long LAPSE_GRACE_MILLIS = 3_500;
+
+  private final Map<MemberId, MemberEntry> entries = new LinkedHashMap<>();
+  private final Map<MemberId, Long> vanishedAt = new HashMap<>();
+
+  /**
+   * Takes over a complete list.
+   *
+   * @param listed all registered members
+   * @param now the time
+   */
+  public void replaceAll(Collection<MemberEntry> listed, long now) {
+    Set<MemberId> missing = new HashSet<>(entries.keySet());
+    for (MemberEntry entry : listed) {
+      put(entry);
+      missing.remove(entry.id());
+    }
+    missing.forEach(id -> remove(id, now));
+  }
+
+  /**
+   * Takes over one entry.
+   *
+   * @param entry the entry
+   */
+  public void put(MemberEntry entry) {
+    entries.put(entry.id(), entry);
+    vanishedAt.remove(entry.id());
+  }
+
+  /**
+   * Notes that an entry has vanished.
+   *
+   * @param id the member
+   * @param now the time
+   */
+  public void remove(MemberId id, long now) {
+    if (entries.containsKey(id)) {
+      vanishedAt.putIfAbsent(id, now);
+    }
+  }
+
+  /**
+   * The members to use.
+   *
+   * @param now the time
+   * @return those registered, and those whose entry vanished a short while ago
+   */
+  public Collection<MemberEntry> members(long now) {
+    List<MemberId> gone = new ArrayList<>();
+    vanishedAt.forEach(
+        (id, at) -> {
+          if (now - at >= LAPSE_GRACE_MILLIS) {
+            gone.add(id);
+          }
+        });
+    gone.forEach(
+        id -> {
+          vanishedAt.remove(id);
+          entries.remove(id);
+        });
+    return List.copyOf(entries.values());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/internal/version/MemberView.java
@@ -0,0 +1,139 @@
+package org.sardinebay.internal.version;
+
+import java.util.Optional;
+import org.sardinebay.MemberId;
+import org.sardinebay.Position;
+import org.sardinebay.session.MemberEntry;
+import org.sardinebay.session.MemberRole;
+import org.sardinebay.session.MemberStatus;
+
+/** What this host knows of one member. */
+public final class MemberView {
+  private MemberEntry entry;
+  private Optional<MemberStatus> status = Optional.empty();
+  private long statusAskedAt = Long.MIN_VALUE;
+  private Position applied = Position.ZERO;
+  private long failingSince;
+  private boolean failing;
+  private boolean refusing;
+  private long answeredAt = Long.MIN_VALUE;
+
+  MemberView(MemberEntry entry) {
+    this.entry = entry;
+  }
+
+  void update(MemberEntry newer) {
+    entry = newer;
+  }
+
+  void status(MemberStatus newer, long askedAt) {
+    status = Optional.of(newer);
+    statusAskedAt = askedAt;
+  }
+
+  void applied(Position position) {
+    if (position.term() != applied.term() || position.index() > applied.index()) {
+      applied = position;
+    }
+  }
+
+  void answered(long now) {
+    failing = false;
+    refusing = false;
+    answeredAt = now;
+  }
+
+  void failed(boolean refused, long now) {
+    if (!failing) {
+      failing = true;
+      failingSince = now;
+    }
+    refusing = refused;
+  }
+
+  /**
+   * The member's id.
+   *
+   * @return the id
+   */
+  public MemberId id() {
+    return entry.id();
+  }
+
+  /**
+   * The member's entry.
+   *
+   * @return what it registered last
+   */
+  public MemberEntry entry() {
+    return entry;
+  }
+
+  /**
+   * The member's last status.
+   *
+   * @return the status, empty if it was never asked with success
+   */
+  public Optional<MemberStatus> status() {
+    return status;
+  }
+
+  /**
+   * When the last status was asked for.
+   *
+   * @return the time, {@link Long#MIN_VALUE} if never
+   */
+  public long statusAskedAt() {
+    return statusAskedAt;
+  }
+
+  /**
+   * The position up to which the member's reads are known to show the log.
+   *
+   * @return the position
+   */
+  public Position applied() {
+    return applied;
+  }
+
+  /**
+   * When the member last answered anything.
+   *
+   * @return the time, {@link Long#MIN_VALUE} if never
+   */
+  public long answeredAt() {
+    return answeredAt;
+  }
+
+  /**
+   * Whether the member is out of reach.
+   *
+   * @return true from a failed attempt to the next answer
+   */
+  public boolean failing() {
+    return failing;
+  }
+
+  /**
+   * Whether the member's address refuses connections: no process of it runs.
+   *
+   * @return true if the last attempt was refused
+   */
+  public boolean refusing() {
+    return failing && refusing;
+  }
+
+  /**
+   * How long the member has been out of reach.
+   *
+   * @param now the time
+   * @return milliseconds, 0 if it is in reach
+   */
+  public long failingMillis(long now) {
+    return failing ? now - failingSince : 0;
+  }
+
+  boolean claimsToLead() {
+    return status.isPresent() && status.get().role() == MemberRole.PRIMARY;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
@@ -0,0 +1,322 @@
+package org.sardinebay.internal.version;
+
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.sardinebay.MemberId;
+import org.sardinebay.Position;
+import org.sardinebay.session.MemberEntry;
+import org.sardinebay.session.MemberRole;
+import org.sardinebay.session.MemberStatus;
+
+/**
+ * What this host believes of one service: its members, its primary and the primary's lease.
+ *
+ * <pre>{@code
+ * view.onStatus(member, status, askedAt);
+ * Optional<MemberView> primary = view.usablePrimary(now);
+ * }</pre>
+ *
+ * <p>Not thread-safe: its owner's loop guards it.
+ */
+public final class ServiceView {
+  private final String service;
+  private final Map<MemberId, MemberView> members = new LinkedHashMap<>();
+  private final PrimaryLease lease = new PrimaryLease();
+  private final PositionFloor floor = new PositionFloor();
+  private Optional<MemberId> primary = Optional.empty();
+  private long term;
+  private long newestTerm;
+  private long unusableSince;
+  private boolean unusable = true;
+
+  /**
+   * A service of which nothing is known.
+   *
+   * @param service its name
+   * @param now the time
+   */
+  public ServiceView(String service, long now) {
+    this.service = service;
+    this.unusableSince = now;
+  }
+
+  /**
+   * The service's name.
+   *
+   * @return the name
+   */
+  public String service() {
+    return service;
+  }
+
+  /**
+   * Takes over the registered members.
+   *
+   * @param entries one for each member
+   */
+  public void setMembers(Collection<MemberEntry> entries) {
+    Set<MemberId> ids = entries.stream().map(MemberEntry::id).collect(Collectors.toSet());
+    members.keySet().retainAll(ids);
+    for (MemberEntry entry : entries) {
+      MemberView known = members.get(entry.id());
+      if (known == null || !known.entry().sameIncarnation(entry)) {
+        members.put(entry.id(), new MemberView(entry));
+      } else {
+        known.update(entry);
+      }
+    }
+    if (primary.isPresent() && !members.containsKey(primary.get())) {
+      primary = Optional.empty();
+    }
+  }
+
+  /**
+   * The members.
+   *
+   * @return a live view
+   */
+  public Collection<MemberView> members() {
+    return members.values();
+  }
+
+  /**
+   * Finds a member.
+   *
+   * @param id its id
+   * @return the member, empty if it is not registered
+   */
+  public Optional<MemberView> member(MemberId id) {
+    return Optional.ofNullable(members.get(id));
+  }
+
+  /**
+   * Takes over what a member says of itself.
+   *
+   * @param id the member
+   * @param status what it says
+   * @param askedAt when it was asked
+   * @param now the time
+   * @return whether the primary or the term changed
+   */
+  public boolean onStatus(MemberId id, MemberStatus status, long askedAt, long now) {
+    MemberView member = members.get(id);
+    if (member == null) {
+      return false;
+    }
+    member.answered(now);
+    member.status(status, askedAt);
+    noteTerm(status.term());
+    if (status.role() == MemberRole.PRIMARY) {
+      return onPrimary(id, status.term());
+    }
+    if (status.fenceTerm() > term) {
+      lease.revoke();
+    } else if (status.term() <= term && newestTerm == term) {
+      lease.confirm(id, askedAt);
+    }
+    if (primary.equals(Optional.of(id))) {
+      primary = Optional.empty();
+      lease.revoke();
+      return true;
+    }
+    return false;
+  }
+
+  private boolean onPrimary(MemberId id, long primaryTerm) {
+    if (primaryTerm < term || (primaryTerm == term && primary.equals(Optional.of(id)))) {
+      return false;
+    }
+    if (primaryTerm > term) {
+      term = primaryTerm;
+      lease.revoke();
+      floor.clear();
+    }
+    primary = Optional.of(id);
+    return true;
+  }
+
+  /**
+   * Takes over the position that a member named after an answer.
+   *
+   * @param id the member
+   * @param position up to where it had applied the log
+   * @param askedAt when the statement was sent
+   * @param now the time
+   */
+  public void onApplied(MemberId id, Position position, long askedAt, long now) {
+    MemberView member = members.get(id);
+    if (member == null) {
+      return;
+    }
+    member.answered(now);
+    member.applied(position);
+    noteTerm(position.term());
+    if (primary.equals(Optional.of(id)) && position.term() == term && lease.valid(now)) {
+      floor.observe(askedAt, position);
+    }
+  }
+
+  /**
+   * Notes that a member could not be reached.
+   *
+   * @param id the member
+   * @param refused whether its address refused the connection
+   * @param now the time
+   */
+  public void onUnreachable(MemberId id, boolean refused, long now) {
+    MemberView member = members.get(id);
+    if (member == null) {
+      return;
+    }
+    member.failed(refused, now);
+    if (noOtherMemberRuns()) {
+      lease.confirm(id, now);
+    }
+  }
+
+  /** With no other process running, none can have been promoted. */
+  private boolean noOtherMemberRuns() {
+    boolean others = false;
+    for (MemberView member : members.values()) {
+      if (!primary.equals(Optional.of(member.id()))) {
+        others = true;
+        if (!member.refusing()) {
+          return false;
+        }
+      }
+    }
+    return others;
+  }
+
+  private void noteTerm(long seen) {
+    if (seen > newestTerm) {
+      newestTerm = seen;
+      if (newestTerm > term) {
+        lease.revoke();
+      }
+    }
+  }
+
+  /**
+   * The term of the believed primary.
+   *
+   * @return the term, 0 before the first primary is known
+   */
+  public long term() {
+    return term;
+  }
+
+  /**
+   * The newest term that any member named.
+   *
+   * @return the term
+   */
+  public long newestTerm() {
+    return newestTerm;
+  }
+
+  /**
+   * The believed primary, with or without a lease.
+   *
+   * @return the member, empty if none is known
+   */
+  public Optional<MemberView> primary() {
+    return primary.map(members::get);
+  }
+
+  /**
+   * The primary, if it may be relied upon now.
+   *
+   * @param now the time
+   * @return the member, empty if there is none or its lease has run out
+   */
+  public Optional<MemberView> usablePrimary(long now) {
+    return newestTerm == term && lease.valid(now) ? primary() : Optional.empty();
+  }
+
+  /**
+   * Whether an answer that has just arrived from a member may be relied upon as the primary's.
+   *
+   * @param id the member
+   * @param termAtStart the term when the statement was sent
+   * @param now the time
+   * @return true if the same member still leads
+   */
+  public boolean stillLeads(MemberId id, long termAtStart, long now) {
+    return term == termAtStart && usablePrimary(now).filter(m -> m.id().equals(id)).isPresent();
+  }
+
+  /**
+   * When the lease of the primary ends.
+   *
+   * @return the time
+   */
+  public long leaseEndsAt() {
+    return lease.expiresAt();
+  }
+
+  /**
+   * The least position that a read of bounded age must show.
+   *
+   * @param startedAt when the read arrived
+   * @param maxStalenessMillis the age allowed
+   * @return the position, empty if no recent one is known
+   */
+  public Optional<Position> floor(long startedAt, long maxStalenessMillis) {
+    return floor.atMostOld(startedAt, maxStalenessMillis);
+  }
+
+  /**
+   * Raises a position of a session to this term: what an older term wrote is on the log only up to
+   * where the new primary began.
+   *
+   * @param position the session's position
+   * @return the position to ask for, empty if this term's log is not known well enough
+   */
+  public Optional<Position> inThisTerm(Position position) {
+    if (position.term() == term) {
+      return Optional.of(position);
+    }
+    return position.term() < term ? floor.first() : Optional.empty();
+  }
+
+  /**
+   * How long no primary could be relied upon.
+   *
+   * @param now the time
+   * @return milliseconds, 0 if one can
+   */
+  public long unusableMillis(long now) {
+    boolean usable = usablePrimary(now).filter(m -> !m.failing()).isPresent();
+    if (usable) {
+      unusable = false;
+      return 0;
+    }
+    if (!unusable) {
+      unusable = true;
+      unusableSince = now;
+    }
+    return now - unusableSince;
+  }
+
+  /**
+   * Members other than the believed primary that say they lead, at an older term.
+   *
+   * @return the first of them
+   */
+  public Optional<MemberView> formerPrimary() {
+    Iterator<MemberView> all = members.values().iterator();
+    while (all.hasNext()) {
+      MemberView member = all.next();
+      if (member.claimsToLead() && member.status().orElseThrow().term() < term) {
+        return Optional.of(member);
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/session/MemberMessage.java
@@ -0,0 +1,44 @@
+package org.sardinebay.session;
+
+import java.util.Optional;
+import org.sardinebay.Position;
+
+/** A message from a member. */
+public sealed interface MemberMessage {
+  /**
+   * The answer has ended.
+   *
+   * @param state the transaction's state
+   * @param position the last position that the member had applied, if it says so
+   */
+  record Ready(TransactionState state, Optional<Position> position) implements MemberMessage {}
+
+  /**
+   * A row of the answer.
+   *
+   * @param text the row, opaque to the proxy
+   */
+  record Row(String text) implements MemberMessage {}
+
+  /**
+   * The statement succeeded.
+   *
+   * @param signature the member's proof, opaque to the proxy
+   */
+  record Done(String signature) implements MemberMessage {}
+
+  /**
+   * The statement failed.
+   *
+   * @param code why
+   * @param text the member's words
+   */
+  record Failed(ErrorCode code, String text) implements MemberMessage {}
+
+  /**
+   * A message that can't be read.
+   *
+   * @param line the message
+   */
+  record Unreadable(String line) implements MemberMessage {}
+}
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/session/ServiceSpec.java
@@ -0,0 +1,10 @@
+package org.sardinebay.session;
+
+/**
+ * A replicated database service.
+ *
+ * @param name its name
+ * @param maxConnections connections that each of its members accepts from all hosts together
+ * @param syncReplicas replicas that must have received a commit before it is acknowledged
+ */
+public record ServiceSpec(String name, int maxConnections, int syncReplicas) {}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
@@ -0,0 +1,410 @@
+package org.sardinebay.gateway.internal.connection;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.sardinebay.Clock;
+import org.sardinebay.Position;
+import org.sardinebay.gateway.internal.request.StatementRequest;
+import org.sardinebay.gateway.internal.request.StatementRun;
+import org.sardinebay.gateway.internal.request.StatementRunContext;
+import org.sardinebay.gateway.internal.version.ServiceRuntime;
+import org.sardinebay.gateway.internal.version.Services;
+import org.sardinebay.session.CallerMessage;
+import org.sardinebay.session.CallerProtocol;
+import org.sardinebay.session.DatabaseRoute;
+import org.sardinebay.session.ErrorCode;
+import org.sardinebay.session.MemberProtocol;
+import org.sardinebay.session.PreparedShape;
+import org.sardinebay.session.Statement;
+import org.sardinebay.session.TransactionState;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One caller's session: its values, prepared statements, transaction and position. Statements that
+ * need no member are answered here; what was answered holds at the member before the next statement
+ * runs there.
+ */
+public final class CallerSession implements LineChannel.Listener, StatementRequest.SessionFacts {
+  private static final Logger LOG = LoggerFactory.getLogger(CallerSession.class);
+
+  /** How long a line may take to arrive once it has begun, in milliseconds. */
+  private static final long LINE_TIMEOUT_MILLIS = 10_000;
+
+  /** How long rolling back at the member may take, in milliseconds. */
+  private static final long ROLLBACK_TIMEOUT_MILLIS = 500;
+
+  private final Services services;
+  private final StatementRunContext context;
+  private final CallerProtocol protocol;
+  private final MemberProtocol memberProtocol;
+  private final PreparedNames preparedNames;
+  private final Clock clock;
+  private final Consumer<CallerSession> onEnd;
+  private LineChannel channel;
+  private Optional<String> database = Optional.empty();
+  private final Map<String, String> values = new HashMap<>();
+  private final Map<String, PreparedShape> prepared = new HashMap<>();
+  private Optional<Transaction> transaction = Optional.empty();
+  private TransactionState state = TransactionState.IDLE;
+  private Optional<Position> position = Optional.empty();
+  private boolean abortUntold;
+  private boolean answering;
+  private boolean leaving;
+  private boolean ended;
+  private long lineBegunAt = -1;
+
+  /**
+   * A session that has not started.
+   *
+   * @param services the configuration and the services
+   * @param context what statements share
+   * @param protocol the callers' protocol
+   * @param preparedNames names of prepared statements at members
+   * @param onEnd called once when the session has ended
+   */
+  public CallerSession(
+      Services services,
+      StatementRunContext context,
+      CallerProtocol protocol,
+      PreparedNames preparedNames,
+      Consumer<CallerSession> onEnd) {
+    this.services = services;
+    this.context = context;
+    this.protocol = protocol;
+    this.memberProtocol = context.protocol();
+    this.preparedNames = preparedNames;
+    this.clock = context.clock();
+    this.onEnd = onEnd;
+  }
+
+  /**
+   * Starts the session on a connection.
+   *
+   * @param connection the connection
+   */
+  public void start(LineChannel connection) {
+    channel = connection;
+    channel.start();
+  }
+
+  @Override
+  public void onLine(String line) {
+    lineBegunAt = -1;
+    if (answering) {
+      refuseAndEnd(ErrorCode.MALFORMED, "a statement was sent before the last one was answered");
+      return;
+    }
+    CallerMessage message = protocol.parse(line);
+    if (message instanceof CallerMessage.Query query && database.isPresent()) {
+      onQuery(query);
+    } else if (message instanceof CallerMessage.Start start && database.isEmpty()) {
+      onStart(start.database());
+    } else if (message instanceof CallerMessage.Bye) {
+      end();
+    } else if (message instanceof CallerMessage.Malformed malformed && database.isPresent()) {
+      fail(ErrorCode.MALFORMED, malformed.reason());
+    } else {
+      refuseAndEnd(ErrorCode.MALFORMED, "a session begins with one start message");
+    }
+  }
+
+  @Override
+  public void onTooLong() {
+    refuseAndEnd(ErrorCode.TOO_BIG, "the message is longer than 1 MiB");
+  }
+
+  @Override
+  public void onClosed() {
+    end();
+  }
+
+  private void onStart(String name) {
+    if (services.table().route(name).isEmpty()) {
+      refuseAndEnd(ErrorCode.NO_DATABASE, "no route has the name " + name);
+      return;
+    }
+    database = Optional.of(name);
+    channel.send(readyLine());
+  }
+
+  private void onQuery(CallerMessage.Query query) {
+    Statement statement = query.statement();
+    if (state == TransactionState.FAILED) {
+      onQueryAfterFailure(statement);
+    } else if (statement instanceof Statement.SetValue set) {
+      values.put(set.name(), set.value());
+      succeed();
+    } else if (statement instanceof Statement.Prepare prepare) {
+      prepared.put(prepare.name(), prepare.shape());
+      succeed();
+    } else if (statement instanceof Statement.Deallocate deallocate) {
+      prepared.remove(deallocate.name());
+      succeed();
+    } else if (statement instanceof Statement.Begin begin) {
+      onBegin(begin);
+    } else if (statement instanceof Statement.Rollback) {
+      onRollback();
+    } else if (statement instanceof Statement.Commit && transaction.isEmpty()) {
+      fail(ErrorCode.MALFORMED, "no transaction is open");
+    } else {
+      run(query.id(), statement);
+    }
+  }
+
+  private void onQueryAfterFailure(Statement statement) {
+    if (statement instanceof Statement.Rollback) {
+      endTransaction();
+      succeed();
+    } else if (statement instanceof Statement.Commit) {
+      endTransaction();
+      fail(ErrorCode.ABORTED, "the transaction had failed and was rolled back");
+    } else if (abortUntold) {
+      abortUntold = false;
+      fail(ErrorCode.ABORTED, "rolled back: the transaction rested too long");
+    } else {
+      fail(ErrorCode.MALFORMED, "the transaction has failed; roll it back");
+    }
+  }
+
+  private void onBegin(Statement.Begin begin) {
+    if (transaction.isPresent()) {
+      fail(ErrorCode.MALFORMED, "a transaction is open");
+      return;
+    }
+    Optional<DatabaseRoute> route = services.table().route(database.orElseThrow());
+    Optional<ServiceRuntime> service = route.flatMap(services::service);
+    if (service.isEmpty()) {
+      fail(ErrorCode.NO_DATABASE, "the database is not configured any more");
+      return;
+    }
+    transaction =
+        Optional.of(new Transaction(route.get(), service.get(), begin.readOnly(), clock.millis()));
+    state = TransactionState.OPEN;
+    succeed();
+  }
+
+  private void onRollback() {
+    if (transaction.isEmpty()) {
+      fail(ErrorCode.MALFORMED, "no transaction is open");
+      return;
+    }
+    endTransaction();
+    succeed();
+  }
+
+  private void run(String id, Statement statement) {
+    Optional<StatementRequest> request = request(id, statement);
+    if (request.isEmpty()) {
+      fail(ErrorCode.UNKNOWN_STATEMENT, "no prepared statement has this name");
+      return;
+    }
+    Optional<DatabaseRoute> route =
+        transaction
+            .map(Transaction::route)
+            .or(() -> services.table().route(database.orElseThrow()));
+    Optional<ServiceRuntime> service =
+        transaction.map(Transaction::service).or(() -> route.flatMap(services::service));
+    if (service.isEmpty()) {
+      fail(ErrorCode.NO_DATABASE, "the database is not configured any more");
+      return;
+    }
+    answering = true;
+    transaction.ifPresent(t -> t.used(clock.millis()));
+    new StatementRun(
+            context,
+            request.get(),
+            transaction,
+            service.get(),
+            route.orElseThrow(),
+            reply -> onReply(request.get(), reply))
+        .start();
+  }
+
+  private Optional<StatementRequest> request(String id, Statement statement) {
+    if (statement instanceof Statement.Execute execute) {
+      PreparedShape shape = prepared.get(execute.name());
+      if (shape == null) {
+        return Optional.empty();
+      }
+      Statement renamed = new Statement.Execute(preparedNames.name(shape), execute.arguments());
+      boolean writes = shape.access() == Statement.Access.WRITE;
+      return Optional.of(
+          new StatementRequest(
+              id, memberProtocol.text(renamed), writes, false, Optional.of(shape), this));
+    }
+    return Optional.of(
+        new StatementRequest(
+            id,
+            memberProtocol.text(statement),
+            statement instanceof Statement.Write,
+            statement instanceof Statement.Commit,
+            Optional.empty(),
+            this));
+  }
+
+  private void onReply(StatementRequest request, SessionReply reply) {
+    answering = false;
+    if (request.commits()) {
+      endTransaction();
+    }
+    if (ended) {
+      endTransaction();
+      return;
+    }
+    transaction.ifPresent(t -> t.used(clock.millis()));
+    if (reply instanceof SessionReply.Failure failure) {
+      fail(failure.code(), failure.text());
+      return;
+    }
+    SessionReply.Success success = (SessionReply.Success) reply;
+    String[] lines = new String[success.rows().size() + 2];
+    for (int i = 0; i < success.rows().size(); i++) {
+      lines[i] = protocol.row(success.rows().get(i));
+    }
+    lines[lines.length - 2] = protocol.done(success.signature());
+    lines[lines.length - 1] = readyLine();
+    channel.send(lines);
+    afterAnswer();
+  }
+
+  private void succeed() {
+    channel.send(protocol.doneWithoutMember(), readyLine());
+    afterAnswer();
+  }
+
+  private void fail(ErrorCode code, String text) {
+    if (transaction.isPresent()) {
+      state = TransactionState.FAILED;
+      rollBackAtMember();
+    }
+    channel.send(protocol.error(code, text), readyLine());
+    afterAnswer();
+  }
+
+  private void afterAnswer() {
+    if (leaving && state == TransactionState.IDLE) {
+      end();
+    }
+  }
+
+  private String readyLine() {
+    return protocol.ready(state, position);
+  }
+
+  private void refuseAndEnd(ErrorCode code, String text) {
+    LOG.atInfo()
+        .setMessage("session_refused")
+        .addKeyValue("database", database.orElse("-"))
+        .addKeyValue("code", code)
+        .addKeyValue("text", text)
+        .log();
+    channel.send(protocol.error(code, text));
+    end();
+  }
+
+  private void endTransaction() {
+    rollBackAtMember();
+    transaction = Optional.empty();
+    state = TransactionState.IDLE;
+  }
+
+  private void rollBackAtMember() {
+    Optional<Transaction.Pin> pin = transaction.flatMap(Transaction::unpin);
+    if (pin.isEmpty()) {
+      return;
+    }
+    MemberLink link = pin.get().link();
+    MemberPool pool = pin.get().pool();
+    if (!link.usable() || link.busy() || link.state() == TransactionState.IDLE) {
+      pool.giveBack(link);
+      return;
+    }
+    String rollback = memberProtocol.text(new Statement.Rollback());
+    link.exchange(
+        memberProtocol.query(MemberProtocol.OWN_ID, Optional.empty(), rollback),
+        ROLLBACK_TIMEOUT_MILLIS,
+        answer -> pool.giveBack(link));
+  }
+
+  /** Ends the session as soon as no statement and no transaction is open. */
+  public void leave() {
+    leaving = true;
+    if (!answering && state == TransactionState.IDLE) {
+      end();
+    }
+  }
+
+  /** Ends the session after its next statement or transaction. */
+  public void leaveAfterNext() {
+    leaving = true;
+  }
+
+  /**
+   * Whether a transaction is open.
+   *
+   * @return true from its beginning to its end
+   */
+  public boolean inTransaction() {
+    return transaction.isPresent();
+  }
+
+  /** Ends the session at once. */
+  public void end() {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    channel.close();
+    if (!answering) {
+      endTransaction();
+    }
+    onEnd.accept(this);
+  }
+
+  /**
+   * Does what time demands: a line that never ends, a transaction that rests too long.
+   *
+   * @param now the time
+   */
+  public void tick(long now) {
+    if (!channel.lineBegun()) {
+      lineBegunAt = -1;
+    } else if (lineBegunAt < 0) {
+      lineBegunAt = now;
+    } else if (now - lineBegunAt > LINE_TIMEOUT_MILLIS) {
+      refuseAndEnd(ErrorCode.MALFORMED, "the message did not end in time");
+      return;
+    }
+    long limit = services.table().limits().transactionIdleMillis();
+    if (!answering
+        && state == TransactionState.OPEN
+        && transaction.filter(t -> t.idleMillis(now) > limit).isPresent()) {
+      LOG.atInfo()
+          .setMessage("transaction_idle_too_long")
+          .addKeyValue("database", database.orElse("-"))
+          .addKeyValue("limit_millis", limit)
+          .log();
+      state = TransactionState.FAILED;
+      abortUntold = true;
+      rollBackAtMember();
+    }
+  }
+
+  @Override
+  public Map<String, String> values() {
+    return values;
+  }
+
+  @Override
+  public Optional<Position> position() {
+    return position;
+  }
+
+  @Override
+  public void advance(Position seen) {
+    position = Optional.of(position.map(seen::max).orElse(seen));
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/LineChannel.java
@@ -0,0 +1,183 @@
+package org.sardinebay.gateway.internal.connection;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.net.socket.tcp.TcpSocket;
+import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A connection on which both sides send lines. Bytes pass unchanged: each is one character.
+ *
+ * <pre>{@code
+ * LineChannel channel = new LineChannel(socket, maxLineBytes, listener);
+ * channel.start();
+ * channel.send("BYE");
+ * }</pre>
+ *
+ * <p>Used on its event loop's thread only.
+ */
+public final class LineChannel {
+  private static final Logger LOG = LoggerFactory.getLogger(LineChannel.class);
+  private static final String TERMINATOR = "\r\n";
+  private static final int FIRST_BUFFER_BYTES = 512;
+
+  /** Takes what arrives. */
+  public interface Listener {
+    /**
+     * A line arrived.
+     *
+     * @param line the line without its terminator
+     */
+    void onLine(String line);
+
+    /** A line is longer than allowed; nothing more is read. */
+    void onTooLong();
+
+    /** The connection has ended; nothing follows. Not called after {@link LineChannel#close()}. */
+    void onClosed();
+  }
+
+  private final TcpSocket socket;
+  private final int maxLineBytes;
+  private final Listener listener;
+  private byte[] pending = new byte[FIRST_BUFFER_BYTES];
+  private int pendingLength;
+  private boolean closed;
+
+  /**
+   * Wraps a socket.
+   *
+   * @param socket the connected socket
+   * @param maxLineBytes the longest line taken, terminator included
+   * @param listener what takes the lines
+   */
+  public LineChannel(TcpSocket socket, int maxLineBytes, Listener listener) {
+    this.socket = socket;
+    this.maxLineBytes = maxLineBytes;
+    this.listener = listener;
+  }
+
+  /** Starts reading. */
+  public void start() {
+    readNext();
+  }
+
+  /**
+   * Sends lines in one write.
+   *
+   * @param lines the lines without terminators
+   */
+  public void send(String... lines) {
+    if (closed) {
+      return;
+    }
+    StringBuilder text = new StringBuilder();
+    for (String line : lines) {
+      text.append(line).append(TERMINATOR);
+    }
+    ByteBuf bytes = ByteBuf.wrapForReading(text.toString().getBytes(StandardCharsets.ISO_8859_1));
+    socket.write(bytes).whenException(e -> ended());
+  }
+
+  /** Whether a line has begun and not ended. */
+  boolean lineBegun() {
+    return pendingLength > 0;
+  }
+
+  /** Closes the connection; what was sent is still delivered. */
+  public void close() {
+    closed = true;
+    socket.close();
+  }
+
+  /** Closes the connection and discards what is on its way in either direction. */
+  public void reset() {
+    if (!closed) {
+      try {
+        socket.getSocketChannel().setOption(StandardSocketOptions.SO_LINGER, 0);
+      } catch (IOException e) {
+        LOG.atDebug().setMessage("linger_not_set").addKeyValue("cause", e.getMessage()).log();
+      }
+      close();
+    }
+  }
+
+  boolean closed() {
+    return closed;
+  }
+
+  private void readNext() {
+    while (!closed) {
+      var read = socket.read();
+      if (!read.isComplete()) {
+        read.whenComplete(
+            (bytes, e) -> {
+              if (take(Optional.ofNullable(bytes))) {
+                readNext();
+              }
+            });
+        return;
+      }
+      if (!take(Optional.ofNullable(read.isResult() ? read.getResult() : null))) {
+        return;
+      }
+    }
+  }
+
+  /** Returns whether to go on reading. */
+  private boolean take(Optional<ByteBuf> bytes) {
+    if (closed) {
+      bytes.ifPresent(ByteBuf::recycle);
+      return false;
+    }
+    if (bytes.isEmpty()) {
+      ended();
+      return false;
+    }
+    append(bytes.get());
+    return deliver();
+  }
+
+  private void append(ByteBuf bytes) {
+    int count = bytes.readRemaining();
+    if (pendingLength + count > pending.length) {
+      pending = Arrays.copyOf(pending, Math.max(pending.length * 2, pendingLength + count));
+    }
+    System.arraycopy(bytes.array(), bytes.head(), pending, pendingLength, count);
+    pendingLength += count;
+    bytes.recycle();
+  }
+
+  private boolean deliver() {
+    int start = 0;
+    for (int i = 0; i < pendingLength && !closed; i++) {
+      if (pending[i] == '\n') {
+        int end = i > start && pending[i - 1] == '\r' ? i - 1 : i;
+        listener.onLine(new String(pending, start, end - start, StandardCharsets.ISO_8859_1));
+        start = i + 1;
+      }
+    }
+    pendingLength -= start;
+    System.arraycopy(pending, start, pending, 0, pendingLength);
+    if (pendingLength == 0 && pending.length > FIRST_BUFFER_BYTES) {
+      pending = new byte[FIRST_BUFFER_BYTES];
+    }
+    if (!closed && pendingLength >= maxLineBytes) {
+      listener.onTooLong();
+    }
+    return !closed;
+  }
+
+  private void ended() {
+    if (!closed) {
+      closed = true;
+      socket.close();
+      listener.onClosed();
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/Transaction.java
@@ -0,0 +1,144 @@
+package org.sardinebay.gateway.internal.connection;
+
+import java.util.Optional;
+import org.sardinebay.gateway.internal.version.ServiceRuntime;
+import org.sardinebay.session.DatabaseRoute;
+
+/**
+ * A caller's transaction. It gets a member connection with its first statement and keeps it to its
+ * end.
+ */
+public final class Transaction {
+  /**
+   * The member connection of a transaction.
+   *
+   * @param link the connection
+   * @param pool where it goes back to
+   * @param asPrimary whether the member was chosen as the primary
+   * @param term the primary's term when the transaction began there
+   */
+  public record Pin(MemberLink link, MemberPool pool, boolean asPrimary, long term) {}
+
+  private final DatabaseRoute route;
+  private final ServiceRuntime service;
+  private final boolean readOnly;
+  private final long startedAt;
+  private Optional<Pin> pin = Optional.empty();
+  private boolean wrote;
+  private long lastUsedAt;
+
+  /**
+   * A transaction that has not reached a member.
+   *
+   * @param route the route when it began
+   * @param service the service behind the route
+   * @param readOnly whether it only reads
+   * @param startedAt when its beginning arrived
+   */
+  public Transaction(
+      DatabaseRoute route, ServiceRuntime service, boolean readOnly, long startedAt) {
+    this.route = route;
+    this.service = service;
+    this.readOnly = readOnly;
+    this.startedAt = startedAt;
+    this.lastUsedAt = startedAt;
+  }
+
+  /**
+   * Its route, which holds for all of it.
+   *
+   * @return the route
+   */
+  public DatabaseRoute route() {
+    return route;
+  }
+
+  /**
+   * The service behind the route.
+   *
+   * @return the service
+   */
+  public ServiceRuntime service() {
+    return service;
+  }
+
+  /**
+   * Whether it only reads.
+   *
+   * @return as its caller said
+   */
+  public boolean readOnly() {
+    return readOnly;
+  }
+
+  /**
+   * When its beginning arrived.
+   *
+   * @return the time
+   */
+  public long startedAt() {
+    return startedAt;
+  }
+
+  /**
+   * Its member connection.
+   *
+   * @return the connection, empty before its first statement and after it failed
+   */
+  public Optional<Pin> pin() {
+    return pin;
+  }
+
+  /**
+   * Gives it a member connection.
+   *
+   * @param newPin the connection
+   */
+  public void pin(Pin newPin) {
+    pin = Optional.of(newPin);
+  }
+
+  /**
+   * Takes its member connection away.
+   *
+   * @return the connection, if it had one
+   */
+  public Optional<Pin> unpin() {
+    Optional<Pin> old = pin;
+    pin = Optional.empty();
+    return old;
+  }
+
+  /** Notes that a write was sent. */
+  public void noteWrite() {
+    wrote = true;
+  }
+
+  /**
+   * Whether a write was sent.
+   *
+   * @return true from the first write on
+   */
+  public boolean wrote() {
+    return wrote;
+  }
+
+  /**
+   * Notes that it was used.
+   *
+   * @param now the time
+   */
+  public void used(long now) {
+    lastUsedAt = now;
+  }
+
+  /**
+   * How long it has rested.
+   *
+   * @param now the time
+   * @return milliseconds
+   */
+  public long idleMillis(long now) {
+    return now - lastUsedAt;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayDump.java
@@ -0,0 +1,50 @@
+package org.sardinebay.gateway.internal.process;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.sardinebay.Clock;
+import org.sardinebay.gateway.internal.version.ServiceRuntime;
+import org.sardinebay.gateway.internal.version.Services;
+import org.sardinebay.internal.version.MemberView;
+import org.sardinebay.internal.version.ServiceView;
+import org.sardinebay.net.http.Json;
+
+/** Writes the gateway's state for operators. */
+final class GatewayDump {
+  private GatewayDump() {}
+
+  static JsonNode write(Services services, Sessions sessions, Clock clock) {
+    long now = clock.millis();
+    ObjectNode dump = Json.newObject();
+    dump.put("configuration", services.table().version());
+    dump.put("sessions", sessions.size());
+    dump.put("transactions", sessions.inTransaction());
+    ArrayNode list = dump.putArray("services");
+    services.all().forEach(service -> writeService(list.addObject(), service, now));
+    return dump;
+  }
+
+  private static void writeService(ObjectNode node, ServiceRuntime service, long now) {
+    ServiceView view = service.view();
+    node.put("name", view.service());
+    node.put("term", view.term());
+    node.put("primary", view.primary().map(m -> m.id().value()).orElse(""));
+    node.put("leaseMillis", view.leaseEndsAt() - now);
+    node.put("waiting", service.waiting());
+    ArrayNode members = node.putArray("members");
+    view.members().forEach(member -> writeMember(members.addObject(), service, member, now));
+  }
+
+  private static void writeMember(
+      ObjectNode node, ServiceRuntime service, MemberView member, long now) {
+    node.put("id", member.id().value());
+    node.put("address", member.entry().address().toString());
+    node.put("draining", member.entry().draining());
+    node.put("applied", member.applied().toString());
+    node.put("status", member.status().map(Object::toString).orElse(""));
+    node.put("statusAgeMillis", now - member.statusAskedAt());
+    node.put("unreachableMillis", member.failingMillis(now));
+    service.pool(member.id()).ifPresent(pool -> node.put("connections", pool.size()));
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -0,0 +1,167 @@
+package org.sardinebay.gateway.internal.process;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpMethod;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import org.sardinebay.Clock;
+import org.sardinebay.gateway.internal.connection.LinkPreparation;
+import org.sardinebay.gateway.internal.connection.PreparedNames;
+import org.sardinebay.gateway.internal.request.StatementLog;
+import org.sardinebay.gateway.internal.request.StatementRunContext;
+import org.sardinebay.gateway.internal.version.ObjectWatch;
+import org.sardinebay.gateway.internal.version.ServiceRuntime;
+import org.sardinebay.gateway.internal.version.Services;
+import org.sardinebay.gateway.internal.version.StoreFeeds;
+import org.sardinebay.impeller.LineCallerProtocol;
+import org.sardinebay.impeller.LineMemberProtocol;
+import org.sardinebay.impeller.PlatformNames;
+import org.sardinebay.impeller.StoreClient;
+import org.sardinebay.net.AdminRoutes;
+import org.sardinebay.net.RunningProcess;
+import org.sardinebay.net.http.HttpReply;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.net.http.JsonHttpClient;
+import org.sardinebay.net.http.JsonHttpServer;
+import org.sardinebay.net.http.Route;
+import org.sardinebay.platform.PlatformClient;
+import org.sardinebay.session.MemberProtocol;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The running gateway: wires its parts on one event loop and shuts them down in order. */
+final class GatewayProcess implements RunningProcess {
+  private static final Logger LOG = LoggerFactory.getLogger(GatewayProcess.class);
+
+  /** How often overdue work is looked for, in milliseconds. */
+  private static final long TICK_MILLIS = 50;
+
+  /** How long a connection to the store may be silent: above a watch's wait. */
+  private static final Duration STORE_SILENCE = Duration.ofSeconds(6);
+
+  /** Left at the end of a shutdown's time, in milliseconds, so that the process ends by itself. */
+  private static final long SHUTDOWN_RESERVE_MILLIS = 1_500;
+
+  private static final int UNAVAILABLE = 503;
+
+  private final GatewaySettings settings;
+  private final Eventloop loop;
+  private final Clock clock;
+  private final Services services;
+  private final Sessions sessions;
+  private final StoreFeeds feeds;
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private volatile boolean stopping;
+
+  private GatewayProcess(GatewaySettings settings, Eventloop loop, Clock clock) {
+    this.settings = settings;
+    this.loop = loop;
+    this.clock = clock;
+    MemberProtocol memberProtocol = new LineMemberProtocol();
+    this.services =
+        new Services(
+            spec ->
+                new ServiceRuntime(
+                    loop, clock, settings.host(), settings.failureDomain(), memberProtocol, spec));
+    PreparedNames names = new PreparedNames();
+    StatementRunContext context =
+        new StatementRunContext(
+            loop,
+            clock,
+            memberProtocol,
+            new LinkPreparation(memberProtocol, names),
+            new StatementLog(clock, registry));
+    this.sessions = new Sessions(services, context, new LineCallerProtocol(), names);
+    this.feeds = new StoreFeeds(services, clock);
+  }
+
+  static GatewayProcess start(GatewaySettings settings) throws IOException {
+    Clock clock = HostClock.create();
+    Eventloop loop =
+        Eventloop.builder()
+            .withThreadName("gateway")
+            .withIdleInterval(Duration.ofSeconds(1))
+            .build();
+    loop.keepAlive(true);
+    GatewayProcess process = new GatewayProcess(settings, loop, clock);
+    Thread thread = new Thread(loop, "gateway");
+    thread.setDaemon(true);
+    thread.start();
+    try {
+      loop.submit(process::serve).get();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted while starting", e);
+    } catch (ExecutionException e) {
+      throw new IOException("could not start: " + e.getCause().getMessage(), e);
+    }
+    HangupSignal.handle(() -> LOG.atInfo().setMessage("reload_requested").log());
+    return process;
+  }
+
+  private void serve() throws IOException {
+    JsonHttpClient http = JsonHttpClient.on(loop, STORE_SILENCE);
+    PlatformClient store = new StoreClient(http, settings.store());
+    new ObjectWatch(store, PlatformNames.CONFIGURATION.kind(), feeds.configuration(), loop, clock)
+        .start();
+    new ObjectWatch(store, PlatformNames.MEMBERS, feeds.members(), loop, clock).start();
+    sessions.listen(loop, settings.callers());
+    JsonHttpServer.serveOn(
+        loop,
+        settings.readiness(),
+        List.of(new Route(HttpMethod.GET, PlatformNames.READY_PATH, call -> readiness())));
+    List<Route> admin = new ArrayList<>(AdminRoutes.of(this, registry));
+    JsonHttpServer.serveOn(loop, settings.metrics(), admin);
+    registry.gauge("sardinebay_sessions", sessions, Sessions::size);
+    tick();
+  }
+
+  private CompletableFuture<HttpReply> readiness() {
+    return CompletableFuture.completedFuture(
+        HttpReply.json(
+            ready() ? HttpReply.OK : UNAVAILABLE, Json.newObject().put("ready", ready())));
+  }
+
+  private void tick() {
+    long now = clock.millis();
+    feeds.tick(now);
+    services.all().forEach(service -> service.tick(now));
+    sessions.tick(now);
+    loop.delay(TICK_MILLIS, this::tick);
+  }
+
+  @Override
+  public JsonNode dump() {
+    return GatewayDump.write(services, sessions, clock);
+  }
+
+  @Override
+  public boolean ready() {
+    return !stopping && services.table().version() > 0;
+  }
+
+  @Override
+  public void shutdown() {
+    stopping = true;
+    long endAt = clock.millis() + settings.shutdownMillis() - SHUTDOWN_RESERVE_MILLIS;
+    LOG.atInfo().setMessage("shutdown_started").log();
+    loop.execute(sessions::leave);
+    while (sessions.size() > 0 && clock.millis() < endAt) {
+      try {
+        Thread.sleep(TICK_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        break;
+      }
+    }
+    LOG.atInfo().setMessage("shutdown_ended").addKeyValue("sessions_left", sessions.size()).log();
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewaySettings.java
@@ -0,0 +1,60 @@
+package org.sardinebay.gateway.internal.process;
+
+import java.util.List;
+import org.sardinebay.Address;
+import org.sardinebay.FailureDomain;
+import org.sardinebay.HostId;
+import org.sardinebay.record.FieldReader;
+
+/**
+ * The gateway's settings.
+ *
+ * @param host this host's name
+ * @param failureDomain where this host stands
+ * @param callers where callers connect
+ * @param readiness where the balancer asks whether this host is ready
+ * @param metrics where metrics and dumps are served
+ * @param store the platform's metadata store
+ * @param promotions where the platform takes promotion orders
+ * @param shutdownMillis how long a shutdown may take
+ */
+public record GatewaySettings(
+    HostId host,
+    FailureDomain failureDomain,
+    Address callers,
+    Address readiness,
+    Address metrics,
+    Address store,
+    Address promotions,
+    long shutdownMillis) {
+  private static final long MAX_SHUTDOWN_SECONDS = 3_600;
+  private static final long MILLIS_PER_SECOND = 1_000;
+  private static final int MAX_PORT = 65_535;
+
+  static GatewaySettings read(FieldReader reader) {
+    String ip = reader.text("ip");
+    int metricsPort = (int) reader.number("metricsPort", 1, MAX_PORT);
+    return new GatewaySettings(
+        new HostId(reader.text("host")),
+        new FailureDomain(reader.text("failureDomain")),
+        reader.address("callers"),
+        reader.address("readiness"),
+        new Address(ip, metricsPort),
+        reader.address("store"),
+        reader.address("promotions"),
+        reader.number("shutdownSeconds", 1, MAX_SHUTDOWN_SECONDS) * MILLIS_PER_SECOND);
+  }
+
+  static List<String> help() {
+    return List.of(
+        "host             this host's name",
+        "failureDomain    where this host stands",
+        "ip               this host's IP number, for metrics",
+        "metricsPort      port of /metrics and /dump on that number",
+        "callers          IP:PORT where callers connect",
+        "readiness        IP:PORT where the balancer asks whether this host is ready",
+        "store            IP:PORT of the platform's metadata store",
+        "promotions       IP:PORT where the platform takes promotion orders",
+        "shutdownSeconds  how long a shutdown may take");
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/Sessions.java
@@ -0,0 +1,73 @@
+package org.sardinebay.gateway.internal.process;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.net.SimpleServer;
+import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.net.socket.tcp.TcpSocket;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Set;
+import org.sardinebay.Address;
+import org.sardinebay.gateway.internal.connection.CallerSession;
+import org.sardinebay.gateway.internal.connection.LineChannel;
+import org.sardinebay.gateway.internal.connection.MemberLink;
+import org.sardinebay.gateway.internal.connection.PreparedNames;
+import org.sardinebay.gateway.internal.request.StatementRunContext;
+import org.sardinebay.gateway.internal.version.Services;
+import org.sardinebay.session.CallerProtocol;
+
+/** Accepts callers and keeps their sessions. */
+final class Sessions {
+  private final Services services;
+  private final StatementRunContext context;
+  private final CallerProtocol protocol;
+  private final PreparedNames preparedNames;
+  private final Set<CallerSession> open = new HashSet<>();
+  private boolean leaving;
+
+  Sessions(
+      Services services,
+      StatementRunContext context,
+      CallerProtocol protocol,
+      PreparedNames preparedNames) {
+    this.services = services;
+    this.context = context;
+    this.protocol = protocol;
+    this.preparedNames = preparedNames;
+  }
+
+  void listen(Eventloop loop, Address address) throws IOException {
+    SimpleServer.builder(loop, this::accept)
+        .withListenAddress(address.socketAddress())
+        .build()
+        .listen();
+  }
+
+  private void accept(ITcpSocket socket) {
+    CallerSession session =
+        new CallerSession(services, context, protocol, preparedNames, open::remove);
+    open.add(session);
+    session.start(new LineChannel((TcpSocket) socket, MemberLink.MAX_LINE_BYTES, session));
+    if (leaving) {
+      session.leaveAfterNext();
+    }
+  }
+
+  int size() {
+    return open.size();
+  }
+
+  int inTransaction() {
+    return (int) open.stream().filter(CallerSession::inTransaction).count();
+  }
+
+  void tick(long now) {
+    new ArrayList<>(open).forEach(session -> session.tick(now));
+  }
+
+  void leave() {
+    leaving = true;
+    new ArrayList<>(open).forEach(CallerSession::leave);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/package-info.java
@@ -0,0 +1,2 @@
+/** What lives as long as the process. */
+package org.sardinebay.gateway.internal.process;
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
@@ -0,0 +1,332 @@
+package org.sardinebay.gateway.internal.request;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.sardinebay.MemberId;
+import org.sardinebay.Position;
+import org.sardinebay.gateway.internal.connection.MemberAnswer;
+import org.sardinebay.gateway.internal.connection.MemberLink;
+import org.sardinebay.gateway.internal.connection.MemberPool;
+import org.sardinebay.gateway.internal.connection.SessionReply;
+import org.sardinebay.gateway.internal.connection.Transaction;
+import org.sardinebay.gateway.internal.version.ServiceRuntime;
+import org.sardinebay.internal.request.AttemptOutcome;
+import org.sardinebay.internal.request.PlacementNeed;
+import org.sardinebay.internal.request.RetryPolicy;
+import org.sardinebay.session.DatabaseRoute;
+import org.sardinebay.session.ErrorCode;
+import org.sardinebay.session.MemberMessage;
+import org.sardinebay.session.MemberProtocol;
+import org.sardinebay.session.RouteKind;
+import org.sardinebay.session.Statement;
+import org.sardinebay.session.TransactionState;
+
+/**
+ * Runs one statement of a caller at a member: finds a place, brings the link to the session's
+ * state, sends, and tries again elsewhere while that is safe. In a transaction the first statement
+ * finds the place; the others run on the same link, and nothing is tried again elsewhere.
+ */
+public final class StatementRun implements Placeable {
+  /** A read is tried elsewhere after this part of its time, so that one lost answer costs half. */
+  private static final int READ_ATTEMPTS_IN_TIMEOUT = 2;
+
+  /** Left of the statement's time when waiting for a place ends, in milliseconds. */
+  private static final long ANSWER_RESERVE_MILLIS = 100;
+
+  private final StatementRunContext context;
+  private final StatementRequest request;
+  private final Optional<Transaction> transaction;
+  private final ServiceRuntime service;
+  private final DatabaseRoute route;
+  private final Consumer<SessionReply> done;
+  private final long startedAt;
+  private final Set<MemberId> excluded = new HashSet<>();
+  private int attempts;
+  private boolean finished;
+
+  /**
+   * A run that has not started.
+   *
+   * @param context what all runs share
+   * @param request the statement
+   * @param transaction the transaction that it belongs to, if any
+   * @param service the service
+   * @param route the route
+   * @param done takes the outcome; called once
+   */
+  public StatementRun(
+      StatementRunContext context,
+      StatementRequest request,
+      Optional<Transaction> transaction,
+      ServiceRuntime service,
+      DatabaseRoute route,
+      Consumer<SessionReply> done) {
+    this.context = context;
+    this.request = request;
+    this.transaction = transaction;
+    this.service = service;
+    this.route = route;
+    this.done = done;
+    this.startedAt = context.clock().millis();
+  }
+
+  /** Starts the run. */
+  public void start() {
+    Optional<Transaction.Pin> pin = transaction.flatMap(Transaction::pin);
+    if (pin.isEmpty()) {
+      service.place(this);
+      return;
+    }
+    attempts++;
+    Transaction.Pin p = pin.get();
+    prepare(p.pool(), p.link(), new PlacementNeed(p.asPrimary(), Optional.empty()), p.asPrimary());
+  }
+
+  @Override
+  public Optional<PlacementNeed> need() {
+    if (route.kind() == RouteKind.PRIMARY || !readsOnly()) {
+      return Optional.of(PlacementNeed.PRIMARY);
+    }
+    long from = transaction.map(Transaction::startedAt).orElse(startedAt);
+    Optional<Position> floor = service.view().floor(from, route.maxStalenessMillis());
+    if (floor.isEmpty()) {
+      return Optional.of(PlacementNeed.PRIMARY);
+    }
+    Optional<Position> own = request.session().position().flatMap(service.view()::inThisTerm);
+    if (own.isEmpty() && request.session().position().isPresent()) {
+      return Optional.of(PlacementNeed.PRIMARY);
+    }
+    return Optional.of(
+        new PlacementNeed(false, Optional.of(own.map(floor.get()::max).orElse(floor.get()))));
+  }
+
+  private boolean readsOnly() {
+    return transaction.map(Transaction::readOnly).orElse(!request.writes());
+  }
+
+  @Override
+  public Map<String, String> values() {
+    return request.session().values();
+  }
+
+  @Override
+  public Set<MemberId> excluded() {
+    return excluded;
+  }
+
+  @Override
+  public int priority() {
+    return route.priority();
+  }
+
+  @Override
+  public long giveUpAt() {
+    return deadlineAt() - ANSWER_RESERVE_MILLIS;
+  }
+
+  private long deadlineAt() {
+    return startedAt + route.timeoutMillis();
+  }
+
+  @Override
+  public void onNoPlace() {
+    finish(
+        new SessionReply.Failure(
+            ErrorCode.BUSY, "not run: no member could take the statement; retry in 500 ms"));
+  }
+
+  @Override
+  public void onLink(MemberPool pool, MemberLink link, PlacementNeed need, boolean asPrimary) {
+    attempts++;
+    prepare(pool, link, need, asPrimary);
+  }
+
+  private void prepare(MemberPool pool, MemberLink link, PlacementNeed need, boolean asPrimary) {
+    Attempt attempt = new Attempt(pool, link, need, asPrimary, service.view().term());
+    context
+        .preparation()
+        .run(
+            link,
+            request.session().values(),
+            request.shape(),
+            ready -> {
+              if (ready) {
+                begin(attempt);
+              } else {
+                failed(attempt, new AttemptOutcome.NotSent());
+              }
+            });
+  }
+
+  private void begin(Attempt attempt) {
+    if (transaction.isEmpty() || transaction.get().pin().isPresent()) {
+      send(attempt);
+      return;
+    }
+    if (!trusted(attempt)) {
+      failed(attempt, new AttemptOutcome.NotSent());
+      return;
+    }
+    Statement begin = new Statement.Begin(transaction.get().readOnly());
+    Optional<Position> after = attempt.asPrimary ? Optional.empty() : attempt.need.least();
+    attempt.link.exchange(
+        context.protocol().query(MemberProtocol.OWN_ID, after, context.protocol().text(begin)),
+        attemptTimeout(),
+        answer -> begun(attempt, answer));
+  }
+
+  private void begun(Attempt attempt, MemberAnswer answer) {
+    if (answer instanceof MemberAnswer.Whole whole && whole.failure().isEmpty()) {
+      applied(attempt, whole);
+      long term = attempt.term;
+      transaction
+          .get()
+          .pin(new Transaction.Pin(attempt.link, attempt.pool, attempt.asPrimary, term));
+      send(attempt);
+      return;
+    }
+    failed(attempt, outcome(answer, new AttemptOutcome.NotSent()));
+  }
+
+  private void send(Attempt attempt) {
+    if (!trusted(attempt)) {
+      failed(attempt, new AttemptOutcome.NotSent());
+      return;
+    }
+    if (request.writes()) {
+      transaction.ifPresent(Transaction::noteWrite);
+    }
+    boolean plain = transaction.isEmpty() && !attempt.asPrimary;
+    Optional<Position> after = plain ? attempt.need.least() : Optional.empty();
+    attempt.link.exchange(
+        context.protocol().query(request.id(), after, request.memberText()),
+        attemptTimeout(),
+        answer -> answered(attempt, answer));
+  }
+
+  private long attemptTimeout() {
+    long whole = Math.max(1, deadlineAt() - context.clock().millis());
+    boolean elsewhere = transaction.isEmpty() && !request.writes();
+    return elsewhere
+        ? Math.min(whole, route.timeoutMillis() / READ_ATTEMPTS_IN_TIMEOUT)
+        : Math.max(whole, route.timeoutMillis() / READ_ATTEMPTS_IN_TIMEOUT);
+  }
+
+  /** Whether the member may be relied upon as the primary, if it has to be. */
+  private boolean trusted(Attempt attempt) {
+    long now = context.clock().millis();
+    return !attempt.asPrimary
+        || service.view().stillLeads(attempt.link.member(), attempt.term, now);
+  }
+
+  private void answered(Attempt attempt, MemberAnswer answer) {
+    if (!(answer instanceof MemberAnswer.Whole whole) || whole.failure().isPresent()) {
+      failed(attempt, outcome(answer, new AttemptOutcome.NoAnswer()));
+      return;
+    }
+    applied(attempt, whole);
+    boolean mustBeTrusted =
+        !request.commits() || transaction.filter(Transaction::wrote).isPresent();
+    if (mustBeTrusted && !trusted(attempt)) {
+      failed(attempt, new AttemptOutcome.LeaseLost());
+      return;
+    }
+    whole.ready().position().ifPresent(request.session()::advance);
+    release(attempt);
+    finish(new SessionReply.Success(whole.rows(), whole.signature().orElse("-")));
+  }
+
+  private void applied(Attempt attempt, MemberAnswer.Whole whole) {
+    whole
+        .ready()
+        .position()
+        .ifPresent(
+            position ->
+                service
+                    .view()
+                    .onApplied(
+                        attempt.link.member(),
+                        position,
+                        whole.askedAt(),
+                        context.clock().millis()));
+  }
+
+  private static AttemptOutcome outcome(MemberAnswer answer, AttemptOutcome whenLost) {
+    if (answer instanceof MemberAnswer.Whole whole) {
+      MemberMessage.Failed failure = whole.failure().orElseThrow();
+      return new AttemptOutcome.Refused(failure.code(), failure.text());
+    }
+    return whenLost;
+  }
+
+  private void failed(Attempt attempt, AttemptOutcome outcome) {
+    long now = context.clock().millis();
+    context.log().attemptFailed(request, route, attempt.link.member(), attempts, outcome);
+    if (transaction.flatMap(Transaction::pin).isPresent()) {
+      failedInTransaction(attempt, outcome);
+      return;
+    }
+    excluded.add(attempt.link.member());
+    if (attempt.asPrimary || excluded.size() >= service.view().members().size()) {
+      excluded.clear();
+    }
+    release(attempt);
+    boolean sent = transaction.isEmpty() && request.writes();
+    RetryPolicy.Step step = RetryPolicy.after(outcome, sent, attempts, now, deadlineAt());
+    if (step instanceof RetryPolicy.Step.GiveUp giveUp) {
+      finish(new SessionReply.Failure(giveUp.code(), giveUp.text()));
+    } else if (outcome instanceof AttemptOutcome.Refused) {
+      context.retryLater(() -> service.place(this));
+    } else {
+      service.place(this);
+    }
+  }
+
+  private void failedInTransaction(Attempt attempt, AttemptOutcome outcome) {
+    boolean open = attempt.link.usable() && attempt.link.state() == TransactionState.OPEN;
+    if (outcome instanceof AttemptOutcome.Refused refused) {
+      boolean again =
+          open
+              && refused.code() == ErrorCode.BUSY
+              && attempts < RetryPolicy.MAX_ATTEMPTS
+              && context.clock().millis() < deadlineAt();
+      if (again) {
+        context.retryLater(this::start);
+        return;
+      }
+      finish(new SessionReply.Failure(refused.code(), refused.text()));
+      return;
+    }
+    boolean commitSent = request.commits() && !(outcome instanceof AttemptOutcome.NotSent);
+    if (commitSent && transaction.filter(Transaction::wrote).isPresent()) {
+      finish(
+          new SessionReply.Failure(
+              ErrorCode.IN_DOUBT, "the commit was sent and its outcome is unknown"));
+    } else {
+      finish(
+          new SessionReply.Failure(
+              ErrorCode.ABORTED, "rolled back: the connection to the member was lost"));
+    }
+  }
+
+  private void release(Attempt attempt) {
+    if (transaction.flatMap(Transaction::pin).isEmpty()) {
+      attempt.pool.giveBack(attempt.link);
+    }
+  }
+
+  private void finish(SessionReply reply) {
+    if (finished) {
+      throw new IllegalStateException("request " + request.id() + " ended twice");
+    }
+    finished = true;
+    context.log().ended(request, route, attempts, startedAt, reply);
+    done.accept(reply);
+  }
+
+  private record Attempt(
+      MemberPool pool, MemberLink link, PlacementNeed need, boolean asPrimary, long term) {}
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/package-info.java
@@ -0,0 +1,2 @@
+/** What lives for one statement. */
+package org.sardinebay.gateway.internal.request;
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
@@ -0,0 +1,139 @@
+package org.sardinebay.gateway.internal.version;
+
+import io.activej.eventloop.Eventloop;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.sardinebay.Clock;
+import org.sardinebay.platform.PlatformClient;
+import org.sardinebay.platform.PlatformFailure;
+import org.sardinebay.platform.PlatformObject;
+import org.sardinebay.platform.PlatformResult;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Follows the objects of one kind: lists them, then watches for changes, and lists again when the
+ * store no longer keeps the changes since.
+ *
+ * <pre>{@code
+ * new ObjectWatch(store, "config", listener, loop, clock).start();
+ * }</pre>
+ */
+public final class ObjectWatch {
+  private static final Logger LOG = LoggerFactory.getLogger(ObjectWatch.class);
+
+  /**
+   * How long a watch waits for a change, in milliseconds. A connection that has gone silent shows
+   * only when this is over, so it is kept below the time in which a configuration must be in force.
+   */
+  private static final long WAIT_MILLIS = 4_000;
+
+  /** The pause after a call that failed, in milliseconds. */
+  private static final long RETRY_MILLIS = 250;
+
+  /** Takes what the store says. */
+  public interface Listener {
+    /**
+     * All objects.
+     *
+     * @param objects the objects
+     */
+    void onListing(List<PlatformObject> objects);
+
+    /**
+     * Objects that changed, the deleted ones included.
+     *
+     * @param objects the objects, oldest change first
+     */
+    void onChanges(List<PlatformObject> objects);
+  }
+
+  private final PlatformClient store;
+  private final String kind;
+  private final Listener listener;
+  private final Eventloop loop;
+  private final Clock clock;
+  private long revision;
+  private boolean lost;
+  private long lostAt;
+
+  /**
+   * A watch that has not started.
+   *
+   * @param store the store
+   * @param kind the kind of objects
+   * @param listener what takes them, on the loop's thread
+   * @param loop the loop
+   * @param clock the clock
+   */
+  public ObjectWatch(
+      PlatformClient store, String kind, Listener listener, Eventloop loop, Clock clock) {
+    this.store = store;
+    this.kind = kind;
+    this.listener = listener;
+    this.loop = loop;
+    this.clock = clock;
+  }
+
+  /** Starts the watch; it never ends. */
+  public void start() {
+    boolean listing = revision == 0;
+    CompletableFuture<Void> unused =
+        store
+            .watch(List.of(kind), revision, WAIT_MILLIS)
+            .thenAccept(result -> loop.execute(() -> onResult(listing, result)));
+  }
+
+  private void onResult(boolean listing, PlatformResult result) {
+    if (result instanceof PlatformResult.Listing page) {
+      noteRegained();
+      revision = page.revision();
+      if (listing) {
+        listener.onListing(page.objects());
+      } else if (!page.objects().isEmpty()) {
+        listener.onChanges(page.objects());
+      }
+      start();
+      return;
+    }
+    boolean gone =
+        result instanceof PlatformResult.Failed failed
+            && failed.failure() == PlatformFailure.HISTORY_GONE;
+    if (gone) {
+      LOG.atInfo()
+          .setMessage("store_history_gone")
+          .addKeyValue("kind", kind)
+          .addKeyValue("revision", revision)
+          .log();
+      revision = 0;
+      start();
+      return;
+    }
+    noteLost(result);
+    loop.delay(RETRY_MILLIS, this::start);
+  }
+
+  private void noteLost(PlatformResult result) {
+    if (!lost) {
+      lost = true;
+      lostAt = clock.millis();
+      LOG.atWarn()
+          .setMessage("store_lost")
+          .addKeyValue("kind", kind)
+          .addKeyValue("revision", revision)
+          .addKeyValue("result", result)
+          .log();
+    }
+  }
+
+  private void noteRegained() {
+    if (lost) {
+      lost = false;
+      LOG.atInfo()
+          .setMessage("store_regained")
+          .addKeyValue("kind", kind)
+          .addKeyValue("away_millis", clock.millis() - lostAt)
+          .log();
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -0,0 +1,374 @@
+package org.sardinebay.gateway.internal.version;
+
+import io.activej.eventloop.Eventloop;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.sardinebay.Clock;
+import org.sardinebay.FailureDomain;
+import org.sardinebay.HostId;
+import org.sardinebay.MemberId;
+import org.sardinebay.gateway.internal.connection.LossCause;
+import org.sardinebay.gateway.internal.connection.MemberAnswer;
+import org.sardinebay.gateway.internal.connection.MemberLink;
+import org.sardinebay.gateway.internal.connection.MemberPool;
+import org.sardinebay.gateway.internal.request.Placeable;
+import org.sardinebay.internal.connection.ConnectionAllowance;
+import org.sardinebay.internal.request.Placement;
+import org.sardinebay.internal.request.PlacementCandidate;
+import org.sardinebay.internal.request.PlacementNeed;
+import org.sardinebay.internal.request.WaitingLine;
+import org.sardinebay.internal.version.MemberView;
+import org.sardinebay.internal.version.ServiceView;
+import org.sardinebay.session.MemberEntry;
+import org.sardinebay.session.MemberProtocol;
+import org.sardinebay.session.MemberStatus;
+import org.sardinebay.session.ServiceSpec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One service as this host uses it: its view, the pools of its members, the statements that wait
+ * for a place, and the regular questions for the members' status.
+ *
+ * <pre>{@code
+ * runtime.place(statement);
+ * runtime.tick(now);
+ * }</pre>
+ */
+public final class ServiceRuntime implements MemberPool.Listener {
+  private static final Logger LOG = LoggerFactory.getLogger(ServiceRuntime.class);
+
+  /**
+   * How often each member is asked for its status, in milliseconds: three times within the life of
+   * a lease.
+   */
+  private static final long STATUS_INTERVAL_MILLIS = 350;
+
+  /** How long a status may take, in milliseconds: it waits for a slot behind other statements. */
+  private static final long STATUS_TIMEOUT_MILLIS = 700;
+
+  private static final long LOCAL_ROUND_TRIP_MILLIS = 1;
+  private static final long REMOTE_ROUND_TRIP_MILLIS = 16;
+
+  private final Eventloop loop;
+  private final Clock clock;
+  private final HostId self;
+  private final FailureDomain home;
+  private final MemberProtocol protocol;
+  private final ServiceView view;
+  private final Map<MemberId, MemberPool> pools = new LinkedHashMap<>();
+  private final Map<MemberId, Long> statusAskedAt = new HashMap<>();
+  private final Map<MemberId, Integer> othersBusy = new HashMap<>();
+  private final WaitingLine<Placeable> waiting = new WaitingLine<>();
+  private ServiceSpec spec;
+  private boolean serving;
+
+  /**
+   * A service with no members yet.
+   *
+   * @param loop the loop that it runs on
+   * @param clock the clock
+   * @param self this host
+   * @param home this host's failure domain
+   * @param protocol the members' protocol
+   * @param spec the service's configuration
+   */
+  public ServiceRuntime(
+      Eventloop loop,
+      Clock clock,
+      HostId self,
+      FailureDomain home,
+      MemberProtocol protocol,
+      ServiceSpec spec) {
+    this.loop = loop;
+    this.clock = clock;
+    this.self = self;
+    this.home = home;
+    this.protocol = protocol;
+    this.spec = spec;
+    this.view = new ServiceView(spec.name(), clock.millis());
+  }
+
+  /**
+   * What is believed of the service.
+   *
+   * @return the view
+   */
+  public ServiceView view() {
+    return view;
+  }
+
+  /**
+   * The pool of a member.
+   *
+   * @param member the member
+   * @return the pool, empty if the member is not registered
+   */
+  public Optional<MemberPool> pool(MemberId member) {
+    return Optional.ofNullable(pools.get(member));
+  }
+
+  /**
+   * Takes over a newer configuration of the service.
+   *
+   * @param newer the configuration
+   */
+  public void configure(ServiceSpec newer) {
+    spec = newer;
+    pools.values().forEach(pool -> pool.allowance().limit(newer.maxConnections()));
+  }
+
+  /**
+   * Takes over the registered members.
+   *
+   * @param entries one for each member
+   */
+  public void members(Collection<MemberEntry> entries) {
+    Map<MemberId, MemberEntry> byId = new LinkedHashMap<>();
+    entries.forEach(entry -> byId.put(entry.id(), entry));
+    for (MemberPool pool : new ArrayList<>(pools.values())) {
+      MemberEntry newer = byId.get(pool.entry().id());
+      if (newer == null || !newer.sameIncarnation(pool.entry())) {
+        pools.remove(pool.entry().id());
+        statusAskedAt.remove(pool.entry().id());
+        pool.close();
+        logMember("member_gone", pool.entry());
+      }
+    }
+    for (MemberEntry entry : byId.values()) {
+      MemberPool known = pools.get(entry.id());
+      if (known != null) {
+        known.update(entry);
+      } else {
+        pools.put(entry.id(), newPool(entry));
+        logMember("member_found", entry);
+      }
+    }
+    view.setMembers(byId.values());
+    serveWaiting();
+  }
+
+  private MemberPool newPool(MemberEntry entry) {
+    ConnectionAllowance allowance = new ConnectionAllowance(spec.maxConnections());
+    return new MemberPool(loop, clock, self, protocol, entry, allowance, this);
+  }
+
+  private static void logMember(String event, MemberEntry entry) {
+    LOG.atInfo()
+        .setMessage(event)
+        .addKeyValue("service", entry.service())
+        .addKeyValue("member", entry.id().value())
+        .addKeyValue("address", entry.address())
+        .addKeyValue("draining", entry.draining())
+        .addKeyValue("role", entry.role())
+        .log();
+  }
+
+  /**
+   * Finds a link for a statement, now or when one becomes free.
+   *
+   * @param statement the statement
+   */
+  public void place(Placeable statement) {
+    if (!tryPlace(statement)) {
+      waiting.add(statement, statement.priority(), statement.giveUpAt());
+    }
+  }
+
+  private boolean tryPlace(Placeable statement) {
+    Optional<PlacementNeed> need = statement.need();
+    if (need.isEmpty()) {
+      return false;
+    }
+    long now = clock.millis();
+    Optional<MemberId> best = choose(statement, need.get(), now, false);
+    if (best.isPresent() && !pools.get(best.get()).hasIdle()) {
+      pools.get(best.get()).open();
+      best = choose(statement, need.get(), now, true);
+    }
+    if (best.isEmpty()) {
+      return false;
+    }
+    MemberPool pool = pools.get(best.get());
+    MemberLink link = pool.lend(statement.values()).orElseThrow();
+    statement.onLink(pool, link, need.get(), isUsablePrimary(best.get(), now));
+    return true;
+  }
+
+  private Optional<MemberId> choose(
+      Placeable statement, PlacementNeed need, long now, boolean idleOnly) {
+    List<PlacementCandidate> candidates = new ArrayList<>();
+    for (MemberView member : view.members()) {
+      MemberPool pool = pools.get(member.id());
+      boolean draining = member.entry().draining() && !isUsablePrimary(member.id(), now);
+      candidates.add(
+          new PlacementCandidate(
+              member.id(),
+              isUsablePrimary(member.id(), now),
+              pool.hasIdle() || (!idleOnly && pool.mayOpen()),
+              distance(member.entry()),
+              othersBusy.getOrDefault(member.id(), 0) + pool.lent(),
+              member.entry().slots(),
+              member.applied(),
+              draining || member.failing() || statement.excluded().contains(member.id())));
+    }
+    return Placement.choose(need, candidates);
+  }
+
+  private long distance(MemberEntry entry) {
+    return entry.failureDomain().equals(home) ? LOCAL_ROUND_TRIP_MILLIS : REMOTE_ROUND_TRIP_MILLIS;
+  }
+
+  private boolean isUsablePrimary(MemberId member, long now) {
+    return view.usablePrimary(now).filter(m -> m.id().equals(member)).isPresent();
+  }
+
+  @Override
+  public void onCapacity(MemberPool pool) {
+    if (statusDue(pool, clock.millis())) {
+      askStatus(pool);
+    }
+    serveWaiting();
+  }
+
+  private void serveWaiting() {
+    if (serving || waiting.size() == 0) {
+      return;
+    }
+    serving = true;
+    try {
+      waiting.serve(this::tryPlace);
+    } finally {
+      serving = false;
+    }
+  }
+
+  @Override
+  public void onLost(MemberPool pool, LossCause cause) {
+    boolean unreachable =
+        cause == LossCause.REFUSED
+            || cause == LossCause.CONNECT_TIMEOUT
+            || cause == LossCause.ANSWER_TIMEOUT;
+    if (!unreachable) {
+      return;
+    }
+    MemberId id = pool.entry().id();
+    boolean first = view.member(id).filter(m -> !m.failing()).isPresent();
+    view.onUnreachable(id, cause == LossCause.REFUSED, clock.millis());
+    if (first) {
+      LOG.atWarn()
+          .setMessage("member_unreachable")
+          .addKeyValue("service", spec.name())
+          .addKeyValue("member", id.value())
+          .addKeyValue("cause", cause)
+          .log();
+    }
+  }
+
+  /**
+   * Does what time demands: overdue answers, statements that waited too long, status questions.
+   *
+   * @param now the time
+   */
+  public void tick(long now) {
+    for (MemberPool pool : new ArrayList<>(pools.values())) {
+      pool.sweep(now);
+      if (pool.size() == 0) {
+        pool.open();
+      } else if (statusDue(pool, now)) {
+        askStatus(pool);
+      }
+    }
+    waiting.expire(now).forEach(Placeable::onNoPlace);
+    serveWaiting();
+  }
+
+  private boolean statusDue(MemberPool pool, long now) {
+    long last = statusAskedAt.getOrDefault(pool.entry().id(), Long.MIN_VALUE / 2);
+    return now - last >= STATUS_INTERVAL_MILLIS && pool.hasIdle();
+  }
+
+  private void askStatus(MemberPool pool) {
+    statusAskedAt.put(pool.entry().id(), clock.millis());
+    control(pool, protocol.statusText(), status -> {});
+  }
+
+  /**
+   * Sends a control statement, which a member answers with its status.
+   *
+   * @param pool the member's pool
+   * @param text the statement
+   * @param done takes the status, empty if there was none
+   */
+  public void control(MemberPool pool, String text, Consumer<Optional<MemberStatus>> done) {
+    Optional<MemberLink> lent = pool.lend(Map.of());
+    if (lent.isEmpty()) {
+      done.accept(Optional.empty());
+      return;
+    }
+    MemberLink link = lent.get();
+    int own = pool.lent();
+    link.exchange(
+        protocol.query(MemberProtocol.OWN_ID, Optional.empty(), text),
+        STATUS_TIMEOUT_MILLIS,
+        answer -> {
+          Optional<MemberStatus> status = onControlAnswer(pool, own, answer);
+          pool.giveBack(link);
+          done.accept(status);
+        });
+  }
+
+  private Optional<MemberStatus> onControlAnswer(MemberPool pool, int own, MemberAnswer answer) {
+    if (answer instanceof MemberAnswer.Lost lost) {
+      pool.onLost(lost.cause());
+      return Optional.empty();
+    }
+    MemberAnswer.Whole whole = (MemberAnswer.Whole) answer;
+    Optional<MemberStatus> status = whole.rows().stream().findFirst().flatMap(protocol::status);
+    status.ifPresent(s -> onStatus(pool, own, s, whole.askedAt()));
+    whole
+        .ready()
+        .position()
+        .ifPresent(p -> view.onApplied(pool.entry().id(), p, whole.askedAt(), clock.millis()));
+    return status;
+  }
+
+  private void onStatus(MemberPool pool, int own, MemberStatus status, long askedAt) {
+    MemberId id = pool.entry().id();
+    pool.allowance().reported(status.connections());
+    othersBusy.put(id, Math.max(0, status.busySlots() - own));
+    boolean changed = view.onStatus(id, status, askedAt, clock.millis());
+    if (changed) {
+      LOG.atInfo()
+          .setMessage("primary_changed")
+          .addKeyValue("service", spec.name())
+          .addKeyValue("member", id.value())
+          .addKeyValue("role", status.role())
+          .addKeyValue("term", status.term())
+          .addKeyValue("received", status.received())
+          .addKeyValue("fence_term", status.fenceTerm())
+          .log();
+    }
+  }
+
+  /**
+   * Statements that wait for a place.
+   *
+   * @return how many
+   */
+  public int waiting() {
+    return waiting.size();
+  }
+
+  /** Gives all links up: the service is not configured any more. */
+  public void close() {
+    pools.values().forEach(MemberPool::close);
+    waiting.expire(Long.MAX_VALUE).forEach(Placeable::onNoPlace);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/Services.java
@@ -0,0 +1,141 @@
+package org.sardinebay.gateway.internal.version;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.sardinebay.MemberId;
+import org.sardinebay.session.DatabaseRoute;
+import org.sardinebay.session.MemberEntry;
+import org.sardinebay.session.RouteTable;
+import org.sardinebay.session.ServiceSpec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The configuration in force and the services that it names. A configuration older than the one in
+ * force is never taken.
+ *
+ * <pre>{@code
+ * services.configure(table, "store");
+ * services.members(entries);
+ * }</pre>
+ */
+public final class Services {
+  private static final Logger LOG = LoggerFactory.getLogger(Services.class);
+
+  private final Function<ServiceSpec, ServiceRuntime> factory;
+  private final Map<String, ServiceRuntime> runtimes = new HashMap<>();
+  private Map<MemberId, MemberEntry> members = Map.of();
+  private RouteTable table = RouteTable.EMPTY;
+
+  /**
+   * No configuration yet.
+   *
+   * @param factory makes the runtime of a service
+   */
+  public Services(Function<ServiceSpec, ServiceRuntime> factory) {
+    this.factory = factory;
+  }
+
+  /**
+   * Takes over a configuration unless it is older.
+   *
+   * @param newer the configuration
+   * @param source where it comes from, for the log
+   * @return whether it is in force now and was not before
+   */
+  public boolean configure(RouteTable newer, String source) {
+    if (newer.version() <= table.version()) {
+      return false;
+    }
+    LOG.atInfo()
+        .setMessage("configuration_applied")
+        .addKeyValue("version", newer.version())
+        .addKeyValue("previous", table.version())
+        .addKeyValue("routes", newer.routes().size())
+        .addKeyValue("source", source)
+        .log();
+    table = newer;
+    for (String name : new ArrayList<>(runtimes.keySet())) {
+      if (!newer.services().containsKey(name)) {
+        runtimes.remove(name).close();
+      }
+    }
+    for (ServiceSpec spec : newer.services().values()) {
+      ServiceRuntime runtime = runtimes.get(spec.name());
+      if (runtime == null) {
+        runtimes.put(spec.name(), factory.apply(spec));
+      } else {
+        runtime.configure(spec);
+      }
+    }
+    spreadMembers();
+    return true;
+  }
+
+  /**
+   * Takes over the registered members.
+   *
+   * @param entries all of them
+   */
+  public void members(Collection<MemberEntry> entries) {
+    Map<MemberId, MemberEntry> byId = new LinkedHashMap<>();
+    entries.forEach(entry -> byId.put(entry.id(), entry));
+    if (byId.equals(members)) {
+      return;
+    }
+    members = byId;
+    spreadMembers();
+  }
+
+  private void spreadMembers() {
+    runtimes.forEach(
+        (name, runtime) -> {
+          List<MemberEntry> own =
+              members.values().stream().filter(entry -> entry.service().equals(name)).toList();
+          runtime.members(own);
+        });
+  }
+
+  /**
+   * The configuration in force.
+   *
+   * @return the table
+   */
+  public RouteTable table() {
+    return table;
+  }
+
+  /**
+   * The members in use.
+   *
+   * @return their entries
+   */
+  public Collection<MemberEntry> memberEntries() {
+    return members.values();
+  }
+
+  /**
+   * The service behind a route.
+   *
+   * @param route the route
+   * @return its runtime, empty if it is not configured
+   */
+  public Optional<ServiceRuntime> service(DatabaseRoute route) {
+    return Optional.ofNullable(runtimes.get(route.service()));
+  }
+
+  /**
+   * All services.
+   *
+   * @return their runtimes
+   */
+  public Collection<ServiceRuntime> all() {
+    return runtimes.values();
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/package-info.java
@@ -0,0 +1,2 @@
+/** What follows the versions of the configuration, the members and the primaries. */
+package org.sardinebay.gateway.internal.version;
--- a/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
+++ b/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
@@ -8,16 +8,19 @@
 import io.activej.dns.protocol.DnsResponse;
 import io.activej.eventloop.Eventloop;
 import io.activej.http.HttpClient;
+import io.activej.http.HttpHeader;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
+import io.activej.reactor.net.SocketSettings;
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -71,6 +74,26 @@
     return new JsonHttpClient(loops, clients);
   }
 
+  /**
+   * Creates a client on a loop that is run by its owner. Connections are reset, not closed, when
+   * they are given up, so that a request held up on the way can't arrive later.
+   *
+   * @param loop the loop; results arrive on its thread
+   * @param readWriteTimeout how long a connection may be silent during a request
+   * @return the client
+   */
+  public static JsonHttpClient on(Eventloop loop, Duration readWriteTimeout) {
+    HttpClient client =
+        HttpClient.builder(loop, new NoDns())
+            .withSocketSettings(SocketSettings.builder().withLingerTimeout(Duration.ZERO).build())
+            .withConnectTimeout(CONNECT_TIMEOUT)
+            .withReadWriteTimeout(readWriteTimeout)
+            .withKeepAliveTimeout(KEEP_ALIVE)
+            .withMaxBodySize(MAX_BODY_BYTES)
+            .build();
+    return new JsonHttpClient(List.of(loop), List.of(client));
+  }
+
   /**
    * Sends one request.
    *
@@ -87,13 +110,34 @@
       String pathAndQuery,
       Optional<JsonNode> body,
       long timeoutMillis) {
+    return call(method, address, pathAndQuery, Map.of(), body, timeoutMillis);
+  }
+
+  /**
+   * Sends one request with headers.
+   *
+   * @param method the HTTP method
+   * @param address the server
+   * @param pathAndQuery the path, with the query if there is one
+   * @param headers headers besides the usual ones
+   * @param body the JSON body, if any
+   * @param timeoutMillis how long to wait for the response
+   * @return the result; never completes with an exception
+   */
+  public CompletableFuture<HttpResult> call(
+      HttpMethod method,
+      Address address,
+      String pathAndQuery,
+      Map<HttpHeader, String> headers,
+      Optional<JsonNode> body,
+      long timeoutMillis) {
     int slot = Math.floorMod(next.getAndIncrement(), loops.size());
     CompletableFuture<HttpResult> result = new CompletableFuture<>();
     loops
         .get(slot)
         .execute(
             () -> {
-              HttpRequest request = request(method, address, pathAndQuery, body);
+              HttpRequest request = request(method, address, pathAndQuery, headers, body);
               Promises.timeout(timeoutMillis, exchange(clients.get(slot), request))
                   .whenComplete((reply, e) -> result.complete(e == null ? reply : failure(e)));
             });
@@ -106,8 +150,13 @@
   }
 
   private static HttpRequest request(
-      HttpMethod method, Address address, String pathAndQuery, Optional<JsonNode> body) {
+      HttpMethod method,
+      Address address,
+      String pathAndQuery,
+      Map<HttpHeader, String> headers,
+      Optional<JsonNode> body) {
     HttpRequest.Builder builder = HttpRequest.builder(method, "http://" + address + pathAndQuery);
+    headers.forEach(builder::withHeader);
     if (body.isPresent()) {
       builder.withHeader(HttpHeaders.CONTENT_TYPE, "application/json");
       builder.withBody(Json.bytes(body.get()));
--- a/net/src/main/java/org/sardinebay/net/http/JsonHttpServer.java
+++ b/net/src/main/java/org/sardinebay/net/http/JsonHttpServer.java
@@ -84,6 +84,19 @@
     return server;
   }
 
+  /**
+   * Serves on a loop that is run by its owner. Must be called on the loop's thread.
+   *
+   * @param loop the loop; handlers are called on its thread
+   * @param listen where to listen
+   * @param routes what it serves
+   * @throws IOException if the address can't be bound
+   */
+  public static void serveOn(Eventloop loop, Address listen, List<Route> routes)
+      throws IOException {
+    serverBuilder(loop, routes).withListenAddress(listen.socketAddress()).build().listen();
+  }
+
   /**
    * Starts an event loop on a thread of its own.
    *
@@ -128,6 +141,10 @@
   }
 
   private static HttpServer worker(NioReactor reactor, List<Route> routes) {
+    return serverBuilder(reactor, routes).build();
+  }
+
+  private static HttpServer.Builder serverBuilder(NioReactor reactor, List<Route> routes) {
     RoutingServlet.Builder servlet = RoutingServlet.builder(reactor);
     for (Route route : routes) {
       servlet.with(route.method(), route.path(), servlet(route.handler()));
@@ -138,8 +155,7 @@
         .withReadWriteTimeout(READ_TIMEOUT)
         .withKeepAliveTimeout(KEEP_ALIVE)
         .withHttpErrorFormatter(
-            e -> toPromise(HttpReply.plain(BAD_REQUEST, "the request can't be read\n")))
-        .build();
+            e -> toPromise(HttpReply.plain(BAD_REQUEST, "the request can't be read\n")));
   }
 
   private static AsyncServlet servlet(HttpHandler handler) {
--- a/net/src/main/java/org/sardinebay/net/platform/HttpPlatformClient.java
+++ b/net/src/main/java/org/sardinebay/net/platform/HttpPlatformClient.java
@@ -32,13 +32,6 @@
  */
 public final class HttpPlatformClient implements PlatformClient {
   private static final long WATCH_GRACE_MILLIS = 2_000;
-  private static final int OK = 200;
-  private static final int NOT_FOUND = 404;
-  private static final int CONFLICT = 409;
-  private static final int RATE_LIMITED = 429;
-  private static final int UNAVAILABLE = 503;
-  private static final int FIRST_CLIENT_ERROR = 400;
-  private static final int FIRST_SERVER_ERROR = 500;
 
   private final JsonHttpClient http;
   private final Address address;
@@ -104,39 +97,14 @@
 
   private static PlatformResult decode(
       HttpResult result, Function<JsonNode, Optional<PlatformResult>> reader) {
-    if (result instanceof HttpResult.NotSent) {
-      return new PlatformResult.Failed(PlatformFailure.NOT_SENT);
-    }
-    if (result instanceof HttpResult.Response response) {
-      return response.status() == OK
-          ? reader.apply(response.body()).orElse(noAnswer())
-          : refusal(response);
-    }
-    return noAnswer();
-  }
-
-  private static PlatformResult refusal(HttpResult.Response response) {
-    return switch (response.status()) {
-      case NOT_FOUND -> new PlatformResult.Absent();
-      case CONFLICT -> conflict(response.body());
-      case RATE_LIMITED -> new PlatformResult.Failed(PlatformFailure.RATE_LIMITED);
-      case UNAVAILABLE -> new PlatformResult.Failed(PlatformFailure.UNAVAILABLE);
-      default ->
-          isClientError(response.status())
-              ? new PlatformResult.Failed(PlatformFailure.BAD_CALL)
-              : noAnswer();
-    };
-  }
-
-  private static boolean isClientError(int status) {
-    return status >= FIRST_CLIENT_ERROR && status < FIRST_SERVER_ERROR;
+    return PlatformReplies.decode(result, reader, HttpPlatformClient::conflict);
   }
 
   private static PlatformResult conflict(JsonNode body) {
     JsonNode version = body.path("currentVersion");
     return version.canConvertToLong()
         ? new PlatformResult.Conflict(version.longValue())
-        : noAnswer();
+        : new PlatformResult.Failed(PlatformFailure.NO_ANSWER);
   }
 
   private static Optional<PlatformResult> found(JsonNode tree) {
@@ -163,10 +131,6 @@
         : result;
   }
 
-  private static PlatformResult noAnswer() {
-    return new PlatformResult.Failed(PlatformFailure.NO_ANSWER);
-  }
-
   private static String path(ObjectKey key) {
     return "/v1/objects/" + escape(key.kind()) + "/" + escape(key.name());
   }
