Confirm the primary's lease by what replicas show

Ruled out: asking less often, since the lease must be confirmed three times within 1.2 s. Change: a replica that shows what the primary wrote after a known moment was not fenced then, which confirms the lease for nothing; a question is asked only when the lease runs low. BEGIN and ROLLBACK go out under the caller's id.

--- a/core/src/main/java/org/sardinebay/internal/version/PositionFloor.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PositionFloor.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.sardinebay.Position;
 
 /**
@@ -63,6 +64,23 @@
     return Optional.empty();
   }
 
+  /**
+   * When the primary last lacked a position, as far as is known.
+   *
+   * @param position a position
+   * @return when the primary was asked and showed an earlier position, empty if it never did
+   */
+  public OptionalLong lastBelow(Position position) {
+    Iterator<Observation> newestFirst = observations.descendingIterator();
+    while (newestFirst.hasNext()) {
+      Observation observation = newestFirst.next();
+      if (observation.position.compareTo(position) < 0) {
+        return OptionalLong.of(observation.askedAt);
+      }
+    }
+    return OptionalLong.empty();
+  }
+
   /**
    * The first position observed in this term: it holds all that survived the change of primary.
    *
--- a/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
@@ -27,7 +27,13 @@
   private final String service;
   private final Map<MemberId, MemberView> members = new LinkedHashMap<>();
   private final PrimaryLease lease = new PrimaryLease();
+
+  /** What the primary held while its lease was valid: the ground for ages of reads. */
   private final PositionFloor floor = new PositionFloor();
+
+  /** What the primary held, with or without a lease: the ground for dating what replicas show. */
+  private final PositionFloor history = new PositionFloor();
+
   private Optional<MemberId> primary = Optional.empty();
   private long term;
   private long newestTerm;
@@ -135,6 +141,7 @@
       term = primaryTerm;
       lease.revoke();
       floor.clear();
+      history.clear();
     }
     primary = Optional.of(id);
     return true;
@@ -156,11 +163,29 @@
     member.answered(now);
     member.applied(position);
     noteTerm(position.term());
-    if (primary.equals(Optional.of(id)) && position.term() == term && lease.valid(now)) {
+    if (position.term() != term) {
+      return;
+    }
+    if (!primary.equals(Optional.of(id))) {
+      confirmByReplication(id, position);
+      return;
+    }
+    history.observe(askedAt, position);
+    if (lease.valid(now)) {
       floor.observe(askedAt, position);
     }
   }
 
+  /**
+   * A replica that shows what the primary wrote after a moment was not fenced at that moment: it
+   * confirms the lease without being asked.
+   */
+  private void confirmByReplication(MemberId replica, Position position) {
+    if (newestTerm == term) {
+      history.lastBelow(position).ifPresent(at -> lease.confirm(replica, at));
+    }
+  }
+
   /**
    * Notes that a member could not be reached.
    *
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
@@ -144,9 +144,9 @@
       prepared.remove(deallocate.name());
       succeed();
     } else if (statement instanceof Statement.Begin begin) {
-      onBegin(begin);
+      onBegin(query.id(), begin);
     } else if (statement instanceof Statement.Rollback) {
-      onRollback();
+      onRollback(query.id());
     } else if (statement instanceof Statement.Commit && transaction.isEmpty()) {
       fail(ErrorCode.MALFORMED, "no transaction is open");
     } else {
@@ -169,7 +169,7 @@
     }
   }
 
-  private void onBegin(Statement.Begin begin) {
+  private void onBegin(String id, Statement.Begin begin) {
     if (transaction.isPresent()) {
       fail(ErrorCode.MALFORMED, "a transaction is open");
       return;
@@ -181,17 +181,18 @@
       return;
     }
     transaction =
-        Optional.of(new Transaction(route.get(), service.get(), begin.readOnly(), clock.millis()));
+        Optional.of(
+            new Transaction(id, route.get(), service.get(), begin.readOnly(), clock.millis()));
     state = TransactionState.OPEN;
     succeed();
   }
 
-  private void onRollback() {
+  private void onRollback(String id) {
     if (transaction.isEmpty()) {
       fail(ErrorCode.MALFORMED, "no transaction is open");
       return;
     }
-    endTransaction();
+    endTransaction(id);
     succeed();
   }
 
@@ -278,7 +279,7 @@
   private void fail(ErrorCode code, String text) {
     if (transaction.isPresent()) {
       state = TransactionState.FAILED;
-      rollBackAtMember();
+      rollBackAtMember(MemberProtocol.OWN_ID);
     }
     channel.send(protocol.error(code, text), readyLine());
     afterAnswer();
@@ -306,12 +307,16 @@
   }
 
   private void endTransaction() {
-    rollBackAtMember();
+    endTransaction(MemberProtocol.OWN_ID);
+  }
+
+  private void endTransaction(String rollbackId) {
+    rollBackAtMember(rollbackId);
     transaction = Optional.empty();
     state = TransactionState.IDLE;
   }
 
-  private void rollBackAtMember() {
+  private void rollBackAtMember(String id) {
     Optional<Transaction.Pin> pin = transaction.flatMap(Transaction::unpin);
     if (pin.isEmpty()) {
       return;
@@ -324,7 +329,7 @@
     }
     String rollback = memberProtocol.text(new Statement.Rollback());
     link.exchange(
-        memberProtocol.query(MemberProtocol.OWN_ID, Optional.empty(), rollback),
+        memberProtocol.query(id, Optional.empty(), rollback),
         ROLLBACK_TIMEOUT_MILLIS,
         answer -> pool.giveBack(link));
   }
@@ -389,7 +394,7 @@
           .log();
       state = TransactionState.FAILED;
       abortUntold = true;
-      rollBackAtMember();
+      rollBackAtMember(MemberProtocol.OWN_ID);
     }
   }
 
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/Transaction.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/Transaction.java
@@ -19,6 +19,7 @@
    */
   public record Pin(MemberLink link, MemberPool pool, boolean asPrimary, long term) {}
 
+  private final String beginId;
   private final DatabaseRoute route;
   private final ServiceRuntime service;
   private final boolean readOnly;
@@ -30,13 +31,19 @@
   /**
    * A transaction that has not reached a member.
    *
+   * @param beginId the caller's name for the request that began it
    * @param route the route when it began
    * @param service the service behind the route
    * @param readOnly whether it only reads
    * @param startedAt when its beginning arrived
    */
   public Transaction(
-      DatabaseRoute route, ServiceRuntime service, boolean readOnly, long startedAt) {
+      String beginId,
+      DatabaseRoute route,
+      ServiceRuntime service,
+      boolean readOnly,
+      long startedAt) {
+    this.beginId = beginId;
     this.route = route;
     this.service = service;
     this.readOnly = readOnly;
@@ -44,6 +51,15 @@
     this.lastUsedAt = startedAt;
   }
 
+  /**
+   * The request that began it, under whose id it also begins at the member.
+   *
+   * @return the caller's name for the request
+   */
+  public String beginId() {
+    return beginId;
+  }
+
   /**
    * Its route, which holds for all of it.
    *
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
@@ -19,7 +19,6 @@
 import org.sardinebay.session.DatabaseRoute;
 import org.sardinebay.session.ErrorCode;
 import org.sardinebay.session.MemberMessage;
-import org.sardinebay.session.MemberProtocol;
 import org.sardinebay.session.RouteKind;
 import org.sardinebay.session.Statement;
 import org.sardinebay.session.TransactionState;
@@ -173,7 +172,9 @@
     Statement begin = new Statement.Begin(transaction.get().readOnly());
     Optional<Position> after = attempt.asPrimary ? Optional.empty() : attempt.need.least();
     attempt.link.exchange(
-        context.protocol().query(MemberProtocol.OWN_ID, after, context.protocol().text(begin)),
+        context
+            .protocol()
+            .query(transaction.get().beginId(), after, context.protocol().text(begin)),
         attemptTimeout(),
         answer -> begun(attempt, answer));
   }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -44,11 +44,14 @@
 public final class ServiceRuntime implements MemberPool.Listener {
   private static final Logger LOG = LoggerFactory.getLogger(ServiceRuntime.class);
 
-  /**
-   * How often each member is asked for its status, in milliseconds: three times within the life of
-   * a lease.
-   */
-  private static final long STATUS_INTERVAL_MILLIS = 350;
+  /** How often each member is asked for its status when all is well, in milliseconds. */
+  private static final long STATUS_INTERVAL_MILLIS = 8_000;
+
+  /** How often members are asked while something is amiss, in milliseconds. */
+  private static final long URGENT_STATUS_INTERVAL_MILLIS = 250;
+
+  /** A replica is asked to confirm the lease when less than this is left of it, in milliseconds. */
+  private static final long LEASE_RENEWAL_MILLIS = 550;
 
   /** How long a status may take, in milliseconds: it waits for a slot behind other statements. */
   private static final long STATUS_TIMEOUT_MILLIS = 700;
@@ -290,8 +293,23 @@
   }
 
   private boolean statusDue(MemberPool pool, long now) {
-    long last = statusAskedAt.getOrDefault(pool.entry().id(), Long.MIN_VALUE / 2);
-    return now - last >= STATUS_INTERVAL_MILLIS && pool.hasIdle();
+    if (!pool.hasIdle()) {
+      return false;
+    }
+    long silent = now - statusAskedAt.getOrDefault(pool.entry().id(), Long.MIN_VALUE / 2);
+    boolean urgent = view.primary().isEmpty() || needsLook(pool) || renewsLease(pool, now);
+    return silent >= (urgent ? URGENT_STATUS_INTERVAL_MILLIS : STATUS_INTERVAL_MILLIS);
+  }
+
+  private boolean needsLook(MemberPool pool) {
+    return view.member(pool.entry().id())
+        .filter(m -> m.failing() || m.status().isEmpty())
+        .isPresent();
+  }
+
+  private boolean renewsLease(MemberPool pool, long now) {
+    boolean replica = view.primary().filter(m -> m.id().equals(pool.entry().id())).isEmpty();
+    return replica && view.leaseEndsAt() - now < LEASE_RENEWAL_MILLIS;
   }
 
   private void askStatus(MemberPool pool) {
