Replace primaries: need, duty claim, fences, order

Cause: nobody replaced a dead or leaving primary. Change: PrimaryChangeNeed, PrimaryChange, DutyClaim as plain decisions; PromotionDuty and DutyRecord drive them. No time is Long.MIN_VALUE any more.

--- a/core/src/main/java/org/sardinebay/internal/version/MemberView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/MemberView.java
@@ -1,6 +1,7 @@
 package org.sardinebay.internal.version;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.sardinebay.MemberId;
 import org.sardinebay.Position;
 import org.sardinebay.session.MemberEntry;
@@ -11,12 +12,11 @@
 public final class MemberView {
   private MemberEntry entry;
   private Optional<MemberStatus> status = Optional.empty();
-  private long statusAskedAt = Long.MIN_VALUE;
+  private OptionalLong statusAskedAt = OptionalLong.empty();
   private Position applied = Position.ZERO;
   private long failingSince;
   private boolean failing;
   private boolean refusing;
-  private long answeredAt = Long.MIN_VALUE;
 
   MemberView(MemberEntry entry) {
     this.entry = entry;
@@ -28,7 +28,7 @@
 
   void status(MemberStatus newer, long askedAt) {
     status = Optional.of(newer);
-    statusAskedAt = askedAt;
+    statusAskedAt = OptionalLong.of(askedAt);
   }
 
   void applied(Position position) {
@@ -37,10 +37,9 @@
     }
   }
 
-  void answered(long now) {
+  void answered() {
     failing = false;
     refusing = false;
-    answeredAt = now;
   }
 
   void failed(boolean refused, long now) {
@@ -81,9 +80,9 @@
   /**
    * When the last status was asked for.
    *
-   * @return the time, {@link Long#MIN_VALUE} if never
+   * @return the time, empty if never
    */
-  public long statusAskedAt() {
+  public OptionalLong statusAskedAt() {
     return statusAskedAt;
   }
 
@@ -96,15 +95,6 @@
     return applied;
   }
 
-  /**
-   * When the member last answered anything.
-   *
-   * @return the time, {@link Long#MIN_VALUE} if never
-   */
-  public long answeredAt() {
-    return answeredAt;
-  }
-
   /**
    * Whether the member is out of reach.
    *
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryChangeNeed.java
@@ -0,0 +1,72 @@
+package org.sardinebay.internal.version;
+
+import java.util.Optional;
+
+/**
+ * Decides whether a service needs another primary, from what this host sees.
+ *
+ * <pre>{@code
+ * Optional<PrimaryChangeNeed.Cause> cause = PrimaryChangeNeed.of(view, now);
+ * }</pre>
+ */
+public final class PrimaryChangeNeed {
+  /**
+   * How long a primary's address must refuse connections, in milliseconds: its process has ended,
+   * which two refused attempts confirm.
+   */
+  public static final long REFUSED_MILLIS = 500;
+
+  /** How long a primary must be silent, in milliseconds: above a few lost packets. */
+  public static final long SILENT_MILLIS = 1_500;
+
+  /** How long a service may be without a known primary, in milliseconds: above a start. */
+  public static final long UNKNOWN_MILLIS = 2_500;
+
+  /** Why another primary is needed. */
+  public enum Cause {
+    /** The primary says that it is about to leave. */
+    LEAVING,
+    /** The primary's address refuses connections. */
+    REFUSED,
+    /** The primary does not answer. */
+    SILENT,
+    /** No member leads. */
+    UNKNOWN,
+    /** Members are fenced for a change of primary that nobody finishes. */
+    ABANDONED
+  }
+
+  private PrimaryChangeNeed() {}
+
+  /**
+   * Decides.
+   *
+   * @param view what is known of the service
+   * @param now the time
+   * @return why another primary is needed, empty if none is
+   */
+  public static Optional<Cause> of(ServiceView view, long now) {
+    Optional<MemberView> primary = view.primary();
+    if (view.members().size() < 2) {
+      return Optional.empty();
+    }
+    if (primary.isEmpty()) {
+      return view.unusableMillis(now) >= UNKNOWN_MILLIS
+          ? Optional.of(Cause.UNKNOWN)
+          : Optional.empty();
+    }
+    MemberView member = primary.get();
+    if (member.entry().draining()) {
+      return Optional.of(Cause.LEAVING);
+    }
+    long failing = member.failingMillis(now);
+    if (member.refusing() && failing >= REFUSED_MILLIS) {
+      return Optional.of(Cause.REFUSED);
+    }
+    if (failing >= SILENT_MILLIS) {
+      return Optional.of(Cause.SILENT);
+    }
+    boolean abandoned = view.fencedAbove(view.term()) && view.unusableMillis(now) >= UNKNOWN_MILLIS;
+    return abandoned ? Optional.of(Cause.ABANDONED) : Optional.empty();
+  }
+}
--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryLease.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryLease.java
@@ -49,19 +49,21 @@
    * @return true if a confirmation is fresh
    */
   public boolean valid(long now) {
-    return now < expiresAt();
+    return remainingMillis(now) > 0;
   }
 
   /**
-   * When the lease ends.
+   * How long the lease lasts from now on.
    *
-   * @return the time, {@link Long#MIN_VALUE} if there was no confirmation
+   * @param now the time
+   * @return milliseconds, 0 if it has run out or there was no confirmation
    */
-  public long expiresAt() {
+  public long remainingMillis(long now) {
     return confirmedAt.values().stream()
-        .mapToLong(at -> at + DURATION_MILLIS)
+        .mapToLong(at -> at + DURATION_MILLIS - now)
+        .filter(remaining -> remaining > 0)
         .max()
-        .orElse(Long.MIN_VALUE);
+        .orElse(0);
   }
 
   /** Drops all confirmations: a fence or a newer term was seen. */
--- a/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
@@ -106,15 +106,14 @@
    * @param id the member
    * @param status what it says
    * @param askedAt when it was asked
-   * @param now the time
    * @return whether the primary or the term changed
    */
-  public boolean onStatus(MemberId id, MemberStatus status, long askedAt, long now) {
+  public boolean onStatus(MemberId id, MemberStatus status, long askedAt) {
     MemberView member = members.get(id);
     if (member == null) {
       return false;
     }
-    member.answered(now);
+    member.answered();
     member.status(status, askedAt);
     noteTerm(status.term());
     if (status.role() == MemberRole.PRIMARY) {
@@ -160,7 +159,7 @@
     if (member == null) {
       return;
     }
-    member.answered(now);
+    member.answered();
     member.applied(position);
     noteTerm(position.term());
     if (position.term() != term) {
@@ -277,12 +276,13 @@
   }
 
   /**
-   * When the lease of the primary ends.
+   * How long the primary may still be relied upon.
    *
-   * @return the time
+   * @param now the time
+   * @return milliseconds
    */
-  public long leaseEndsAt() {
-    return lease.expiresAt();
+  public long leaseMillis(long now) {
+    return lease.remainingMillis(now);
   }
 
   /**
@@ -329,6 +329,17 @@
     return now - unusableSince;
   }
 
+  /**
+   * Whether a member is fenced above a term.
+   *
+   * @param bound the term
+   * @return true if a member said so last
+   */
+  public boolean fencedAbove(long bound) {
+    return members.values().stream()
+        .anyMatch(m -> m.status().filter(s -> s.fenceTerm() > bound).isPresent());
+  }
+
   /**
    * Members other than the believed primary that say they lead, at an older term.
    *
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
@@ -36,6 +36,9 @@
   /** How long rolling back at the member may take, in milliseconds. */
   private static final long ROLLBACK_TIMEOUT_MILLIS = 500;
 
+  /** How long a start waits for the first configuration: callers give up after 2 s. */
+  private static final long START_PATIENCE_MILLIS = 1_500;
+
   private final Services services;
   private final StatementRunContext context;
   private final CallerProtocol protocol;
@@ -43,6 +46,7 @@
   private final PreparedNames preparedNames;
   private final Clock clock;
   private final Consumer<CallerSession> onEnd;
+  private final long openedAt;
   private LineChannel channel;
   private Optional<String> database = Optional.empty();
   private final Map<String, String> values = new HashMap<>();
@@ -51,6 +55,10 @@
   private TransactionState state = TransactionState.IDLE;
   private Optional<Position> position = Optional.empty();
   private boolean abortUntold;
+
+  /** The database that the caller asked for before any configuration was known. */
+  private Optional<String> awaiting = Optional.empty();
+
   private boolean answering;
   private boolean leaving;
   private boolean ended;
@@ -78,6 +86,7 @@
     this.preparedNames = preparedNames;
     this.clock = context.clock();
     this.onEnd = onEnd;
+    this.openedAt = clock.millis();
   }
 
   /**
@@ -122,6 +131,11 @@
   }
 
   private void onStart(String name) {
+    if (services.table().version() == 0) {
+      awaiting = Optional.of(name);
+      answering = true;
+      return;
+    }
     if (services.table().route(name).isEmpty()) {
       refuseAndEnd(ErrorCode.NO_DATABASE, "no route has the name " + name);
       return;
@@ -375,6 +389,12 @@
    * @param now the time
    */
   public void tick(long now) {
+    if (awaiting.isPresent()) {
+      continueStart(now);
+    }
+    if (ended) {
+      return;
+    }
     if (!channel.lineBegun()) {
       lineBegunAt = -1;
     } else if (lineBegunAt < 0) {
@@ -398,6 +418,18 @@
     }
   }
 
+  private void continueStart(long now) {
+    if (services.table().version() > 0) {
+      String name = awaiting.get();
+      awaiting = Optional.empty();
+      answering = false;
+      onStart(name);
+    } else if (now - openedAt > START_PATIENCE_MILLIS) {
+      awaiting = Optional.empty();
+      refuseAndEnd(ErrorCode.BUSY, "not run: this host has no configuration yet; retry in 500 ms");
+    }
+  }
+
   @Override
   public Map<String, String> values() {
     return values;
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayDump.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayDump.java
@@ -30,7 +30,7 @@
     node.put("name", view.service());
     node.put("term", view.term());
     node.put("primary", view.primary().map(m -> m.id().value()).orElse(""));
-    node.put("leaseMillis", view.leaseEndsAt() - now);
+    node.put("leaseMillis", view.leaseMillis(now));
     node.put("waiting", service.waiting());
     ArrayNode members = node.putArray("members");
     view.members().forEach(member -> writeMember(members.addObject(), service, member, now));
@@ -43,7 +43,7 @@
     node.put("draining", member.entry().draining());
     node.put("applied", member.applied().toString());
     node.put("status", member.status().map(Object::toString).orElse(""));
-    node.put("statusAgeMillis", now - member.statusAskedAt());
+    member.statusAskedAt().ifPresent(at -> node.put("statusAgeMillis", now - at));
     node.put("unreachableMillis", member.failingMillis(now));
     service.pool(member.id()).ifPresent(pool -> node.put("connections", pool.size()));
   }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import org.sardinebay.Clock;
@@ -17,9 +18,11 @@
 import org.sardinebay.gateway.internal.request.StatementLog;
 import org.sardinebay.gateway.internal.request.StatementRunContext;
 import org.sardinebay.gateway.internal.version.ObjectWatch;
+import org.sardinebay.gateway.internal.version.PromotionDuty;
 import org.sardinebay.gateway.internal.version.ServiceRuntime;
 import org.sardinebay.gateway.internal.version.Services;
 import org.sardinebay.gateway.internal.version.StoreFeeds;
+import org.sardinebay.impeller.HttpPromotionCall;
 import org.sardinebay.impeller.LineCallerProtocol;
 import org.sardinebay.impeller.LineMemberProtocol;
 import org.sardinebay.impeller.PlatformNames;
@@ -59,6 +62,7 @@
   private final StoreFeeds feeds;
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private PromotionDuty duty;
   private volatile boolean stopping;
 
   private GatewayProcess(GatewaySettings settings, Eventloop loop, Clock clock) {
@@ -113,6 +117,16 @@
     new ObjectWatch(store, PlatformNames.CONFIGURATION.kind(), feeds.configuration(), loop, clock)
         .start();
     new ObjectWatch(store, PlatformNames.MEMBERS, feeds.members(), loop, clock).start();
+    duty =
+        new PromotionDuty(
+            services,
+            store,
+            new HttpPromotionCall(http, settings.promotions()),
+            new LineMemberProtocol(),
+            settings.host(),
+            UUID.randomUUID().toString(),
+            loop,
+            clock);
     sessions.listen(loop, settings.callers());
     JsonHttpServer.serveOn(
         loop,
@@ -135,6 +149,7 @@
     feeds.tick(now);
     services.all().forEach(service -> service.tick(now));
     sessions.tick(now);
+    duty.tick(now);
     loop.delay(TICK_MILLIS, this::tick);
   }
 
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionDuty.java
@@ -0,0 +1,235 @@
+package org.sardinebay.gateway.internal.version;
+
+import io.activej.eventloop.Eventloop;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.sardinebay.Clock;
+import org.sardinebay.HostId;
+import org.sardinebay.MemberId;
+import org.sardinebay.gateway.internal.connection.MemberPool;
+import org.sardinebay.internal.version.DutyClaim;
+import org.sardinebay.internal.version.MemberView;
+import org.sardinebay.internal.version.PrimaryChange;
+import org.sardinebay.internal.version.PrimaryChangeNeed;
+import org.sardinebay.internal.version.ServiceView;
+import org.sardinebay.platform.PlatformClient;
+import org.sardinebay.session.MemberProtocol;
+import org.sardinebay.session.PromotionCall;
+import org.sardinebay.session.PromotionOrder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
+
+/**
+ * Replaces primaries: watches for services that need another one, claims the duty, and drives the
+ * changes.
+ *
+ * <pre>{@code
+ * duty.tick(now);
+ * }</pre>
+ */
+public final class PromotionDuty {
+  private static final Logger LOG = LoggerFactory.getLogger(PromotionDuty.class);
+
+  /** What must be left of the right to order, in milliseconds, before an order is sent. */
+  private static final long ORDER_RIGHT_MILLIS = 900;
+
+  /** The order's connection is reset this long before the right ends, in milliseconds. */
+  private static final long ORDER_MARGIN_MILLIS = 150;
+
+  /** What must be left of the right during a change, in milliseconds, so that others keep off. */
+  private static final long CHANGE_RIGHT_MILLIS = 400;
+
+  private final Services services;
+  private final DutyRecord record;
+  private final PromotionCall orders;
+  private final MemberProtocol protocol;
+  private final HostId self;
+  private final Eventloop loop;
+  private final Clock clock;
+  private final Map<String, PrimaryChange> changes = new HashMap<>();
+  private final Map<String, PrimaryChangeNeed.Cause> needs = new HashMap<>();
+  private final Map<String, PrimaryChange.Phase> loggedPhases = new HashMap<>();
+
+  /**
+   * A duty that nobody holds yet.
+   *
+   * @param services the services
+   * @param store the store that keeps the record of the holder
+   * @param orders the platform's call
+   * @param protocol the members' protocol
+   * @param self this host
+   * @param incarnation the start of this process
+   * @param loop the loop that it runs on
+   * @param clock the clock
+   */
+  public PromotionDuty(
+      Services services,
+      PlatformClient store,
+      PromotionCall orders,
+      MemberProtocol protocol,
+      HostId self,
+      String incarnation,
+      Eventloop loop,
+      Clock clock) {
+    this.services = services;
+    this.orders = orders;
+    this.protocol = protocol;
+    this.self = self;
+    this.loop = loop;
+    this.clock = clock;
+    this.record = new DutyRecord(store, new DutyClaim(self.value(), incarnation), loop, clock);
+  }
+
+  /**
+   * Looks after all services.
+   *
+   * @param now the time
+   */
+  public void tick(long now) {
+    for (ServiceRuntime service : services.all()) {
+      PrimaryChange change = changes.get(service.view().service());
+      if (change == null) {
+        considerChange(service, now);
+      } else {
+        drive(service, change, now);
+      }
+    }
+  }
+
+  private void considerChange(ServiceRuntime service, long now) {
+    ServiceView view = service.view();
+    Optional<PrimaryChangeNeed.Cause> cause = PrimaryChangeNeed.of(view, now);
+    if (cause.isEmpty()) {
+      needs.remove(view.service());
+      return;
+    }
+    if (needs.put(view.service(), cause.get()) != cause.get()) {
+      log("primary_change_needed", view)
+          .addKeyValue("cause", cause.get())
+          .addKeyValue("primary", view.primary().map(m -> m.id().value()).orElse("-"))
+          .addKeyValue("holder", record.claim().holder().orElse("-"))
+          .log();
+    }
+    if (!record.ensureRight(CHANGE_RIGHT_MILLIS)) {
+      return;
+    }
+    boolean planned =
+        cause.get() == PrimaryChangeNeed.Cause.LEAVING
+            && view.primary().filter(m -> !m.failing()).isPresent();
+    MemberId old = view.primary().map(MemberView::id).orElse(new MemberId("none"));
+    PrimaryChange change = new PrimaryChange(old, planned, view.newestTerm() + 1, now);
+    changes.put(view.service(), change);
+    log("primary_change_started", view)
+        .addKeyValue("cause", cause.get())
+        .addKeyValue("old", old.value())
+        .addKeyValue("next_term", change.nextTerm())
+        .addKeyValue("token", record.claim().token())
+        .log();
+  }
+
+  private void drive(ServiceRuntime service, PrimaryChange change, long now) {
+    ServiceView view = service.view();
+    boolean primaryBack =
+        view.primary()
+            .filter(m -> !m.failing() && !m.entry().draining() && view.term() < change.nextTerm())
+            .isPresent();
+    if (change.revocable() && primaryBack) {
+      perform(service, change, change.giveUp(now));
+    }
+    if (view.term() >= change.nextTerm() && change.phase() != PrimaryChange.Phase.TAKING_OVER) {
+      changes.remove(view.service());
+      return;
+    }
+    boolean right = record.ensureRight(CHANGE_RIGHT_MILLIS);
+    if (right) {
+      perform(service, change, change.next(view, now));
+    }
+    logPhase(view, change);
+    if (change.phase() == PrimaryChange.Phase.DONE
+        || change.phase() == PrimaryChange.Phase.GIVEN_UP) {
+      changes.remove(view.service());
+      loggedPhases.remove(view.service());
+    }
+  }
+
+  private void logPhase(ServiceView view, PrimaryChange change) {
+    if (loggedPhases.put(view.service(), change.phase()) != change.phase()) {
+      log("primary_change_phase", view)
+          .addKeyValue("phase", change.phase())
+          .addKeyValue("next_term", change.nextTerm())
+          .addKeyValue("target", change.target().map(MemberId::value).orElse("-"))
+          .addKeyValue("from", change.takeoverPosition().map(Object::toString).orElse("-"))
+          .log();
+    }
+  }
+
+  private void perform(
+      ServiceRuntime service, PrimaryChange change, List<PrimaryChange.Step> steps) {
+    for (PrimaryChange.Step step : steps) {
+      if (step instanceof PrimaryChange.Step.Order order) {
+        order(service, change, order.member());
+      } else if (step instanceof PrimaryChange.Step.Fence fence) {
+        fence(service, change, fence);
+      } else if (step instanceof PrimaryChange.Step.Demote demote) {
+        control(service, demote.member(), protocol.demoteText(demote.term()));
+      } else if (step instanceof PrimaryChange.Step.Unfence unfence) {
+        control(service, unfence.member(), protocol.unfenceText());
+      } else if (step instanceof PrimaryChange.Step.Look look) {
+        control(service, look.member(), protocol.statusText());
+      }
+    }
+  }
+
+  private void fence(ServiceRuntime service, PrimaryChange change, PrimaryChange.Step.Fence step) {
+    Optional<MemberPool> pool = service.pool(step.member());
+    if (pool.isEmpty()) {
+      return;
+    }
+    service.control(
+        pool.get(),
+        protocol.fenceText(step.term()),
+        status -> status.ifPresent(s -> change.onFenced(step.member(), s, clock.millis())));
+  }
+
+  private void control(ServiceRuntime service, MemberId member, String text) {
+    service.pool(member).ifPresent(pool -> service.control(pool, text, status -> {}));
+  }
+
+  private void order(ServiceRuntime service, PrimaryChange change, MemberId member) {
+    if (!record.ensureRight(ORDER_RIGHT_MILLIS)) {
+      change.onOrdered(PromotionCall.Outcome.REFUSED, clock.millis());
+      return;
+    }
+    PromotionOrder order =
+        new PromotionOrder(service.view().service(), member, self, record.claim().token());
+    long timeout = record.claim().rightMillis(clock.millis()) - ORDER_MARGIN_MILLIS;
+    CompletableFuture<Void> unused =
+        orders
+            .promote(order, timeout)
+            .thenAccept(outcome -> loop.execute(() -> ordered(service, change, order, outcome)));
+  }
+
+  private void ordered(
+      ServiceRuntime service,
+      PrimaryChange change,
+      PromotionOrder order,
+      PromotionCall.Outcome outcome) {
+    log("promotion_ordered", service.view())
+        .addKeyValue("member", order.member().value())
+        .addKeyValue("token", order.token())
+        .addKeyValue("outcome", outcome)
+        .log();
+    change.onOrdered(outcome, clock.millis());
+  }
+
+  private static LoggingEventBuilder log(String event, ServiceView view) {
+    return LOG.atInfo()
+        .setMessage(event)
+        .addKeyValue("service", view.service())
+        .addKeyValue("term", view.term());
+  }
+}
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -309,7 +309,7 @@
 
   private boolean renewsLease(MemberPool pool, long now) {
     boolean replica = view.primary().filter(m -> m.id().equals(pool.entry().id())).isEmpty();
-    return replica && view.leaseEndsAt() - now < LEASE_RENEWAL_MILLIS;
+    return replica && view.leaseMillis(now) < LEASE_RENEWAL_MILLIS;
   }
 
   private void askStatus(MemberPool pool) {
@@ -361,7 +361,7 @@
     MemberId id = pool.entry().id();
     pool.allowance().reported(status.connections());
     othersBusy.put(id, Math.max(0, status.busySlots() - own));
-    boolean changed = view.onStatus(id, status, askedAt, clock.millis());
+    boolean changed = view.onStatus(id, status, askedAt);
     if (changed) {
       LOG.atInfo()
           .setMessage("primary_changed")
--- a/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
+++ b/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
@@ -144,6 +144,48 @@
     return result;
   }
 
+  /**
+   * Sends one request on a connection of its own, which is reset if no response comes in time, so
+   * that the request can't arrive later.
+   *
+   * @param method the HTTP method
+   * @param address the server
+   * @param pathAndQuery the path, with the query if there is one
+   * @param headers headers besides the usual ones
+   * @param body the JSON body, if any
+   * @param timeoutMillis how long to wait for the response
+   * @return the result; never completes with an exception
+   */
+  public CompletableFuture<HttpResult> callOnce(
+      HttpMethod method,
+      Address address,
+      String pathAndQuery,
+      Map<HttpHeader, String> headers,
+      Optional<JsonNode> body,
+      long timeoutMillis) {
+    Eventloop loop = loops.get(0);
+    CompletableFuture<HttpResult> result = new CompletableFuture<>();
+    loop.execute(
+        () -> {
+          HttpClient client =
+              HttpClient.builder(loop, new NoDns())
+                  .withSocketSettings(
+                      SocketSettings.builder().withLingerTimeout(Duration.ZERO).build())
+                  .withConnectTimeout(CONNECT_TIMEOUT)
+                  .withNoKeepAlive()
+                  .withForcedShutdown(true)
+                  .build();
+          HttpRequest request = request(method, address, pathAndQuery, headers, body);
+          Promises.timeout(timeoutMillis, exchange(client, request))
+              .whenComplete(
+                  (reply, e) -> {
+                    client.stop();
+                    result.complete(e == null ? reply : failure(e));
+                  });
+        });
+    return result;
+  }
+
   /** Stops the event loops; requests in progress get no answer. */
   public void stop() {
     loops.forEach(Eventloop::breakEventloop);
