--- a/core/src/main/java/org/sardinebay/internal/connection/ConnectionAllowance.java
+++ b/core/src/main/java/org/sardinebay/internal/connection/ConnectionAllowance.java
@@ -1,5 +1,8 @@
 package org.sardinebay.internal.connection;
 
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+
 /**
  * How many connections this host may hold at one member. All hosts share the member's limit; what
  * they hold together is known from the member's status, so unused connections can be lent to
@@ -22,9 +25,16 @@
 
   private static final int PERCENT = 100;
 
+  /** Connections that a host may open before the member has told how many there are. */
+  private static final int UNREPORTED = 2;
+
+  /** How long a refusal for the member's limit keeps this host from asking again. */
+  private static final long REFUSAL_MILLIS = 400;
+
   private int limit;
-  private int reportedByMember;
+  private OptionalInt reportedByMember = OptionalInt.empty();
   private int openedSince;
+  private OptionalLong refusedAt = OptionalLong.empty();
 
   /**
    * An allowance.
@@ -50,7 +60,7 @@
    * @param connections connections of all hosts
    */
   public void reported(int connections) {
-    reportedByMember = connections;
+    reportedByMember = OptionalInt.of(connections);
     openedSince = 0;
   }
 
@@ -59,23 +69,34 @@
     openedSince++;
   }
 
-  /** Notes that the member refused a connection for its limit. */
-  public void refused() {
-    reportedByMember = limit;
+  /**
+   * Notes that the member refused a connection for its limit.
+   *
+   * @param now the time
+   */
+  public void refused(long now) {
+    refusedAt = OptionalLong.of(now);
   }
 
   /**
    * Whether one more connection may be opened.
    *
    * @param own connections of this host, those being opened included
+   * @param now the time
    * @return true within this host's share
    */
-  public boolean permits(int own) {
+  public boolean permits(int own, long now) {
+    if (refusedAt.isPresent() && now - refusedAt.getAsLong() < REFUSAL_MILLIS) {
+      return false;
+    }
     if (own == 0) {
       return true;
     }
+    if (reportedByMember.isEmpty()) {
+      return own < UNREPORTED;
+    }
     return own < Math.max(1, limit * LARGEST_SHARE_PERCENT / PERCENT)
-        && reportedByMember + openedSince < limit - RESERVE;
+        && reportedByMember.getAsInt() + openedSince < limit - RESERVE;
   }
 
   /**
@@ -85,6 +106,6 @@
    * @return true if the member is nearly full and this host holds more than one
    */
   public boolean shouldShrink(int own) {
-    return own > 1 && reportedByMember >= limit - RESERVE;
+    return own > 1 && reportedByMember.orElse(0) >= limit - RESERVE;
   }
 }
--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryChange.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryChange.java
@@ -222,7 +222,7 @@
   private void order(ServiceView view, long now, List<Step> steps) {
     target = mostAdvanced(view);
     if (target.isEmpty()) {
-      giveUp(now);
+      steps.addAll(giveUp(view, now));
       return;
     }
     if (due(target.get(), now)) {
@@ -293,17 +293,26 @@
   }
 
   /**
-   * Gives the change up before its order, and says which members to let go.
+   * Gives the change up before its order, and says which members to let go: those that this change
+   * fenced, and those that an earlier driver left behind.
    *
+   * @param view what is known of the service
    * @param now the time
    * @return one step for each fenced member, empty once the order was given
    */
-  public List<Step> giveUp(long now) {
+  public List<Step> giveUp(ServiceView view, long now) {
     if (phase == Phase.TAKING_OVER || phase == Phase.DONE || orderPending) {
       return List.of();
     }
     enter(Phase.GIVEN_UP, now);
-    return fenced.keySet().stream().<Step>map(Step.Unfence::new).toList();
+    return view.members().stream()
+        .filter(m -> fenced.containsKey(m.id()) || fencedAbove(m, view.term()))
+        .<Step>map(m -> new Step.Unfence(m.id()))
+        .toList();
+  }
+
+  private static boolean fencedAbove(MemberView member, long term) {
+    return member.status().filter(status -> status.fenceTerm() > term).isPresent();
   }
 
   /**
--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryChangeNeed.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryChangeNeed.java
@@ -16,8 +16,11 @@
    */
   public static final long REFUSED_MILLIS = 500;
 
-  /** How long a primary must be silent, in milliseconds: above a few lost packets. */
-  public static final long SILENT_MILLIS = 1_500;
+  /**
+   * How long a primary must be silent after the first sign of it, in milliseconds: above two more
+   * attempts to connect, and one packet sent again.
+   */
+  public static final long SILENT_MILLIS = 1_000;
 
   /** How long a service may be without a known primary, in milliseconds: above a start. */
   public static final long UNKNOWN_MILLIS = 2_500;
--- /dev/null
+++ b/core/src/test/java/org/sardinebay/internal/connection/ConnectionAllowanceTest.java
@@ -0,0 +1,65 @@
+package org.sardinebay.internal.connection;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class ConnectionAllowanceTest {
+  private static final int LIMIT = 21;
+
+  private final ConnectionAllowance allowance = new ConnectionAllowance(LIMIT);
+
+  @Test
+  void should_always_permit_the_first_connection() {
+    allowance.reported(LIMIT);
+
+    assertThat(allowance.permits(0, 0)).isTrue();
+  }
+
+  @Test
+  void should_permit_few_before_the_member_has_told_how_many_there_are() {
+    assertThat(allowance.permits(1, 0)).isTrue();
+    assertThat(allowance.permits(2, 0)).isFalse();
+  }
+
+  @Test
+  void should_lend_what_other_hosts_do_not_use() {
+    allowance.reported(6);
+
+    assertThat(allowance.permits(5, 0)).isTrue();
+  }
+
+  @Test
+  void should_leave_room_for_hosts_that_start() {
+    allowance.reported(17);
+    assertThat(allowance.permits(3, 0)).isTrue();
+    allowance.opened();
+
+    assertThat(allowance.permits(4, 0)).isFalse();
+  }
+
+  @Test
+  void should_never_give_one_host_half_of_the_limit() {
+    allowance.reported(9);
+
+    assertThat(allowance.permits(9, 0)).isFalse();
+  }
+
+  @Test
+  void should_wait_a_while_after_a_refusal() {
+    allowance.reported(5);
+    allowance.refused(1_000);
+
+    assertThat(allowance.permits(1, 1_300)).isFalse();
+    assertThat(allowance.permits(1, 1_400)).isTrue();
+  }
+
+  @Test
+  void should_shrink_only_when_the_member_is_nearly_full() {
+    allowance.reported(10);
+    assertThat(allowance.shouldShrink(5)).isFalse();
+    allowance.reported(18);
+    assertThat(allowance.shouldShrink(5)).isTrue();
+    assertThat(allowance.shouldShrink(1)).isFalse();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinebay/internal/request/PlacementTest.java
@@ -0,0 +1,83 @@
+package org.sardinebay.internal.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.MemberId;
+import org.sardinebay.Position;
+
+class PlacementTest {
+  private static final PlacementNeed ANY =
+      new PlacementNeed(false, Optional.of(new Position(1, 5)));
+
+  private static PlacementCandidate member(
+      String id, boolean primary, boolean available, long distance, int busy, long applied) {
+    return new PlacementCandidate(
+        new MemberId(id), primary, available, distance, busy, 3, new Position(1, applied), false);
+  }
+
+  private static Optional<String> choose(PlacementNeed need, PlacementCandidate... members) {
+    return Placement.choose(need, List.of(members)).map(MemberId::value);
+  }
+
+  @Nested
+  class Writes {
+    @Test
+    void should_go_to_the_primary_however_far_and_busy_it_is() {
+      assertThat(
+              choose(
+                  PlacementNeed.PRIMARY,
+                  member("near", false, true, 1, 0, 9),
+                  member("lead", true, true, 16, 9, 9)))
+          .contains("lead");
+    }
+
+    @Test
+    void should_wait_without_a_primary() {
+      assertThat(choose(PlacementNeed.PRIMARY, member("near", false, true, 1, 0, 9))).isEmpty();
+    }
+  }
+
+  @Nested
+  class Reads {
+    @Test
+    void should_go_to_the_near_replica() {
+      assertThat(
+              choose(
+                  ANY,
+                  member("far", false, true, 16, 0, 9),
+                  member("near", false, true, 1, 2, 9),
+                  member("lead", true, true, 1, 0, 9)))
+          .contains("near");
+    }
+
+    @Test
+    void should_overflow_to_a_far_replica_once_the_near_one_has_a_queue() {
+      assertThat(
+              choose(
+                  ANY, member("far", false, true, 16, 0, 9), member("near", false, true, 1, 6, 9)))
+          .contains("far");
+    }
+
+    @Test
+    void should_prefer_a_replica_that_has_shown_the_position() {
+      assertThat(
+              choose(
+                  ANY,
+                  member("behind", false, true, 1, 0, 4),
+                  member("far", false, true, 16, 0, 5)))
+          .contains("far");
+    }
+
+    @Test
+    void should_use_the_primary_when_no_replica_is_free() {
+      assertThat(
+              choose(
+                  ANY, member("near", false, false, 1, 0, 9), member("lead", true, true, 16, 0, 9)))
+          .contains("lead");
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinebay/internal/request/RetryPolicyTest.java
@@ -0,0 +1,80 @@
+package org.sardinebay.internal.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.sardinebay.session.ErrorCode;
+
+class RetryPolicyTest {
+  private static final long DEADLINE = 1_000;
+
+  private static RetryPolicy.Step after(AttemptOutcome outcome, boolean writes) {
+    return RetryPolicy.after(outcome, writes, 1, 100, DEADLINE);
+  }
+
+  private static ErrorCode code(RetryPolicy.Step step) {
+    return ((RetryPolicy.Step.GiveUp) step).code();
+  }
+
+  @Nested
+  class Writes {
+    @Test
+    void should_never_be_sent_again_without_an_answer() {
+      assertThat(code(after(new AttemptOutcome.NoAnswer(), true))).isEqualTo(ErrorCode.IN_DOUBT);
+    }
+
+    @Test
+    void should_be_in_doubt_when_the_lease_was_lost_before_the_answer() {
+      assertThat(code(after(new AttemptOutcome.LeaseLost(), true))).isEqualTo(ErrorCode.IN_DOUBT);
+    }
+
+    @Test
+    void should_be_tried_again_if_they_were_not_sent() {
+      assertThat(after(new AttemptOutcome.NotSent(), true))
+          .isInstanceOf(RetryPolicy.Step.Retry.class);
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"BUSY", "READ_ONLY", "WRONG_MEMBER", "UNKNOWN_STATEMENT"})
+    void should_be_tried_again_if_the_member_did_not_run_them(ErrorCode code) {
+      assertThat(after(new AttemptOutcome.Refused(code, ""), true))
+          .isInstanceOf(RetryPolicy.Step.Retry.class);
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"FAILED", "TIMEOUT"})
+    void should_not_be_tried_again_if_they_ran(ErrorCode code) {
+      assertThat(code(after(new AttemptOutcome.Refused(code, ""), true))).isEqualTo(code);
+    }
+  }
+
+  @Nested
+  class Reads {
+    @Test
+    void should_be_tried_again_without_an_answer() {
+      assertThat(after(new AttemptOutcome.NoAnswer(), false))
+          .isInstanceOf(RetryPolicy.Step.Retry.class);
+    }
+
+    @Test
+    void should_be_given_up_after_the_last_attempt() {
+      RetryPolicy.Step step =
+          RetryPolicy.after(
+              new AttemptOutcome.NoAnswer(), false, RetryPolicy.MAX_ATTEMPTS, 100, DEADLINE);
+
+      assertThat(code(step)).isEqualTo(ErrorCode.TIMEOUT);
+    }
+
+    @Test
+    void should_be_given_up_when_their_time_is_over() {
+      RetryPolicy.Step step =
+          RetryPolicy.after(
+              new AttemptOutcome.Refused(ErrorCode.LAGGING, ""), false, 1, DEADLINE, DEADLINE);
+
+      assertThat(code(step)).isEqualTo(ErrorCode.BUSY);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinebay/internal/version/MemberDirectoryTest.java
@@ -0,0 +1,42 @@
+package org.sardinebay.internal.version;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.MemberId;
+import org.sardinebay.session.MemberEntry;
+
+class MemberDirectoryTest {
+  private static final MemberId ID = ServiceViewTest.NEAR;
+  private static final MemberEntry ENTRY = ServiceViewTest.entry(ID, false);
+
+  private final MemberDirectory directory = new MemberDirectory();
+
+  @Test
+  void should_keep_a_member_whose_entry_lapsed_a_short_while_ago() {
+    directory.replaceAll(List.of(ENTRY), 0);
+    directory.remove(ID, 1_000);
+
+    assertThat(directory.members(999 + MemberDirectory.LAPSE_GRACE_MILLIS)).containsExactly(ENTRY);
+    assertThat(directory.members(1_000 + MemberDirectory.LAPSE_GRACE_MILLIS)).isEmpty();
+  }
+
+  @Test
+  void should_keep_a_member_whose_entry_came_back() {
+    directory.replaceAll(List.of(ENTRY), 0);
+    directory.replaceAll(List.of(), 1_000);
+    directory.put(ENTRY);
+
+    assertThat(directory.members(60_000)).containsExactly(ENTRY);
+  }
+
+  @Test
+  void should_count_the_lapse_from_its_first_sight() {
+    directory.replaceAll(List.of(ENTRY), 0);
+    directory.replaceAll(List.of(), 1_000);
+    directory.replaceAll(List.of(), 3_000);
+
+    assertThat(directory.members(1_000 + MemberDirectory.LAPSE_GRACE_MILLIS)).isEmpty();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
@@ -0,0 +1,215 @@
+package org.sardinebay.internal.version;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.Address;
+import org.sardinebay.FailureDomain;
+import org.sardinebay.MemberId;
+import org.sardinebay.Position;
+import org.sardinebay.session.MemberEntry;
+import org.sardinebay.session.MemberRole;
+import org.sardinebay.session.MemberStatus;
+
+class ServiceViewTest {
+  static final MemberId LEADER = new MemberId("m-1");
+  static final MemberId NEAR = new MemberId("m-2");
+  static final MemberId FAR = new MemberId("m-3");
+
+  private final ServiceView view = new ServiceView("orders", 0);
+
+  static MemberEntry entry(MemberId id, boolean draining) {
+    return new MemberEntry(
+        id,
+        OptionalLong.empty(),
+        "orders",
+        new Address("127.0.0.1", 9_000),
+        new FailureDomain("hall"),
+        3,
+        draining,
+        MemberRole.REPLICA);
+  }
+
+  static MemberStatus primary(long term, long index) {
+    return new MemberStatus(MemberRole.PRIMARY, term, new Position(term, index), 0, 0, 0, 1);
+  }
+
+  static MemberStatus replica(long term, long index, long fence) {
+    return new MemberStatus(MemberRole.REPLICA, term, new Position(term, index), fence, 0, 0, 1);
+  }
+
+  @BeforeEach
+  void addMembers() {
+    view.setMembers(List.of(entry(LEADER, false), entry(NEAR, false), entry(FAR, false)));
+  }
+
+  @Nested
+  class Lease {
+    @Test
+    void should_not_rely_on_a_primary_that_no_replica_confirms() {
+      view.onStatus(LEADER, primary(1, 5), 100);
+
+      assertThat(view.primary()).isPresent();
+      assertThat(view.usablePrimary(100)).isEmpty();
+    }
+
+    @Test
+    void should_rely_on_a_primary_from_the_moment_a_replica_was_asked() {
+      view.onStatus(LEADER, primary(1, 5), 100);
+      view.onStatus(NEAR, replica(1, 5, 0), 200);
+
+      long end = 200 + PrimaryLease.DURATION_MILLIS;
+      assertThat(view.usablePrimary(end - 1)).isPresent();
+      assertThat(view.usablePrimary(end)).isEmpty();
+    }
+
+    @Test
+    void should_not_take_a_fenced_replica_for_a_confirmation() {
+      view.onStatus(LEADER, primary(1, 5), 100);
+      view.onStatus(NEAR, replica(1, 5, 0), 200);
+      view.onStatus(FAR, replica(1, 5, 2), 250);
+
+      assertThat(view.usablePrimary(300)).isEmpty();
+    }
+
+    @Test
+    void should_be_confirmed_by_a_replica_that_shows_a_later_write() {
+      view.onStatus(LEADER, primary(1, 5), 100);
+      view.onApplied(LEADER, new Position(1, 5), 100, 101);
+      view.onApplied(NEAR, new Position(1, 6), 400, 401);
+
+      assertThat(view.leaseMillis(401)).isEqualTo(100 + PrimaryLease.DURATION_MILLIS - 401);
+    }
+
+    @Test
+    void should_not_be_confirmed_by_a_replica_that_shows_nothing_newer() {
+      view.onStatus(LEADER, primary(1, 5), 100);
+      view.onApplied(LEADER, new Position(1, 5), 100, 101);
+      view.onApplied(NEAR, new Position(1, 5), 400, 401);
+
+      assertThat(view.leaseMillis(401)).isZero();
+    }
+
+    @Test
+    void should_end_when_any_member_names_a_newer_term() {
+      view.onStatus(LEADER, primary(1, 5), 100);
+      view.onStatus(NEAR, replica(1, 5, 0), 200);
+      view.onApplied(FAR, new Position(2, 6), 210, 211);
+
+      assertThat(view.usablePrimary(212)).isEmpty();
+      view.onStatus(NEAR, replica(1, 5, 0), 220);
+      assertThat(view.usablePrimary(221)).isEmpty();
+    }
+
+    @Test
+    void should_hold_while_no_other_member_runs() {
+      view.onStatus(LEADER, primary(1, 5), 100);
+      view.onUnreachable(NEAR, true, 150);
+      assertThat(view.usablePrimary(160)).isEmpty();
+      view.onUnreachable(FAR, true, 170);
+
+      assertThat(view.usablePrimary(180)).isPresent();
+    }
+
+    @Test
+    void should_not_hold_while_another_member_is_only_silent() {
+      view.onStatus(LEADER, primary(1, 5), 100);
+      view.onUnreachable(NEAR, true, 150);
+      view.onUnreachable(FAR, false, 170);
+
+      assertThat(view.usablePrimary(180)).isEmpty();
+    }
+  }
+
+  @Nested
+  class Primary {
+    @Test
+    void should_follow_the_member_that_leads_the_newest_term() {
+      view.onStatus(LEADER, primary(1, 5), 100);
+      view.onStatus(FAR, primary(2, 5), 200);
+      view.onStatus(LEADER, primary(1, 9), 300);
+
+      assertThat(view.primary().map(MemberView::id)).contains(FAR);
+      assertThat(view.term()).isEqualTo(2);
+      assertThat(view.formerPrimary().map(MemberView::id)).contains(LEADER);
+    }
+
+    @Test
+    void should_be_unknown_once_it_says_that_it_follows() {
+      view.onStatus(LEADER, primary(1, 5), 100);
+      view.onStatus(NEAR, replica(1, 5, 0), 150);
+      view.onStatus(LEADER, replica(1, 5, 0), 200);
+
+      assertThat(view.primary()).isEmpty();
+      assertThat(view.usablePrimary(201)).isEmpty();
+    }
+
+    @Test
+    void should_not_be_trusted_for_an_answer_of_an_older_term() {
+      view.onStatus(LEADER, primary(2, 5), 100);
+      view.onStatus(NEAR, replica(2, 5, 0), 150);
+
+      assertThat(view.stillLeads(LEADER, 2, 160)).isTrue();
+      assertThat(view.stillLeads(LEADER, 1, 160)).isFalse();
+      assertThat(view.stillLeads(NEAR, 2, 160)).isFalse();
+    }
+
+    @Test
+    void should_be_forgotten_with_a_member_that_starts_again() {
+      view.onStatus(LEADER, primary(1, 5), 100);
+      MemberEntry reborn =
+          new MemberEntry(
+              LEADER,
+              OptionalLong.of(7),
+              "orders",
+              new Address("127.0.0.1", 9_000),
+              new FailureDomain("hall"),
+              3,
+              false,
+              MemberRole.REPLICA);
+      view.setMembers(List.of(reborn, entry(NEAR, false), entry(FAR, false)));
+
+      assertThat(view.member(LEADER).flatMap(MemberView::status)).isEmpty();
+    }
+  }
+
+  @Nested
+  class Floor {
+    @Test
+    void should_be_what_the_primary_held_within_the_age() {
+      view.onStatus(LEADER, primary(1, 5), 100);
+      view.onStatus(NEAR, replica(1, 5, 0), 100);
+      view.onApplied(LEADER, new Position(1, 5), 110, 111);
+      view.onApplied(LEADER, new Position(1, 8), 600, 601);
+
+      assertThat(view.floor(1_000, 900)).contains(new Position(1, 5));
+      assertThat(view.floor(1_000, 500)).contains(new Position(1, 8));
+      assertThat(view.floor(2_000, 500)).isEmpty();
+    }
+
+    @Test
+    void should_not_rest_on_a_primary_without_a_lease() {
+      view.onStatus(LEADER, primary(1, 5), 100);
+      view.onApplied(LEADER, new Position(1, 5), 110, 111);
+
+      assertThat(view.floor(200, 1_000)).isEmpty();
+    }
+
+    @Test
+    void should_replace_positions_of_older_terms_by_where_the_new_term_began() {
+      view.onStatus(LEADER, primary(2, 7), 100);
+      view.onStatus(NEAR, replica(2, 7, 0), 100);
+      assertThat(view.inThisTerm(new Position(1, 99))).isEmpty();
+      view.onApplied(LEADER, new Position(2, 8), 110, 111);
+
+      assertThat(view.inThisTerm(new Position(1, 99))).contains(new Position(2, 8));
+      assertThat(view.inThisTerm(new Position(2, 9))).contains(new Position(2, 9));
+      assertThat(view.inThisTerm(new Position(3, 1))).isEqualTo(Optional.empty());
+    }
+  }
+}
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberLink.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberLink.java
@@ -31,6 +31,7 @@
   private final MemberId member;
   private final MemberProtocol protocol;
   private final Clock clock;
+  private final Runnable onLine;
   private final Consumer<MemberLink> onEnd;
   private final LineChannel channel;
   private final Map<String, String> values = new HashMap<>();
@@ -51,6 +52,7 @@
    * @param socket the socket
    * @param protocol the protocol
    * @param clock the clock
+   * @param onLine called for each line that arrives
    * @param onEnd called once when the link is of no use any more
    */
   public MemberLink(
@@ -58,10 +60,12 @@
       TcpSocket socket,
       MemberProtocol protocol,
       Clock clock,
+      Runnable onLine,
       Consumer<MemberLink> onEnd) {
     this.member = member;
     this.protocol = protocol;
     this.clock = clock;
+    this.onLine = onLine;
     this.onEnd = onEnd;
     this.channel = new LineChannel(socket, MAX_LINE_BYTES, this);
   }
@@ -96,6 +100,7 @@
 
   @Override
   public void onLine(String line) {
+    onLine.run();
     MemberMessage message = protocol.parse(line);
     if (waiting.isEmpty()) {
       give(LossCause.OUT_OF_STEP);
@@ -160,6 +165,11 @@
     }
   }
 
+  /** How long the answer in progress has been waited for, 0 if there is none. */
+  long waitingMillis(long now) {
+    return waiting.isPresent() ? now - askedAt : 0;
+  }
+
   /** Gives the link up if its answer is overdue. */
   void checkDue(long now) {
     if (waiting.isPresent() && now >= answerDueAt) {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
@@ -36,8 +36,14 @@
 public final class MemberPool {
   private static final Logger LOG = LoggerFactory.getLogger(MemberPool.class);
 
-  /** How long a connection may take to be made, in milliseconds: above two lost packets. */
-  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
+  /** How long a connection may take to be made: far above a round trip between regions. */
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+
+  /**
+   * After how long without a line from a member, while an answer is awaited, a new connection is
+   * tried, in milliseconds: above the work of the longest statements.
+   */
+  private static final long SILENCE_MILLIS = 350;
 
   /** How long the member may take to accept the session, in milliseconds. */
   private static final long START_TIMEOUT_MILLIS = 700;
@@ -74,6 +80,7 @@
   private MemberEntry entry;
   private int opening;
   private long reopenAt = Long.MIN_VALUE;
+  private long heardAt;
   private boolean closed;
 
   /**
@@ -185,7 +192,7 @@
     return !closed
         && opening == 0
         && clock.millis() >= reopenAt
-        && allowance.permits(all.size() + opening);
+        && allowance.permits(all.size() + opening, clock.millis());
   }
 
   /**
@@ -208,9 +215,12 @@
 
   /** Opens a connection if allowed; the listener hears of it. */
   public void open() {
-    if (!mayOpen()) {
-      return;
+    if (mayOpen()) {
+      connect();
     }
+  }
+
+  private void connect() {
     opening++;
     TcpSocket.connect(
             loop,
@@ -229,7 +239,7 @@
   }
 
   private void begin(TcpSocket socket) {
-    MemberLink link = new MemberLink(entry.id(), socket, protocol, clock, this::ended);
+    MemberLink link = new MemberLink(entry.id(), socket, protocol, clock, this::heard, this::ended);
     all.add(link);
     link.start();
     link.exchange(
@@ -248,7 +258,7 @@
     if (answer instanceof MemberAnswer.Whole whole) {
       ErrorCode code = whole.failure().orElseThrow().code();
       if (code == ErrorCode.TOO_MANY_CONNECTIONS) {
-        allowance.refused();
+        allowance.refused(clock.millis());
       }
       LOG.atWarn()
           .setMessage("member_refused_connection")
@@ -271,6 +281,20 @@
     listener.onLost(this, cause);
   }
 
+  private void heard() {
+    heardAt = clock.millis();
+  }
+
+  /** A member that has gone dark shows only by a connection that can't be made. */
+  private void probeIfSilent(List<MemberLink> links, long now) {
+    boolean silent =
+        now - heardAt >= SILENCE_MILLIS
+            && links.stream().anyMatch(link -> link.waitingMillis(now) >= SILENCE_MILLIS);
+    if (silent && opening == 0 && now >= reopenAt) {
+      connect();
+    }
+  }
+
   private void ended(MemberLink link) {
     all.remove(link);
     idle.remove(link);
@@ -293,6 +317,7 @@
   public void sweep(long now) {
     List<MemberLink> links = new ArrayList<>(all);
     links.forEach(link -> link.checkDue(now));
+    probeIfSilent(links, now);
     if (allowance.shouldShrink(all.size()) && idle.size() > 1) {
       MemberLink oldest = idle.peekLast();
       if (now - oldest.releasedAt() >= ConnectionAllowance.IDLE_BEFORE_SHRINK_MILLIS) {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -27,6 +27,7 @@
 import org.sardinebay.impeller.LineMemberProtocol;
 import org.sardinebay.impeller.PlatformNames;
 import org.sardinebay.impeller.StoreClient;
+import org.sardinebay.internal.version.ConfigStore;
 import org.sardinebay.net.AdminRoutes;
 import org.sardinebay.net.RunningProcess;
 import org.sardinebay.net.http.HttpReply;
@@ -34,6 +35,7 @@
 import org.sardinebay.net.http.JsonHttpClient;
 import org.sardinebay.net.http.JsonHttpServer;
 import org.sardinebay.net.http.Route;
+import org.sardinebay.net.peer.ConfigStoreFeed;
 import org.sardinebay.platform.PlatformClient;
 import org.sardinebay.session.MemberProtocol;
 import org.slf4j.Logger;
@@ -49,9 +51,21 @@
   /** How long a connection to the store may be silent: above a watch's wait. */
   private static final Duration STORE_SILENCE = Duration.ofSeconds(6);
 
+  /**
+   * How long after the start of a shutdown the balancer may still send callers, in milliseconds: it
+   * asks every second and needs two refusals.
+   */
+  private static final long BALANCER_NOTICES_MILLIS = 2_500;
+
+  /** When idle sessions are closed, in milliseconds after the start of a shutdown. */
+  private static final long CLOSE_IDLE_MILLIS = 3_700;
+
   /** Left at the end of a shutdown's time, in milliseconds, so that the process ends by itself. */
   private static final long SHUTDOWN_RESERVE_MILLIS = 1_500;
 
+  /** The feed between hosts starts this much later, in milliseconds: callers are served first. */
+  private static final long PEERS_DELAY_MILLIS = 500;
+
   private static final int UNAVAILABLE = 503;
 
   private final GatewaySettings settings;
@@ -60,6 +74,7 @@
   private final Services services;
   private final Sessions sessions;
   private final StoreFeeds feeds;
+  private final PeerFeed peers;
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private PromotionDuty duty;
@@ -84,7 +99,11 @@
             new LinkPreparation(memberProtocol, names),
             new StatementLog(clock, registry));
     this.sessions = new Sessions(services, context, new LineCallerProtocol(), names);
-    this.feeds = new StoreFeeds(services, clock);
+    ConfigStore records = new ConfigStore();
+    ConfigStoreFeed feed = new ConfigStoreFeed(records);
+    this.feeds = new StoreFeeds(records, feed, services, clock);
+    feed.onChange(() -> loop.execute(feeds::refresh));
+    this.peers = new PeerFeed(settings, feed, feeds::hosts, clock, registry);
   }
 
   static GatewayProcess start(GatewaySettings settings) throws IOException {
@@ -114,9 +133,11 @@
   private void serve() throws IOException {
     JsonHttpClient http = JsonHttpClient.on(loop, STORE_SILENCE);
     PlatformClient store = new StoreClient(http, settings.store());
-    new ObjectWatch(store, PlatformNames.CONFIGURATION.kind(), feeds.configuration(), loop, clock)
-        .start();
-    new ObjectWatch(store, PlatformNames.MEMBERS, feeds.members(), loop, clock).start();
+    for (String kind : List.of(PlatformNames.CONFIGURATION.kind(), PlatformNames.MEMBERS)) {
+      new ObjectWatch(store, kind, feeds.listener(kind), loop, clock).start();
+    }
+    new HostRegistration(settings, store, feeds.listener(StoreFeeds.HOSTS), loop).start();
+    loop.delay(PEERS_DELAY_MILLIS, this::startPeers);
     duty =
         new PromotionDuty(
             services,
@@ -138,6 +159,14 @@
     tick();
   }
 
+  private void startPeers() {
+    try {
+      peers.start();
+    } catch (IOException e) {
+      LOG.atError().setMessage("peers_not_started").addKeyValue("cause", e.getMessage()).log();
+    }
+  }
+
   private CompletableFuture<HttpReply> readiness() {
     return CompletableFuture.completedFuture(
         HttpReply.json(
@@ -166,17 +195,24 @@
   @Override
   public void shutdown() {
     stopping = true;
-    long endAt = clock.millis() + settings.shutdownMillis() - SHUTDOWN_RESERVE_MILLIS;
-    LOG.atInfo().setMessage("shutdown_started").log();
+    long startedAt = clock.millis();
+    LOG.atInfo().setMessage("shutdown_started").addKeyValue("sessions", sessions.size()).log();
+    sleepUntil(startedAt + BALANCER_NOTICES_MILLIS);
+    loop.execute(sessions::leaveAfterNext);
+    sleepUntil(startedAt + CLOSE_IDLE_MILLIS);
     loop.execute(sessions::leave);
-    while (sessions.size() > 0 && clock.millis() < endAt) {
+    sleepUntil(startedAt + settings.shutdownMillis() - SHUTDOWN_RESERVE_MILLIS);
+    LOG.atInfo().setMessage("shutdown_ended").addKeyValue("sessions_left", sessions.size()).log();
+  }
+
+  private void sleepUntil(long end) {
+    while (clock.millis() < end) {
       try {
         Thread.sleep(TICK_MILLIS);
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
-        break;
+        return;
       }
     }
-    LOG.atInfo().setMessage("shutdown_ended").addKeyValue("sessions_left", sessions.size()).log();
   }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewaySettings.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewaySettings.java
@@ -13,6 +13,8 @@
  * @param failureDomain where this host stands
  * @param callers where callers connect
  * @param readiness where the balancer asks whether this host is ready
+ * @param peers where other gateways call this one
+ * @param seeds where some other gateways may be found
  * @param metrics where metrics and dumps are served
  * @param store the platform's metadata store
  * @param promotions where the platform takes promotion orders
@@ -23,6 +25,8 @@
     FailureDomain failureDomain,
     Address callers,
     Address readiness,
+    Address peers,
+    List<Address> seeds,
     Address metrics,
     Address store,
     Address promotions,
@@ -39,6 +43,8 @@
         new FailureDomain(reader.text("failureDomain")),
         reader.address("callers"),
         reader.address("readiness"),
+        reader.address("peers"),
+        reader.addresses("seeds"),
         new Address(ip, metricsPort),
         reader.address("store"),
         reader.address("promotions"),
@@ -53,6 +59,8 @@
         "metricsPort      port of /metrics and /dump on that number",
         "callers          IP:PORT where callers connect",
         "readiness        IP:PORT where the balancer asks whether this host is ready",
+        "peers            IP:PORT where other gateways call this one",
+        "seeds            a list of IP:PORT where some other gateways may be found",
         "store            IP:PORT of the platform's metadata store",
         "promotions       IP:PORT where the platform takes promotion orders",
         "shutdownSeconds  how long a shutdown may take");
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/HostRegistration.java
@@ -0,0 +1,84 @@
+package org.sardinebay.gateway.internal.process;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.activej.eventloop.Eventloop;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.sardinebay.gateway.internal.version.ObjectWatch;
+import org.sardinebay.gateway.internal.version.StoreFeeds;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.platform.ObjectKey;
+import org.sardinebay.platform.PlatformClient;
+import org.sardinebay.platform.PlatformResult;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Registers this host in the store and lists the others now and then. What one host lists, the feed
+ * between the hosts spreads, so a watch is not needed.
+ */
+final class HostRegistration {
+  private static final Logger LOG = LoggerFactory.getLogger(HostRegistration.class);
+  private static final long CALL_TIMEOUT_MILLIS = 1_000;
+  private static final long RETRY_MILLIS = 1_000;
+
+  /** How often the hosts are listed, in milliseconds: a host that starts is found through seeds. */
+  private static final long LIST_MILLIS = 20_000;
+
+  private final GatewaySettings settings;
+  private final PlatformClient store;
+  private final ObjectWatch.Listener listener;
+  private final Eventloop loop;
+
+  HostRegistration(
+      GatewaySettings settings,
+      PlatformClient store,
+      ObjectWatch.Listener listener,
+      Eventloop loop) {
+    this.settings = settings;
+    this.store = store;
+    this.listener = listener;
+    this.loop = loop;
+  }
+
+  void start() {
+    register(0);
+  }
+
+  private void register(long version) {
+    ObjectKey key = new ObjectKey(StoreFeeds.HOSTS, settings.host().value());
+    ObjectNode body =
+        Json.newObject()
+            .put("peers", settings.peers().toString())
+            .put("failureDomain", settings.failureDomain().value());
+    CompletableFuture<Void> unused =
+        store
+            .write(key, version, body, CALL_TIMEOUT_MILLIS)
+            .thenAccept(result -> loop.execute(() -> onRegistered(result)));
+  }
+
+  private void onRegistered(PlatformResult result) {
+    if (result instanceof PlatformResult.Found) {
+      list();
+    } else if (result instanceof PlatformResult.Conflict conflict) {
+      register(conflict.currentVersion());
+    } else {
+      LOG.atInfo().setMessage("host_not_registered").addKeyValue("result", result).log();
+      loop.delay(RETRY_MILLIS, this::start);
+    }
+  }
+
+  private void list() {
+    CompletableFuture<Void> unused =
+        store
+            .watch(List.of(StoreFeeds.HOSTS), 0, 0)
+            .thenAccept(result -> loop.execute(() -> onListed(result)));
+  }
+
+  private void onListed(PlatformResult result) {
+    if (result instanceof PlatformResult.Listing listing) {
+      listener.onListing(listing.revision(), listing.objects());
+    }
+    loop.delay(LIST_MILLIS, this::list);
+  }
+}
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/Sessions.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/Sessions.java
@@ -66,6 +66,13 @@
     new ArrayList<>(open).forEach(session -> session.tick(now));
   }
 
+  /** Ends each session after its next statement or transaction. */
+  void leaveAfterNext() {
+    leaving = true;
+    new ArrayList<>(open).forEach(CallerSession::leaveAfterNext);
+  }
+
+  /** Ends the idle sessions, and the others after their statement or transaction. */
   void leave() {
     leaving = true;
     new ArrayList<>(open).forEach(CallerSession::leave);
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
@@ -34,18 +34,20 @@
   /** Takes what the store says. */
   public interface Listener {
     /**
-     * All objects.
+     * All objects of the kind.
      *
+     * @param revision the store's revision when they were listed
      * @param objects the objects
      */
-    void onListing(List<PlatformObject> objects);
+    void onListing(long revision, List<PlatformObject> objects);
 
     /**
      * Objects that changed, the deleted ones included.
      *
+     * @param revision the store's revision up to which these are all
      * @param objects the objects, oldest change first
      */
-    void onChanges(List<PlatformObject> objects);
+    void onChanges(long revision, List<PlatformObject> objects);
   }
 
   private final PlatformClient store;
@@ -89,9 +91,9 @@
       noteRegained();
       revision = page.revision();
       if (listing) {
-        listener.onListing(page.objects());
+        listener.onListing(page.revision(), page.objects());
       } else if (!page.objects().isEmpty()) {
-        listener.onChanges(page.objects());
+        listener.onChanges(page.revision(), page.objects());
       }
       start();
       return;
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionDuty.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionDuty.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 import org.sardinebay.Clock;
 import org.sardinebay.HostId;
 import org.sardinebay.MemberId;
@@ -112,6 +113,7 @@
           .addKeyValue("cause", cause.get())
           .addKeyValue("primary", view.primary().map(m -> m.id().value()).orElse("-"))
           .addKeyValue("holder", record.claim().holder().orElse("-"))
+          .addKeyValue("statuses", statuses(view))
           .log();
     }
     if (!record.ensureRight(CHANGE_RIGHT_MILLIS)) {
@@ -131,6 +133,12 @@
         .log();
   }
 
+  private static String statuses(ServiceView view) {
+    return view.members().stream()
+        .map(m -> m.id().value() + ":" + m.status().map(Object::toString).orElse("-"))
+        .collect(Collectors.joining(";"));
+  }
+
   private void drive(ServiceRuntime service, PrimaryChange change, long now) {
     ServiceView view = service.view();
     boolean primaryBack =
@@ -138,7 +146,7 @@
             .filter(m -> !m.failing() && !m.entry().draining() && view.term() < change.nextTerm())
             .isPresent();
     if (change.revocable() && primaryBack) {
-      perform(service, change, change.giveUp(now));
+      perform(service, change, change.giveUp(view, now));
     }
     if (view.term() >= change.nextTerm() && change.phase() != PrimaryChange.Phase.TAKING_OVER) {
       changes.remove(view.service());
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/Services.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/Services.java
@@ -21,7 +21,7 @@
  * force is never taken.
  *
  * <pre>{@code
- * services.configure(table, "store");
+ * services.configure(table);
  * services.members(entries);
  * }</pre>
  */
@@ -46,19 +46,16 @@
    * Takes over a configuration unless it is older.
    *
    * @param newer the configuration
-   * @param source where it comes from, for the log
-   * @return whether it is in force now and was not before
    */
-  public boolean configure(RouteTable newer, String source) {
+  public void configure(RouteTable newer) {
     if (newer.version() <= table.version()) {
-      return false;
+      return;
     }
     LOG.atInfo()
         .setMessage("configuration_applied")
         .addKeyValue("version", newer.version())
         .addKeyValue("previous", table.version())
         .addKeyValue("routes", newer.routes().size())
-        .addKeyValue("source", source)
         .log();
     table = newer;
     for (String name : new ArrayList<>(runtimes.keySet())) {
@@ -75,7 +72,6 @@
       }
     }
     spreadMembers();
-    return true;
   }
 
   /**
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
@@ -1,117 +1,161 @@
 package org.sardinebay.gateway.internal.version;
 
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import org.sardinebay.Address;
 import org.sardinebay.Clock;
-import org.sardinebay.MemberId;
 import org.sardinebay.impeller.ConfigurationDecoder;
 import org.sardinebay.impeller.MemberEntryDecoder;
 import org.sardinebay.impeller.PlatformNames;
+import org.sardinebay.internal.version.ConfigStore;
 import org.sardinebay.internal.version.MemberDirectory;
+import org.sardinebay.internal.version.VersionedRecord;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.net.peer.ConfigStoreFeed;
+import org.sardinebay.platform.ObjectKey;
 import org.sardinebay.platform.PlatformObject;
 import org.sardinebay.session.MemberEntry;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Takes over the configuration and the members' entries from the store. */
+/**
+ * Brings what the store and the peers tell into force: the configuration, the members and the
+ * hosts. All pass through one {@link ConfigStore}, which never takes an older version, so it does
+ * not matter who told first.
+ */
 public final class StoreFeeds {
+  /** The kind under which the gateways register themselves. */
+  public static final String HOSTS = "sardinebay-hosts";
+
   private static final Logger LOG = LoggerFactory.getLogger(StoreFeeds.class);
 
+  private final ConfigStore records;
+  private final ConfigStoreFeed feed;
   private final Services services;
   private final Clock clock;
   private final ConfigurationDecoder configurations = new ConfigurationDecoder();
   private final MemberEntryDecoder entries = new MemberEntryDecoder();
   private final MemberDirectory directory = new MemberDirectory();
+  private final Map<ObjectKey, Long> seen = new HashMap<>();
+  private volatile List<Address> hosts = List.of();
 
   /**
    * Creates the feeds.
    *
+   * @param records the records of this process
+   * @param feed the feed to the peers
    * @param services what takes the configuration and the members
    * @param clock the clock
    */
-  public StoreFeeds(Services services, Clock clock) {
+  public StoreFeeds(ConfigStore records, ConfigStoreFeed feed, Services services, Clock clock) {
+    this.records = records;
+    this.feed = feed;
     this.services = services;
     this.clock = clock;
   }
 
   /**
-   * What takes the configuration.
+   * What takes the objects of one kind from the store.
    *
+   * @param kind the kind
    * @return a listener
    */
-  public ObjectWatch.Listener configuration() {
+  public ObjectWatch.Listener listener(String kind) {
     return new ObjectWatch.Listener() {
       @Override
-      public void onListing(List<PlatformObject> objects) {
-        onChanges(objects);
+      public void onListing(long revision, List<PlatformObject> objects) {
+        List<PlatformObject> all = new ArrayList<>(objects);
+        all.addAll(vanished(kind, revision, objects));
+        feed.mergeAll(all);
       }
 
       @Override
-      public void onChanges(List<PlatformObject> objects) {
-        objects.forEach(StoreFeeds.this::onConfiguration);
+      public void onChanges(long revision, List<PlatformObject> objects) {
+        feed.mergeAll(objects.stream().map(object -> datedAt(object, revision)).toList());
       }
     };
   }
 
-  private void onConfiguration(PlatformObject object) {
-    if (object.deleted() || !object.key().equals(PlatformNames.CONFIGURATION)) {
-      return;
-    }
-    configurations
-        .read(object.body())
-        .ifPresentOrElse(
-            table -> services.configure(table, "store"),
-            () -> logUnreadable("configuration_unreadable", object));
+  /** A deletion is dated by the store's revision: its own is that of the change before. */
+  private static PlatformObject datedAt(PlatformObject object, long revision) {
+    return object.deleted() ? tombstone(object.key(), revision) : object;
   }
 
-  /**
-   * What takes the members' entries.
-   *
-   * @return a listener
-   */
-  public ObjectWatch.Listener members() {
-    return new ObjectWatch.Listener() {
-      @Override
-      public void onListing(List<PlatformObject> objects) {
-        List<MemberEntry> listed = new ArrayList<>();
-        objects.forEach(object -> entry(object).ifPresent(listed::add));
-        directory.replaceAll(listed, clock.millis());
-        spread();
-      }
+  private static PlatformObject tombstone(ObjectKey key, long revision) {
+    return new PlatformObject(key, revision, true, Json.newObject());
+  }
 
-      @Override
-      public void onChanges(List<PlatformObject> objects) {
-        objects.forEach(StoreFeeds.this::onEntry);
-        spread();
+  private List<PlatformObject> vanished(String kind, long revision, List<PlatformObject> listed) {
+    Set<ObjectKey> present = new HashSet<>();
+    listed.forEach(object -> present.add(object.key()));
+    return records.changedSince(Map.of()).stream()
+        .filter(record -> record.key().kind().equals(kind) && !record.deleted())
+        .filter(record -> !present.contains(record.key()) && record.version() < revision)
+        .map(record -> tombstone(record.key(), revision))
+        .toList();
+  }
+
+  /** Brings what changed into force. */
+  public void refresh() {
+    List<VersionedRecord> all = records.changedSince(Map.of());
+    List<MemberEntry> members = new ArrayList<>();
+    List<Address> addresses = new ArrayList<>();
+    for (VersionedRecord record : all) {
+      boolean changed =
+          !Long.valueOf(record.version()).equals(seen.put(record.key(), record.version()));
+      if (record.deleted()) {
+        continue;
       }
-    };
+      switch (record.key().kind()) {
+        case PlatformNames.MEMBERS -> entry(record, changed).ifPresent(members::add);
+        case HOSTS ->
+            Address.parse(record.body().path("peers").asText("")).ifPresent(addresses::add);
+        default -> onConfiguration(record, changed);
+      }
+    }
+    hosts = List.copyOf(addresses);
+    directory.replaceAll(members, clock.millis());
+    services.members(directory.members(clock.millis()));
   }
 
-  private void onEntry(PlatformObject object) {
-    Optional<MemberEntry> entry = object.deleted() ? Optional.empty() : entry(object);
-    entry.ifPresentOrElse(
-        directory::put, () -> directory.remove(new MemberId(object.key().name()), clock.millis()));
+  private void onConfiguration(VersionedRecord record, boolean changed) {
+    if (!changed || !record.key().equals(PlatformNames.CONFIGURATION)) {
+      return;
+    }
+    configurations
+        .read(record.body())
+        .ifPresentOrElse(
+            services::configure, () -> logUnreadable("configuration_unreadable", record));
   }
 
-  private Optional<MemberEntry> entry(PlatformObject object) {
-    Optional<MemberEntry> entry = entries.read(object.key().name(), object.body());
-    if (entry.isEmpty()) {
-      logUnreadable("member_entry_unreadable", object);
+  private Optional<MemberEntry> entry(VersionedRecord record, boolean changed) {
+    Optional<MemberEntry> entry = entries.read(record.key().name(), record.body());
+    if (entry.isEmpty() && changed) {
+      logUnreadable("member_entry_unreadable", record);
     }
     return entry;
   }
 
-  private static void logUnreadable(String event, PlatformObject object) {
+  private static void logUnreadable(String event, VersionedRecord record) {
     LOG.atWarn()
         .setMessage(event)
-        .addKeyValue("object", object.key())
-        .addKeyValue("revision", object.version())
+        .addKeyValue("object", record.key())
+        .addKeyValue("revision", record.version())
         .log();
   }
 
-  private void spread() {
-    services.members(directory.members(clock.millis()));
+  /**
+   * Where the registered hosts take calls of their peers.
+   *
+   * @return the addresses; may be read on any thread
+   */
+  public List<Address> hosts() {
+    return hosts;
   }
 
   /**
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/ImpellerPlatform.java
@@ -0,0 +1,142 @@
+package org.sardinebay.standins.impeller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+import org.sardinebay.Address;
+import org.sardinebay.Clock;
+import org.sardinebay.net.http.Json;
+
+/**
+ * A whole platform on loopback: a store, and one service of three members with three databases,
+ * {@code strict}, {@code aged} and {@code own}, one for each kind of route.
+ *
+ * <pre>{@code
+ * ImpellerPlatform platform = ImpellerPlatform.start(ports, clock);
+ * platform.member(0).crash();
+ * }</pre>
+ */
+public final class ImpellerPlatform implements AutoCloseable {
+  /** The service's name. */
+  public static final String SERVICE = "orders";
+
+  private static final int MEMBERS = 3;
+  private static final int SLOTS = 3;
+  private static final int MAX_CONNECTIONS = 12;
+  private static final long LAG_MILLIS = 20;
+  private static final long TIMEOUT_MILLIS = 1_000;
+  private static final long MAX_STALENESS_MILLIS = 1_500;
+
+  private final MemberGroup group;
+  private final ImpellerStore store;
+  private final Address address;
+  private final List<LineMember> members = new ArrayList<>();
+  private int version;
+
+  private ImpellerPlatform(MemberGroup group, ImpellerStore store, Address address) {
+    this.group = group;
+    this.store = store;
+    this.address = address;
+  }
+
+  /**
+   * Starts a platform.
+   *
+   * @param ports gives free loopback addresses
+   * @param clock the clock
+   * @return the running platform
+   * @throws IOException if a port can't be bound
+   */
+  public static ImpellerPlatform start(Supplier<Address> ports, Clock clock) throws IOException {
+    MemberGroup group = new MemberGroup(clock);
+    Address address = ports.get();
+    ImpellerPlatform platform =
+        new ImpellerPlatform(group, ImpellerStore.start(address, group), address);
+    for (int i = 0; i < MEMBERS; i++) {
+      String id = "m-" + (i + 1);
+      group.add(id, i == 0, LAG_MILLIS);
+      LineMember member = new LineMember(id, SERVICE, ports.get(), group, MAX_CONNECTIONS);
+      member.start();
+      platform.members.add(member);
+      platform.register(i, "ready");
+    }
+    platform.configure("strict", "aged", "own");
+    return platform;
+  }
+
+  /** Writes a configuration with these databases; the name says the kind of route. */
+  void configure(String... databases) {
+    version += 3;
+    ObjectNode spec = Json.newObject().put("version", version).put("unknownField", true);
+    ArrayNode routes = spec.putArray("routes");
+    for (String database : databases) {
+      routes
+          .addObject()
+          .put("name", "r-" + database)
+          .put("host", database)
+          .put("kind", kind(database))
+          .put("timeoutMs", TIMEOUT_MILLIS)
+          .put("targetLatencyMs", TIMEOUT_MILLIS)
+          .put("priority", 1)
+          .put("backend", SERVICE)
+          .put("maxStalenessMs", MAX_STALENESS_MILLIS);
+    }
+    spec.putArray("backends").addObject().put("name", SERVICE).put("maxConns", MAX_CONNECTIONS);
+    spec.putObject("limits").put("txIdleMs", TIMEOUT_MILLIS);
+    store.put("config", "main", spec);
+  }
+
+  private static String kind(String database) {
+    return switch (database) {
+      case "aged" -> "bounded_staleness";
+      case "own" -> "read_your_writes";
+      default -> "primary";
+    };
+  }
+
+  /** Writes a member's entry. */
+  void register(int index, String state) {
+    LineMember member = members.get(index);
+    store.put("servers", member.id(), entry(member, state));
+  }
+
+  private JsonNode entry(LineMember member, String state) {
+    return Json.newObject()
+        .put("backend", SERVICE)
+        .put("addr", member.address().toString())
+        .put("zone", "hall-" + member.id())
+        .put("version", "v1")
+        .put("slots", SLOTS)
+        .put("state", state)
+        .put("coldLeftMs", 0)
+        .put("dbRole", group.leads(member.id()) ? "primary" : "replica")
+        .put("seq", 1);
+  }
+
+  LineMember member(int index) {
+    return members.get(index);
+  }
+
+  ImpellerStore store() {
+    return store;
+  }
+
+  MemberGroup group() {
+    return group;
+  }
+
+  Address address() {
+    return address;
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (LineMember member : members) {
+      member.close();
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/ImpellerStore.java
@@ -0,0 +1,218 @@
+package org.sardinebay.standins.impeller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.sardinebay.Address;
+import org.sardinebay.net.http.HttpCall;
+import org.sardinebay.net.http.HttpReply;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.net.http.JsonHttpServer;
+import org.sardinebay.net.http.Route;
+
+/** The platform's metadata store and its promotion call. */
+public final class ImpellerStore {
+  private static final int CREATED = 201;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+  private static final int GONE = 410;
+  private static final int UNAVAILABLE = 503;
+  private static final int PAGE = 2;
+
+  private record Change(String kind, long revision, boolean deleted, ObjectNode object) {}
+
+  private final MemberGroup group;
+  private final Map<String, ObjectNode> objects = new TreeMap<>();
+  private final List<Change> changes = new ArrayList<>();
+  private final List<String> promotions = new ArrayList<>();
+  private CompletableFuture<Void> nextChange = new CompletableFuture<>();
+  private long revision = 1;
+  private long historyFrom = 1;
+  private boolean down;
+  private boolean losingAnswers;
+
+  private ImpellerStore(MemberGroup group) {
+    this.group = group;
+  }
+
+  static ImpellerStore start(Address address, MemberGroup group) throws IOException {
+    ImpellerStore store = new ImpellerStore(group);
+    JsonHttpServer.start(
+        address,
+        1,
+        List.of(
+            Route.get("/v1/objects/*", store::onGet),
+            Route.post("/v1/objects/*", store::onCreate),
+            Route.put("/v1/objects/*", store::onReplace),
+            Route.post("/promote", store::onPromote)));
+    return store;
+  }
+
+  /** Writes an object as the operator or a member does. */
+  synchronized void put(String kind, String name, JsonNode spec) {
+    store(kind, name, spec);
+  }
+
+  synchronized void delete(String kind, String name) {
+    ObjectNode object = objects.remove(kind + "/" + name);
+    revision++;
+    announce(new Change(kind, revision, true, object));
+  }
+
+  /** Answers 503 to everything, or stops doing so. */
+  synchronized void down(boolean isDown) {
+    down = isDown;
+  }
+
+  /** Carries writes out, but does not answer them. */
+  synchronized void losingAnswers(boolean losing) {
+    losingAnswers = losing;
+  }
+
+  /** Forgets all changes so far. */
+  synchronized void compact() {
+    changes.clear();
+    revision++;
+    historyFrom = revision;
+  }
+
+  synchronized List<String> promotions() {
+    return List.copyOf(promotions);
+  }
+
+  private ObjectNode store(String kind, String name, JsonNode spec) {
+    revision++;
+    ObjectNode object = Json.newObject();
+    object.putObject("meta").put("name", name).put("revision", revision);
+    object.set("spec", spec);
+    objects.put(kind + "/" + name, object);
+    announce(new Change(kind, revision, false, object));
+    return object;
+  }
+
+  private void announce(Change change) {
+    changes.add(change);
+    CompletableFuture<Void> waiting = nextChange;
+    nextChange = new CompletableFuture<>();
+    waiting.completeAsync(() -> null);
+  }
+
+  private synchronized CompletableFuture<HttpReply> onGet(HttpCall call) {
+    if (down) {
+      return reply(UNAVAILABLE, Json.newObject());
+    }
+    if (call.query().containsKey("watch")) {
+      return onWatch(call);
+    }
+    if (call.path().contains("/")) {
+      ObjectNode object = objects.get(call.path());
+      return object == null
+          ? reply(NOT_FOUND, Json.newObject())
+          : reply(HttpReply.OK, object.deepCopy());
+    }
+    return reply(HttpReply.OK, list(call.path(), call.query().getOrDefault("after", "")));
+  }
+
+  private ObjectNode list(String kind, String after) {
+    ObjectNode page = Json.newObject().put("storeRevision", revision).put("more", false);
+    ArrayNode items = page.putArray("items");
+    for (Map.Entry<String, ObjectNode> object : objects.entrySet()) {
+      boolean listed =
+          object.getKey().startsWith(kind + "/")
+              && object.getKey().substring(kind.length() + 1).compareTo(after) > 0;
+      if (listed && items.size() == PAGE) {
+        page.put("more", true);
+      } else if (listed) {
+        items.add(object.getValue().deepCopy());
+      }
+    }
+    return page;
+  }
+
+  private CompletableFuture<HttpReply> onWatch(HttpCall call) {
+    long after = Long.parseLong(call.query().get("watch"));
+    if (after < historyFrom) {
+      return reply(GONE, Json.newObject());
+    }
+    ObjectNode page = eventsAfter(call.path(), after);
+    if (!page.path("events").isEmpty()) {
+      return reply(HttpReply.OK, page);
+    }
+    long wait = Long.parseLong(call.query().getOrDefault("waitMs", "0"));
+    return nextChange
+        .copy()
+        .completeOnTimeout(null, wait, TimeUnit.MILLISECONDS)
+        .thenApply(any -> lateEvents(call.path(), after));
+  }
+
+  private synchronized HttpReply lateEvents(String kind, long after) {
+    return down
+        ? HttpReply.json(UNAVAILABLE, Json.newObject())
+        : HttpReply.json(HttpReply.OK, eventsAfter(kind, after));
+  }
+
+  private ObjectNode eventsAfter(String kind, long after) {
+    ObjectNode page = Json.newObject().put("storeRevision", revision);
+    ArrayNode events = page.putArray("events");
+    changes.stream()
+        .filter(change -> change.kind.equals(kind) && change.revision > after)
+        .forEach(
+            change ->
+                events
+                    .addObject()
+                    .put("deleted", change.deleted)
+                    .set("object", change.object.deepCopy()));
+    return page;
+  }
+
+  private synchronized CompletableFuture<HttpReply> onCreate(HttpCall call) {
+    if (down) {
+      return reply(UNAVAILABLE, Json.newObject());
+    }
+    JsonNode body = call.body().orElseThrow();
+    String name = body.path("meta").path("name").asText();
+    ObjectNode present = objects.get(call.path() + "/" + name);
+    if (present != null) {
+      return reply(CONFLICT, present.deepCopy());
+    }
+    return written(CREATED, store(call.path(), name, body.path("spec")));
+  }
+
+  private synchronized CompletableFuture<HttpReply> onReplace(HttpCall call) {
+    if (down) {
+      return reply(UNAVAILABLE, Json.newObject());
+    }
+    ObjectNode present = objects.get(call.path());
+    if (present == null) {
+      return reply(NOT_FOUND, Json.newObject());
+    }
+    JsonNode body = call.body().orElseThrow();
+    long expected = body.path("meta").path("revision").asLong();
+    if (expected != present.path("meta").path("revision").asLong()) {
+      return reply(CONFLICT, present.deepCopy());
+    }
+    String[] key = call.path().split("/", 2);
+    return written(HttpReply.OK, store(key[0], key[1], body.path("spec")));
+  }
+
+  private CompletableFuture<HttpReply> written(int status, ObjectNode object) {
+    return losingAnswers ? new CompletableFuture<>() : reply(status, object.deepCopy());
+  }
+
+  private synchronized CompletableFuture<HttpReply> onPromote(HttpCall call) {
+    String member = call.body().orElseThrow().path("id").asText();
+    promotions.add(member);
+    return reply(group.promote(member) ? HttpReply.OK : CONFLICT, Json.newObject());
+  }
+
+  private static CompletableFuture<HttpReply> reply(int status, ObjectNode body) {
+    return CompletableFuture.completedFuture(HttpReply.json(status, body));
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
@@ -0,0 +1,143 @@
+package org.sardinebay.standins.impeller;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStreamWriter;
+import java.io.Writer;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.sardinebay.Address;
+
+/** A member that serves the line protocol, one thread a connection. */
+public final class LineMember implements AutoCloseable {
+  private final String id;
+  private final String service;
+  private final Address address;
+  private final MemberGroup group;
+  private final int maxConnections;
+  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private final AtomicInteger answersToLose = new AtomicInteger();
+  private ServerSocket listener;
+  private ExecutorService threads;
+
+  LineMember(String id, String service, Address address, MemberGroup group, int maxConnections) {
+    this.id = id;
+    this.service = service;
+    this.address = address;
+    this.group = group;
+    this.maxConnections = maxConnections;
+  }
+
+  String id() {
+    return id;
+  }
+
+  Address address() {
+    return address;
+  }
+
+  void start() throws IOException {
+    listener = new ServerSocket();
+    listener.setReuseAddress(true);
+    listener.bind(address.socketAddress());
+    threads = Executors.newCachedThreadPool();
+    group.running(id, true);
+    ServerSocket accepting = listener;
+    ExecutorService serving = threads;
+    serving.execute(() -> accept(accepting, serving));
+  }
+
+  private void accept(ServerSocket accepting, ExecutorService serving) {
+    while (true) {
+      try {
+        Socket socket = accepting.accept();
+        serving.execute(() -> serve(socket));
+      } catch (IOException | RejectedExecutionException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    sockets.add(socket);
+    try (socket) {
+      socket.setTcpNoDelay(true);
+      BufferedReader in =
+          new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+      Writer out = new OutputStreamWriter(socket.getOutputStream(), StandardCharsets.ISO_8859_1);
+      String refusal = refusal(in.readLine());
+      if (!refusal.isEmpty()) {
+        send(out, "ERR " + refusal + " " + id + "\r\n");
+        return;
+      }
+      send(out, "READY I " + group.position(id) + "\r\n");
+      answer(in, out, new LineMemberSession(id, group));
+    } catch (IOException e) {
+      // The other side has gone, which ends its session.
+    } finally {
+      sockets.remove(socket);
+    }
+  }
+
+  private void answer(BufferedReader in, Writer out, LineMemberSession session) throws IOException {
+    for (String line = in.readLine(); line != null; line = in.readLine()) {
+      if (line.equals("BYE")) {
+        return;
+      }
+      String[] parts = line.split(" ", 3);
+      boolean control = parts[1].equals("-");
+      String reply = session.run(parts[2], sockets.size());
+      if (!control && answersToLose.get() > 0 && answersToLose.getAndDecrement() > 0) {
+        continue;
+      }
+      send(out, reply);
+    }
+  }
+
+  private String refusal(String start) {
+    String[] words = start == null ? new String[0] : start.split(" ");
+    boolean known = words.length >= 3 && words[0].equals("START") && words[1].equals(service);
+    if (!known || (words.length > 3 && !words[3].equals(id))) {
+      return "WRONGNODE";
+    }
+    return sockets.size() > maxConnections ? "TOOMANY" : "";
+  }
+
+  private static void send(Writer out, String text) throws IOException {
+    out.write(text);
+    out.flush();
+  }
+
+  /** Runs the next statements of callers, but never answers them. */
+  void loseAnswers(int count) {
+    answersToLose.set(count);
+  }
+
+  int connections() {
+    return sockets.size();
+  }
+
+  /** Ends the process: connections are reset, its log stays. */
+  void crash() throws IOException {
+    group.running(id, false);
+    close();
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+    threads.shutdownNow();
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the users' platform: members on the line protocol, the store, promotions. */
+package org.sardinebay.standins.impeller;
--- /dev/null
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/GatewayTest.java
@@ -0,0 +1,388 @@
+package org.sardinebay.standins.impeller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.fail;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.Address;
+import org.sardinebay.Clock;
+import org.sardinebay.gateway.internal.process.GatewayBinary;
+import org.sardinebay.net.RunningProcess;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.record.FieldReader;
+import org.sardinebay.standins.platform.FreePorts;
+
+class GatewayTest {
+  private static final long PATIENCE_MILLIS = 20_000;
+
+  private final Clock clock = Clock.system();
+  private ImpellerPlatform platform;
+  private RunningProcess gateway;
+  private Address callers;
+  private final List<Address> seeds = new ArrayList<>();
+
+  @BeforeEach
+  void startAll() throws Exception {
+    platform = ImpellerPlatform.start(FreePorts::next, clock);
+    callers = FreePorts.next();
+    gateway = startGateway(callers, "host-1");
+    await(() -> read("strict", "probe").get(0).startsWith("ROW"));
+  }
+
+  private RunningProcess startGateway(Address listen, String host) throws IOException {
+    Address peers = FreePorts.next();
+    ObjectNode settings =
+        Json.newObject()
+            .put("host", host)
+            .put("failureDomain", "hall-m-1")
+            .put("ip", "127.0.0.1")
+            .put("metricsPort", FreePorts.next().port())
+            .put("callers", listen.toString())
+            .put("readiness", FreePorts.next().toString())
+            .put("peers", peers.toString())
+            .put("store", platform.address().toString())
+            .put("promotions", platform.address().toString())
+            .put("shutdownSeconds", 6);
+    ArrayNode seedList = settings.putArray("seeds");
+    seeds.forEach(seed -> seedList.add(seed.toString()));
+    seeds.add(peers);
+    GatewayBinary binary = new GatewayBinary();
+    FieldReader reader = FieldReader.of(settings);
+    var checked = binary.settings(reader);
+    assertThat(reader.problems()).isEmpty();
+    return binary.start(checked);
+  }
+
+  @AfterEach
+  void stopAll() throws Exception {
+    gateway.shutdown();
+    platform.close();
+  }
+
+  private List<String> read(String database, String item) throws IOException {
+    try (LineCaller caller = LineCaller.open(callers, database)) {
+      return caller.query("READ " + item);
+    }
+  }
+
+  private void await(Callable<Boolean> condition) throws Exception {
+    long end = clock.millis() + PATIENCE_MILLIS;
+    while (clock.millis() < end) {
+      try {
+        if (condition.call()) {
+          return;
+        }
+      } catch (IOException e) {
+        // The gateway is not there yet.
+      }
+      Thread.sleep(50);
+    }
+    fail("not met within " + PATIENCE_MILLIS + " ms; dump: " + gateway.dump());
+  }
+
+  @Nested
+  class Statements {
+    @Test
+    void should_pass_rows_and_signature_unchanged() throws Exception {
+      try (LineCaller caller = LineCaller.open(callers, "strict")) {
+        assertThat(caller.query("WRITE a 17 sealed")).first().isEqualTo("DONE sig.a");
+        assertThat(caller.query("READ a")).startsWith("ROW 17 sealed{}", "DONE sig.a");
+      }
+    }
+
+    @Test
+    void should_read_own_writes_whatever_the_replicas_lag() throws Exception {
+      platform.group().lag("m-2", 700);
+      platform.group().lag("m-3", 700);
+      try (LineCaller caller = LineCaller.open(callers, "own")) {
+        for (int i = 0; i < 5; i++) {
+          caller.query("WRITE b " + i);
+          assertThat(caller.query("READ b").get(0)).isEqualTo("ROW " + i + "{}");
+        }
+      }
+    }
+
+    @Test
+    void should_hold_session_values_at_whichever_connection_runs_the_statement() throws Exception {
+      try (LineCaller one = LineCaller.open(callers, "strict");
+          LineCaller other = LineCaller.open(callers, "strict")) {
+        one.query("SET zone north");
+        for (int i = 0; i < 10; i++) {
+          assertThat(one.query("READ x").get(0)).isEqualTo("ROW -{zone=north}");
+          assertThat(other.query("READ x").get(0)).isEqualTo("ROW -{}");
+        }
+      }
+    }
+
+    @Test
+    void should_keep_prepared_names_of_sessions_apart() throws Exception {
+      try (LineCaller one = LineCaller.open(callers, "strict");
+          LineCaller other = LineCaller.open(callers, "strict")) {
+        one.query("PREPARE s1 WRITE shape1");
+        other.query("PREPARE s1 READ shape2");
+        assertThat(one.query("EXEC s1 k v").get(0)).isEqualTo("DONE sig.k");
+        assertThat(other.query("EXEC s1 k").get(0)).isEqualTo("ROW v{}");
+        one.query("DEALLOC s1");
+        assertThat(one.query("EXEC s1 k v").get(0)).startsWith("ERR NOSTMT");
+      }
+    }
+  }
+
+  @Nested
+  class Transactions {
+    @Test
+    void should_keep_all_of_a_committed_one() throws Exception {
+      try (LineCaller caller = LineCaller.open(callers, "own")) {
+        assertThat(caller.query("BEGIN").get(1)).startsWith("READY T");
+        caller.query("WRITE t1 a");
+        caller.query("WRITE t2 b");
+        assertThat(platform.group().commitsOf("t1")).isZero();
+        assertThat(caller.query("COMMIT").get(0)).isEqualTo("DONE sig.commit");
+        assertThat(caller.query("READ t2").get(0)).isEqualTo("ROW b{}");
+      }
+    }
+
+    @Test
+    void should_keep_nothing_of_a_rolled_back_one() throws Exception {
+      try (LineCaller caller = LineCaller.open(callers, "strict")) {
+        caller.query("BEGIN");
+        caller.query("WRITE r1 a");
+        assertThat(caller.query("ROLLBACK").get(1)).startsWith("READY I");
+      }
+      assertThat(platform.group().commitsOf("r1")).isZero();
+    }
+
+    @Test
+    void should_keep_nothing_when_the_caller_leaves() throws Exception {
+      try (LineCaller caller = LineCaller.open(callers, "strict")) {
+        caller.query("BEGIN");
+        caller.query("WRITE l1 a");
+      }
+      assertThat(read("strict", "l1").get(0)).isEqualTo("ROW -{}");
+      assertThat(platform.group().commitsOf("l1")).isZero();
+    }
+
+    @Test
+    void should_be_rolled_back_when_it_rests_too_long() throws Exception {
+      try (LineCaller caller = LineCaller.open(callers, "strict")) {
+        caller.query("BEGIN");
+        caller.query("WRITE i1 a");
+        Thread.sleep(1_500);
+        assertThat(caller.query("COMMIT").get(0)).startsWith("ERR ABORTED");
+      }
+      assertThat(platform.group().commitsOf("i1")).isZero();
+    }
+
+    @Test
+    void should_accept_only_the_end_after_a_failure() throws Exception {
+      try (LineCaller caller = LineCaller.open(callers, "aged")) {
+        caller.query("BEGIN READ");
+        assertThat(caller.query("EXEC unknown 1").get(0)).startsWith("ERR NOSTMT");
+        assertThat(caller.query("READ a").get(0)).startsWith("ERR MALFORMED");
+        assertThat(caller.query("ROLLBACK")).last().asString().startsWith("READY I");
+      }
+    }
+  }
+
+  @Nested
+  class LostAnswers {
+    @Test
+    void should_run_a_read_again_elsewhere() throws Exception {
+      try (LineCaller caller = LineCaller.open(callers, "strict")) {
+        platform.member(0).loseAnswers(1);
+        assertThat(caller.query("READ a").get(0)).startsWith("ROW");
+      }
+    }
+
+    @Test
+    void should_leave_a_write_in_doubt_and_never_send_it_again() throws Exception {
+      try (LineCaller caller = LineCaller.open(callers, "strict")) {
+        platform.member(0).loseAnswers(1);
+        assertThat(caller.query("WRITE w once").get(0)).startsWith("ERR INDOUBT");
+      }
+      assertThat(platform.group().commitsOf("w")).isEqualTo(1);
+    }
+
+    @Test
+    void should_promise_that_nothing_is_kept_when_a_statement_before_commit_is_lost()
+        throws Exception {
+      try (LineCaller caller = LineCaller.open(callers, "strict")) {
+        caller.query("BEGIN");
+        caller.query("READ a");
+        platform.member(0).loseAnswers(1);
+        assertThat(caller.query("WRITE p 1").get(0)).startsWith("ERR ABORTED");
+        assertThat(caller.query("ROLLBACK")).last().asString().startsWith("READY I");
+      }
+      assertThat(platform.group().commitsOf("p")).isZero();
+    }
+  }
+
+  @Nested
+  class PrimaryChanges {
+    @Test
+    void should_go_on_at_another_member_when_the_primary_crashes() throws Exception {
+      try (LineCaller caller = LineCaller.open(callers, "own")) {
+        caller.query("WRITE c before");
+        Thread.sleep(200);
+        platform.member(0).crash();
+        await(() -> caller.query("WRITE c after").get(0).startsWith("DONE"));
+        assertThat(caller.query("READ c").get(0)).isEqualTo("ROW after{}");
+      }
+      assertThat(platform.store().promotions()).hasSize(1);
+    }
+
+    @Test
+    void should_replace_a_leaving_primary_without_losing_a_commit() throws Exception {
+      try (LineCaller caller = LineCaller.open(callers, "strict")) {
+        caller.query("WRITE d kept");
+        platform.register(0, "draining");
+        await(() -> !platform.group().leads("m-1"));
+        await(() -> caller.query("READ d").get(0).equals("ROW kept{}"));
+      }
+    }
+
+    @Test
+    void should_wait_while_the_store_that_keeps_the_duty_is_down() throws Exception {
+      platform.store().down(true);
+      platform.member(0).crash();
+      Thread.sleep(3_000);
+      assertThat(platform.store().promotions()).isEmpty();
+      platform.store().down(false);
+      await(() -> read("strict", "x").get(0).startsWith("ROW"));
+    }
+
+    @Test
+    void should_recognise_a_claim_whose_answer_was_lost() throws Exception {
+      platform.store().losingAnswers(true);
+      platform.member(0).crash();
+      Thread.sleep(2_500);
+      platform.store().losingAnswers(false);
+      await(() -> read("strict", "x").get(0).startsWith("ROW"));
+      assertThat(platform.store().promotions()).isNotEmpty();
+    }
+  }
+
+  @Nested
+  class Configuration {
+    @Test
+    void should_be_in_force_soon_after_it_was_written() throws Exception {
+      platform.configure("strict", "aged", "own", "strict2");
+      await(() -> read("strict2", "a").get(0).startsWith("ROW"));
+    }
+
+    @Test
+    void should_be_followed_after_the_store_forgot_its_history() throws Exception {
+      platform.store().compact();
+      platform.configure("strict", "extra");
+      await(() -> read("extra", "a").get(0).startsWith("ROW"));
+    }
+
+    @Test
+    void should_be_learned_from_a_peer_by_a_host_that_starts_without_the_store() throws Exception {
+      platform.store().down(true);
+      Address other = FreePorts.next();
+      RunningProcess second = startGateway(other, "host-2");
+      await(() -> LineCaller.open(other, "own").query("READ a").get(0).startsWith("ROW"));
+      second.shutdown();
+    }
+
+    @Test
+    void should_stay_in_force_while_the_store_is_down() throws Exception {
+      platform.store().down(true);
+      Thread.sleep(5_000);
+      assertThat(read("strict", "a").get(0)).startsWith("ROW");
+    }
+
+    @Test
+    void should_ignore_entries_that_can_not_be_read() throws Exception {
+      platform.store().put("servers", "m-9", Json.newObject().put("backend", 7));
+      platform.store().put("servers", "m-2", Json.newObject().put("addr", "nowhere"));
+      platform.register(2, "ready");
+      Thread.sleep(300);
+      assertThat(read("own", "a").get(0)).startsWith("ROW");
+    }
+  }
+
+  @Nested
+  class BadInput {
+    private String answerTo(String bytes) throws IOException {
+      try (LineCaller caller = new LineCaller(callers)) {
+        caller.send(bytes);
+        return caller.readLine();
+      }
+    }
+
+    @Test
+    void should_refuse_a_statement_before_the_start() throws Exception {
+      assertThat(answerTo("QUERY q1 READ a\r\n")).startsWith("ERR MALFORMED");
+    }
+
+    @Test
+    void should_refuse_an_unknown_database() throws Exception {
+      assertThat(answerTo("START nowhere test\r\n")).startsWith("ERR NODB");
+    }
+
+    @Test
+    void should_refuse_bytes_that_are_no_text() throws Exception {
+      assertThat(answerTo("\u0000\u00ff\u0001\u00fe\r\n")).startsWith("ERR MALFORMED");
+    }
+
+    @Test
+    void should_refuse_a_line_that_is_too_long() throws Exception {
+      assertThat(answerTo("START " + "x".repeat((1 << 20) + 10))).startsWith("ERR TOOBIG");
+    }
+
+    @Test
+    void should_give_up_a_line_that_never_ends() throws Exception {
+      assertThat(answerTo("START str")).startsWith("ERR MALFORMED");
+    }
+
+    @Test
+    void should_refuse_a_second_statement_before_the_answer() throws Exception {
+      try (LineCaller caller = LineCaller.open(callers, "strict")) {
+        caller.send("QUERY q1 READ a\r\nQUERY q2 WRITE b 1\r\n");
+        assertThat(caller.readLine()).startsWith("ERR MALFORMED");
+      }
+      assertThat(platform.group().commitsOf("b")).isZero();
+    }
+
+    @Test
+    void should_answer_an_unknown_statement_and_go_on() throws Exception {
+      try (LineCaller caller = LineCaller.open(callers, "strict")) {
+        assertThat(caller.query("DROP a").get(0)).startsWith("ERR MALFORMED");
+        assertThat(caller.query("READ a").get(0)).startsWith("ROW");
+      }
+    }
+  }
+
+  @Nested
+  class Shutdown {
+    @Test
+    void should_let_an_open_transaction_end() throws Exception {
+      Address other = FreePorts.next();
+      RunningProcess second = startGateway(other, "host-2");
+      await(() -> LineCaller.open(other, "strict").query("READ a").get(0).startsWith("ROW"));
+      try (LineCaller caller = LineCaller.open(other, "strict")) {
+        caller.query("BEGIN");
+        caller.query("WRITE s 1");
+        Thread stopping = new Thread(second::shutdown);
+        stopping.start();
+        Thread.sleep(300);
+        assertThat(second.ready()).isFalse();
+        assertThat(caller.query("COMMIT").get(0)).startsWith("DONE");
+        assertThat(caller.readLine()).isNull();
+        stopping.join();
+      }
+      assertThat(platform.group().commitsOf("s")).isEqualTo(1);
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/LineCaller.java
@@ -0,0 +1,65 @@
+package org.sardinebay.standins.impeller;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.sardinebay.Address;
+
+/** A caller on the line protocol. */
+final class LineCaller implements AutoCloseable {
+  private static final int READ_TIMEOUT_MILLIS = 15_000;
+
+  private final Socket socket;
+  private final BufferedReader in;
+  private int requests;
+
+  LineCaller(Address gateway) throws IOException {
+    socket = new Socket(gateway.host(), gateway.port());
+    socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+    in =
+        new BufferedReader(
+            new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+  }
+
+  static LineCaller open(Address gateway, String database) throws IOException {
+    LineCaller caller = new LineCaller(gateway);
+    caller.send("START " + database + " test\r\n");
+    String ready = caller.readLine();
+    if (ready == null || !ready.startsWith("READY I")) {
+      throw new IOException("not started: " + ready);
+    }
+    return caller;
+  }
+
+  void send(String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    socket.getOutputStream().flush();
+  }
+
+  String readLine() throws IOException {
+    return in.readLine();
+  }
+
+  /** Runs a statement; the last line of the answer is its end. */
+  List<String> query(String statement) throws IOException {
+    send("QUERY q" + requests++ + " " + statement + "\r\n");
+    List<String> lines = new ArrayList<>();
+    for (String line = readLine(); line != null; line = readLine()) {
+      lines.add(line);
+      if (line.startsWith("READY")) {
+        return lines;
+      }
+    }
+    lines.add("closed");
+    return lines;
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
