Begin a lease only when every other member was seen unfenced

Ruled out: a lost or late fence (all were fenced from 27.14 s to the order at 28.54 s), the driver's wait (1.4 s). Change: one replica prolongs a lease only while it is valid; a lease that ran out begins only when all other members that run were seen unfenced within one lease's time, among them whichever could have been promoted. Test should_not_begin_again_by_a_replica_that_a_promotion_let_go fails on the code before.

--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryLease.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryLease.java
@@ -1,5 +1,6 @@
 package org.sardinebay.internal.version;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import org.sardinebay.MemberId;
@@ -8,18 +9,21 @@
  * How long the primary of a term may be relied upon without hearing more.
  *
  * <p>Before a promotion, its driver fences every other member at the new term and then waits for
- * {@link #DURATION_MILLIS}. A replica that says that it is not fenced therefore proves that no
- * promotion takes effect within that time of the moment at which it was asked. No store and no
- * clock of another host takes part.
+ * longer than {@link #DURATION_MILLIS}. While a lease is valid, one replica that says that it is
+ * not fenced prolongs it: no promotion can have taken effect yet, so the replica can't have been
+ * fenced and let go again. Once a lease has run out, a replica may have been let go by a promotion
+ * that it does not know of; then all other members must be seen unfenced within one lease's time,
+ * among them whichever could have been promoted. No store and no clock of another host takes part.
  *
  * <pre>{@code
- * lease.confirm(replica, askedAt);
+ * lease.confirm(replica, askedAt, now);
+ * lease.establish(othersThatRun, now);
  * boolean usable = lease.valid(now);
  * }</pre>
  */
 public final class PrimaryLease {
   /**
-   * How long one confirmation holds, in milliseconds: three rounds of asking, so that one lost
+   * How long one confirmation holds, in milliseconds: some rounds of asking, so that one lost
    * answer doesn't stop service.
    */
   public static final long DURATION_MILLIS = 1_200;
@@ -31,43 +35,68 @@
   public static final long DRIVER_MARGIN_MILLIS = 150;
 
   private final Map<MemberId, Long> confirmedAt = new HashMap<>();
+  private boolean held;
+  private long endsAt;
 
   /**
-   * Notes that a replica was not fenced.
+   * Notes that a replica was not fenced. Prolongs a valid lease.
    *
    * @param replica the replica
    * @param askedAt when it was asked, not when it answered
+   * @param now when it answered
    */
-  public void confirm(MemberId replica, long askedAt) {
+  public void confirm(MemberId replica, long askedAt, long now) {
     confirmedAt.merge(replica, askedAt, Math::max);
+    if (valid(now)) {
+      endsAt = Math.max(endsAt, askedAt + DURATION_MILLIS);
+    }
+  }
+
+  /**
+   * Begins a lease if every other member was seen unfenced within one lease's time.
+   *
+   * @param others the members besides the primary that may be running
+   * @param now the time
+   */
+  public void establish(Collection<MemberId> others, long now) {
+    if (valid(now)) {
+      return;
+    }
+    long oldest = now;
+    for (MemberId other : others) {
+      Long at = confirmedAt.get(other);
+      if (at == null || at <= now - DURATION_MILLIS) {
+        return;
+      }
+      oldest = Math.min(oldest, at);
+    }
+    held = true;
+    endsAt = oldest + DURATION_MILLIS;
   }
 
   /**
    * Whether the primary may be relied upon.
    *
    * @param now the time
-   * @return true if a confirmation is fresh
+   * @return true while the lease lasts
    */
   public boolean valid(long now) {
-    return remainingMillis(now) > 0;
+    return held && now < endsAt;
   }
 
   /**
    * How long the lease lasts from now on.
    *
    * @param now the time
-   * @return milliseconds, 0 if it has run out or there was no confirmation
+   * @return milliseconds, 0 if there is none
    */
   public long remainingMillis(long now) {
-    return confirmedAt.values().stream()
-        .mapToLong(at -> at + DURATION_MILLIS - now)
-        .filter(remaining -> remaining > 0)
-        .max()
-        .orElse(0);
+    return valid(now) ? endsAt - now : 0;
   }
 
-  /** Drops all confirmations: a fence or a newer term was seen. */
+  /** Ends the lease and drops all confirmations: a fence or a newer term was seen. */
   public void revoke() {
     confirmedAt.clear();
+    held = false;
   }
 }
--- a/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -106,9 +107,10 @@
    * @param id the member
    * @param status what it says
    * @param askedAt when it was asked
+   * @param now the time
    * @return whether the primary or the term changed
    */
-  public boolean onStatus(MemberId id, MemberStatus status, long askedAt) {
+  public boolean onStatus(MemberId id, MemberStatus status, long askedAt, long now) {
     MemberView member = members.get(id);
     if (member == null) {
       return false;
@@ -117,12 +119,13 @@
     member.status(status, askedAt);
     noteTerm(status.term());
     if (status.role() == MemberRole.PRIMARY) {
-      return onPrimary(id, status.term());
+      return onPrimary(id, status.term(), now);
     }
     if (status.fenceTerm() > term) {
       lease.revoke();
     } else if (status.term() <= term && newestTerm == term) {
-      lease.confirm(id, askedAt);
+      lease.confirm(id, askedAt, now);
+      establishLease(now);
     }
     if (primary.equals(Optional.of(id))) {
       primary = Optional.empty();
@@ -132,7 +135,7 @@
     return false;
   }
 
-  private boolean onPrimary(MemberId id, long primaryTerm) {
+  private boolean onPrimary(MemberId id, long primaryTerm, long now) {
     if (primaryTerm < term || (primaryTerm == term && primary.equals(Optional.of(id)))) {
       return false;
     }
@@ -143,6 +146,7 @@
       history.clear();
     }
     primary = Optional.of(id);
+    establishLease(now);
     return true;
   }
 
@@ -166,7 +170,7 @@
       return;
     }
     if (!primary.equals(Optional.of(id))) {
-      confirmByReplication(id, position);
+      confirmByReplication(id, position, now);
       return;
     }
     history.observe(askedAt, position);
@@ -179,9 +183,9 @@
    * A replica that shows what the primary wrote after a moment was not fenced at that moment: it
    * confirms the lease without being asked.
    */
-  private void confirmByReplication(MemberId replica, Position position) {
-    if (newestTerm == term) {
-      history.lastBelow(position).ifPresent(at -> lease.confirm(replica, at));
+  private void confirmByReplication(MemberId replica, Position position, long now) {
+    if (newestTerm == term && lease.valid(now)) {
+      history.lastBelow(position).ifPresent(at -> lease.confirm(replica, at, now));
     }
   }
 
@@ -198,23 +202,20 @@
       return;
     }
     member.failed(refused, now);
-    if (noOtherMemberRuns()) {
-      lease.confirm(id, now);
-    }
+    establishLease(now);
   }
 
-  /** With no other process running, none can have been promoted. */
-  private boolean noOtherMemberRuns() {
-    boolean others = false;
-    for (MemberView member : members.values()) {
-      if (!primary.equals(Optional.of(member.id()))) {
-        others = true;
-        if (!member.refusing()) {
-          return false;
-        }
-      }
+  /** A member whose address refuses connections does not run, so it can't have been promoted. */
+  private void establishLease(long now) {
+    if (primary.isEmpty() || newestTerm != term) {
+      return;
     }
-    return others;
+    List<MemberId> others =
+        members.values().stream()
+            .filter(m -> !primary.get().equals(m.id()) && !m.refusing())
+            .map(MemberView::id)
+            .toList();
+    lease.establish(others, now);
   }
 
   private void noteTerm(long seen) {
--- a/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeTest.java
@@ -25,7 +25,7 @@
             ServiceViewTest.entry(LEADER, false),
             ServiceViewTest.entry(NEAR, false),
             ServiceViewTest.entry(FAR, false)));
-    view.onStatus(LEADER, ServiceViewTest.primary(1, 9), 0);
+    view.onStatus(LEADER, ServiceViewTest.primary(1, 9), 0, 0);
   }
 
   private PrimaryChange fencedAt(long now) {
@@ -111,7 +111,7 @@
       change.next(view, 100);
       change.next(view, 100 + LEASE_WAIT);
       change.onOrdered(PromotionCall.Outcome.ACCEPTED, 200 + LEASE_WAIT);
-      view.onStatus(FAR, ServiceViewTest.primary(2, 8), 300 + LEASE_WAIT);
+      view.onStatus(FAR, ServiceViewTest.primary(2, 8), 300 + LEASE_WAIT, 300 + LEASE_WAIT);
 
       change.next(view, 300 + LEASE_WAIT);
       assertThat(change.phase()).isEqualTo(PrimaryChange.Phase.DONE);
@@ -133,7 +133,7 @@
 
     @Test
     void should_lift_fences_that_an_earlier_driver_left_behind() {
-      view.onStatus(NEAR, ServiceViewTest.replica(1, 7, 2), 50);
+      view.onStatus(NEAR, ServiceViewTest.replica(1, 7, 2), 50, 50);
       PrimaryChange change = new PrimaryChange(LEADER, false, 2, 100);
 
       assertThat(change.giveUp(view, 100)).containsExactly(new PrimaryChange.Step.Unfence(NEAR));
@@ -163,7 +163,7 @@
     void should_fence_once_its_last_commits_had_time_to_arrive() {
       PrimaryChange change = new PrimaryChange(LEADER, true, 2, 100);
       change.next(view, 100);
-      view.onStatus(LEADER, ServiceViewTest.replica(1, 9, 0), 110);
+      view.onStatus(LEADER, ServiceViewTest.replica(1, 9, 0), 110, 110);
 
       assertThat(change.next(view, 120)).isEmpty();
       assertThat(change.next(view, 190))
--- a/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
@@ -52,63 +52,105 @@
   class Lease {
     @Test
     void should_not_rely_on_a_primary_that_no_replica_confirms() {
-      view.onStatus(LEADER, primary(1, 5), 100);
+      view.onStatus(LEADER, primary(1, 5), 100, 100);
 
       assertThat(view.primary()).isPresent();
       assertThat(view.usablePrimary(100)).isEmpty();
     }
 
     @Test
-    void should_rely_on_a_primary_from_the_moment_a_replica_was_asked() {
-      view.onStatus(LEADER, primary(1, 5), 100);
-      view.onStatus(NEAR, replica(1, 5, 0), 200);
+    void should_rely_on_a_primary_from_the_moment_the_replicas_were_asked() {
+      view.onStatus(LEADER, primary(1, 5), 100, 100);
+      view.onStatus(FAR, replica(1, 5, 0), 250, 251);
+      view.onStatus(NEAR, replica(1, 5, 0), 200, 252);
 
       long end = 200 + PrimaryLease.DURATION_MILLIS;
       assertThat(view.usablePrimary(end - 1)).isPresent();
       assertThat(view.usablePrimary(end)).isEmpty();
     }
 
+    @Test
+    void should_not_begin_while_only_one_of_two_replicas_was_seen_unfenced() {
+      view.onStatus(LEADER, primary(1, 5), 100, 100);
+      view.onStatus(NEAR, replica(1, 5, 0), 200, 200);
+
+      assertThat(view.usablePrimary(210)).isEmpty();
+    }
+
+    @Test
+    void should_be_prolonged_by_one_replica_while_it_lasts() {
+      begin(100);
+      view.onStatus(NEAR, replica(1, 5, 0), 1_000, 1_010);
+
+      assertThat(view.leaseMillis(1_010)).isEqualTo(PrimaryLease.DURATION_MILLIS - 10);
+    }
+
+    @Test
+    void should_not_begin_again_by_a_replica_that_a_promotion_let_go() {
+      begin(100);
+      view.onStatus(FAR, replica(1, 5, 2), 400, 400);
+      view.onStatus(NEAR, replica(1, 5, 2), 420, 420);
+      long promoted = 420 + PrimaryLease.DURATION_MILLIS + PrimaryLease.DRIVER_MARGIN_MILLIS;
+      view.onStatus(NEAR, replica(1, 5, 0), promoted + 10, promoted + 20);
+
+      assertThat(view.usablePrimary(promoted + 30)).isEmpty();
+    }
+
+    @Test
+    void should_not_begin_from_confirmations_further_apart_than_a_promotion_takes() {
+      view.onStatus(LEADER, primary(1, 5), 100, 100);
+      view.onStatus(FAR, replica(1, 5, 0), 100, 100);
+      long later = 100 + PrimaryLease.DURATION_MILLIS;
+      view.onStatus(NEAR, replica(1, 5, 0), later, later);
+
+      assertThat(view.usablePrimary(later + 1)).isEmpty();
+    }
+
+    private void begin(long at) {
+      view.onStatus(LEADER, primary(1, 5), at, at);
+      view.onStatus(FAR, replica(1, 5, 0), at, at);
+      view.onStatus(NEAR, replica(1, 5, 0), at, at);
+    }
+
     @Test
     void should_not_take_a_fenced_replica_for_a_confirmation() {
-      view.onStatus(LEADER, primary(1, 5), 100);
-      view.onStatus(NEAR, replica(1, 5, 0), 200);
-      view.onStatus(FAR, replica(1, 5, 2), 250);
+      begin(100);
+      view.onStatus(FAR, replica(1, 5, 2), 250, 250);
 
       assertThat(view.usablePrimary(300)).isEmpty();
     }
 
     @Test
-    void should_be_confirmed_by_a_replica_that_shows_a_later_write() {
-      view.onStatus(LEADER, primary(1, 5), 100);
-      view.onApplied(LEADER, new Position(1, 5), 100, 101);
+    void should_be_prolonged_by_a_replica_that_shows_a_later_write() {
+      begin(100);
+      view.onApplied(LEADER, new Position(1, 5), 300, 301);
       view.onApplied(NEAR, new Position(1, 6), 400, 401);
 
-      assertThat(view.leaseMillis(401)).isEqualTo(100 + PrimaryLease.DURATION_MILLIS - 401);
+      assertThat(view.leaseMillis(401)).isEqualTo(300 + PrimaryLease.DURATION_MILLIS - 401);
     }
 
     @Test
-    void should_not_be_confirmed_by_a_replica_that_shows_nothing_newer() {
-      view.onStatus(LEADER, primary(1, 5), 100);
-      view.onApplied(LEADER, new Position(1, 5), 100, 101);
+    void should_not_be_prolonged_by_a_replica_that_shows_nothing_newer() {
+      begin(100);
+      view.onApplied(LEADER, new Position(1, 5), 300, 301);
       view.onApplied(NEAR, new Position(1, 5), 400, 401);
 
-      assertThat(view.leaseMillis(401)).isZero();
+      assertThat(view.leaseMillis(401)).isEqualTo(100 + PrimaryLease.DURATION_MILLIS - 401);
     }
 
     @Test
     void should_end_when_any_member_names_a_newer_term() {
-      view.onStatus(LEADER, primary(1, 5), 100);
-      view.onStatus(NEAR, replica(1, 5, 0), 200);
+      begin(100);
       view.onApplied(FAR, new Position(2, 6), 210, 211);
 
       assertThat(view.usablePrimary(212)).isEmpty();
-      view.onStatus(NEAR, replica(1, 5, 0), 220);
+      view.onStatus(NEAR, replica(1, 5, 0), 220, 220);
       assertThat(view.usablePrimary(221)).isEmpty();
     }
 
     @Test
     void should_hold_while_no_other_member_runs() {
-      view.onStatus(LEADER, primary(1, 5), 100);
+      view.onStatus(LEADER, primary(1, 5), 100, 100);
       view.onUnreachable(NEAR, true, 150);
       assertThat(view.usablePrimary(160)).isEmpty();
       view.onUnreachable(FAR, true, 170);
@@ -118,7 +160,7 @@
 
     @Test
     void should_not_hold_while_another_member_is_only_silent() {
-      view.onStatus(LEADER, primary(1, 5), 100);
+      view.onStatus(LEADER, primary(1, 5), 100, 100);
       view.onUnreachable(NEAR, true, 150);
       view.onUnreachable(FAR, false, 170);
 
@@ -130,9 +172,9 @@
   class Primary {
     @Test
     void should_follow_the_member_that_leads_the_newest_term() {
-      view.onStatus(LEADER, primary(1, 5), 100);
-      view.onStatus(FAR, primary(2, 5), 200);
-      view.onStatus(LEADER, primary(1, 9), 300);
+      view.onStatus(LEADER, primary(1, 5), 100, 100);
+      view.onStatus(FAR, primary(2, 5), 200, 200);
+      view.onStatus(LEADER, primary(1, 9), 300, 300);
 
       assertThat(view.primary().map(MemberView::id)).contains(FAR);
       assertThat(view.term()).isEqualTo(2);
@@ -141,9 +183,10 @@
 
     @Test
     void should_be_unknown_once_it_says_that_it_follows() {
-      view.onStatus(LEADER, primary(1, 5), 100);
-      view.onStatus(NEAR, replica(1, 5, 0), 150);
-      view.onStatus(LEADER, replica(1, 5, 0), 200);
+      view.onStatus(LEADER, primary(1, 5), 100, 100);
+      view.onStatus(NEAR, replica(1, 5, 0), 150, 150);
+      view.onStatus(FAR, replica(1, 5, 0), 150, 150);
+      view.onStatus(LEADER, replica(1, 5, 0), 200, 200);
 
       assertThat(view.primary()).isEmpty();
       assertThat(view.usablePrimary(201)).isEmpty();
@@ -151,8 +194,9 @@
 
     @Test
     void should_not_be_trusted_for_an_answer_of_an_older_term() {
-      view.onStatus(LEADER, primary(2, 5), 100);
-      view.onStatus(NEAR, replica(2, 5, 0), 150);
+      view.onStatus(LEADER, primary(2, 5), 100, 100);
+      view.onStatus(NEAR, replica(2, 5, 0), 150, 150);
+      view.onStatus(FAR, replica(2, 5, 0), 150, 150);
 
       assertThat(view.stillLeads(LEADER, 2, 160)).isTrue();
       assertThat(view.stillLeads(LEADER, 1, 160)).isFalse();
@@ -161,7 +205,7 @@
 
     @Test
     void should_be_forgotten_with_a_member_that_starts_again() {
-      view.onStatus(LEADER, primary(1, 5), 100);
+      view.onStatus(LEADER, primary(1, 5), 100, 100);
       MemberEntry reborn =
           new MemberEntry(
               LEADER,
@@ -182,8 +226,9 @@
   class Floor {
     @Test
     void should_be_what_the_primary_held_within_the_age() {
-      view.onStatus(LEADER, primary(1, 5), 100);
-      view.onStatus(NEAR, replica(1, 5, 0), 100);
+      view.onStatus(LEADER, primary(1, 5), 100, 100);
+      view.onStatus(NEAR, replica(1, 5, 0), 100, 100);
+      view.onStatus(FAR, replica(1, 5, 0), 100, 100);
       view.onApplied(LEADER, new Position(1, 5), 110, 111);
       view.onApplied(LEADER, new Position(1, 8), 600, 601);
 
@@ -194,7 +239,7 @@
 
     @Test
     void should_not_rest_on_a_primary_without_a_lease() {
-      view.onStatus(LEADER, primary(1, 5), 100);
+      view.onStatus(LEADER, primary(1, 5), 100, 100);
       view.onApplied(LEADER, new Position(1, 5), 110, 111);
 
       assertThat(view.floor(200, 1_000)).isEmpty();
@@ -202,8 +247,9 @@
 
     @Test
     void should_replace_positions_of_older_terms_by_where_the_new_term_began() {
-      view.onStatus(LEADER, primary(2, 7), 100);
-      view.onStatus(NEAR, replica(2, 7, 0), 100);
+      view.onStatus(LEADER, primary(2, 7), 100, 100);
+      view.onStatus(NEAR, replica(2, 7, 0), 100, 100);
+      view.onStatus(FAR, replica(2, 7, 0), 100, 100);
       assertThat(view.inThisTerm(new Position(1, 99))).isEmpty();
       view.onApplied(LEADER, new Position(2, 8), 110, 111);
 
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -361,7 +361,7 @@
     MemberId id = pool.entry().id();
     pool.allowance().reported(status.connections());
     othersBusy.put(id, Math.max(0, status.busySlots() - own));
-    boolean changed = view.onStatus(id, status, askedAt);
+    boolean changed = view.onStatus(id, status, askedAt, clock.millis());
     if (changed) {
       LOG.atInfo()
           .setMessage("primary_changed")
