Share connections fairly, ask for a report when statements wait, end waiting before half of the time

Statements without a place were held for 0.9 of their time. Change: beyond its fair share a host leaves one connection for each host; a member's status is asked for when statements wait and its last count forbids another connection; a statement waits for a place for 48 per cent of its time.

--- a/core/src/main/java/org/sardinebay/internal/connection/ConnectionAllowance.java
+++ b/core/src/main/java/org/sardinebay/internal/connection/ConnectionAllowance.java
@@ -17,8 +17,8 @@
   /** How long a connection that others may need stays idle, in milliseconds. */
   public static final long IDLE_BEFORE_SHRINK_MILLIS = 1_000;
 
-  /** Connections left free for hosts that start, and for opens that cross. */
-  private static final int RESERVE = 3;
+  /** Connections left free beside one for each host, for opens that cross. */
+  private static final int RESERVE = 2;
 
   /** The part of the limit that one host may hold, in per cent: no host starves the others. */
   private static final int LARGEST_SHARE_PERCENT = 45;
@@ -32,6 +32,7 @@
   private static final long REFUSAL_MILLIS = 400;
 
   private int limit;
+  private int hosts = 1;
   private OptionalInt reportedByMember = OptionalInt.empty();
   private int openedSince;
   private OptionalLong refusedAt = OptionalLong.empty();
@@ -54,6 +55,15 @@
     limit = newLimit;
   }
 
+  /**
+   * Takes over how many hosts share the limit.
+   *
+   * @param known hosts that are registered, this one included
+   */
+  public void hosts(int known) {
+    hosts = Math.max(1, known);
+  }
+
   /**
    * Takes over how many connections the member counted.
    *
@@ -95,8 +105,24 @@
     if (reportedByMember.isEmpty()) {
       return own < UNREPORTED;
     }
-    return own < Math.max(1, limit * LARGEST_SHARE_PERCENT / PERCENT)
-        && reportedByMember.getAsInt() + openedSince < limit - RESERVE;
+    int taken = reportedByMember.getAsInt() + openedSince;
+    boolean free = own < fairShare() ? taken < limit : taken < limit - hosts;
+    return free && own < Math.max(1, limit * LARGEST_SHARE_PERCENT / PERCENT);
+  }
+
+  private int fairShare() {
+    return Math.max(1, (limit - RESERVE) / hosts);
+  }
+
+  /**
+   * Whether only the last report of the member keeps this host from opening a connection.
+   *
+   * @param own connections of this host
+   * @param now the time
+   * @return true if a fresh report could permit one
+   */
+  public boolean waitsForReport(int own, long now) {
+    return own > 0 && !permits(own, now);
   }
 
   /**
@@ -106,6 +132,6 @@
    * @return true if the member is nearly full and this host holds more than one
    */
   public boolean shouldShrink(int own) {
-    return own > 1 && reportedByMember.orElse(0) >= limit - RESERVE;
+    return own > 1 && own > fairShare() && reportedByMember.orElse(0) >= limit - hosts;
   }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -89,7 +89,13 @@
         new Services(
             spec ->
                 new ServiceRuntime(
-                    loop, clock, settings.host(), settings.failureDomain(), memberProtocol, spec));
+                    loop,
+                    clock,
+                    settings.host(),
+                    settings.failureDomain(),
+                    memberProtocol,
+                    this::hosts,
+                    spec));
     PreparedNames names = new PreparedNames();
     StatementRunContext context =
         new StatementRunContext(
@@ -159,6 +165,10 @@
     tick();
   }
 
+  private int hosts() {
+    return feeds.hosts().size();
+  }
+
   private void startPeers() {
     try {
       peers.start();
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
@@ -32,8 +32,10 @@
   /** A read is tried elsewhere after this part of its time, so that one lost answer costs half. */
   private static final int READ_ATTEMPTS_IN_TIMEOUT = 2;
 
-  /** Left of the statement's time when waiting for a place ends, in milliseconds. */
-  private static final long ANSWER_RESERVE_MILLIS = 100;
+  /** The part of a statement's time that it may wait for a place, in per cent: under half. */
+  private static final long WAITING_PERCENT = 48;
+
+  private static final long PERCENT = 100;
 
   private final StatementRunContext context;
   private final StatementRequest request;
@@ -123,7 +125,7 @@
 
   @Override
   public long giveUpAt() {
-    return deadlineAt() - ANSWER_RESERVE_MILLIS;
+    return startedAt + route.timeoutMillis() * WAITING_PERCENT / PERCENT;
   }
 
   private long deadlineAt() {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import org.sardinebay.Clock;
 import org.sardinebay.FailureDomain;
 import org.sardinebay.HostId;
@@ -69,6 +70,7 @@
   private final Map<MemberId, Long> statusAskedAt = new HashMap<>();
   private final Map<MemberId, Integer> othersBusy = new HashMap<>();
   private final WaitingLine<Placeable> waiting = new WaitingLine<>();
+  private final IntSupplier hosts;
   private ServiceSpec spec;
   private boolean serving;
 
@@ -80,6 +82,7 @@
    * @param self this host
    * @param home this host's failure domain
    * @param protocol the members' protocol
+   * @param hosts how many hosts share the members' connections
    * @param spec the service's configuration
    */
   public ServiceRuntime(
@@ -88,12 +91,14 @@
       HostId self,
       FailureDomain home,
       MemberProtocol protocol,
+      IntSupplier hosts,
       ServiceSpec spec) {
     this.loop = loop;
     this.clock = clock;
     this.self = self;
     this.home = home;
     this.protocol = protocol;
+    this.hosts = hosts;
     this.spec = spec;
     this.view = new ServiceView(spec.name(), clock.millis());
   }
@@ -281,6 +286,7 @@
    */
   public void tick(long now) {
     for (MemberPool pool : new ArrayList<>(pools.values())) {
+      pool.allowance().hosts(hosts.getAsInt());
       pool.sweep(now);
       if (pool.size() == 0) {
         pool.open();
@@ -297,7 +303,11 @@
       return false;
     }
     long silent = now - statusAskedAt.getOrDefault(pool.entry().id(), Long.MIN_VALUE / 2);
-    boolean urgent = view.primary().isEmpty() || needsLook(pool) || renewsLease(pool, now);
+    boolean urgent =
+        view.primary().isEmpty()
+            || needsLook(pool)
+            || renewsLease(pool, now)
+            || needsRoom(pool, now);
     return silent >= (urgent ? URGENT_STATUS_INTERVAL_MILLIS : STATUS_INTERVAL_MILLIS);
   }
 
@@ -307,6 +317,10 @@
         .isPresent();
   }
 
+  private boolean needsRoom(MemberPool pool, long now) {
+    return waiting.size() > 0 && pool.allowance().waitsForReport(pool.size(), now);
+  }
+
   private boolean renewsLease(MemberPool pool, long now) {
     boolean replica = view.primary().filter(m -> m.id().equals(pool.entry().id())).isEmpty();
     return replica && view.leaseMillis(now) < LEASE_RENEWAL_MILLIS;
