Begin a lease with a takeover that was seen; no leaderless service while a member was never heard of

Changes: UNKNOWN needs every member to have said that it follows, or to be silent. A member that is seen to lead the next term after it was seen to follow begins a lease from the moment it was last asked: a later promotion needs a fence and the wait after that.

--- a/core/src/main/java/org/sardinebay/internal/version/MemberView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/MemberView.java
@@ -123,6 +123,12 @@
     return failing ? now - failingSince : 0;
   }
 
+  /** When the member was last asked, if it said then that it follows. */
+  OptionalLong followedAt() {
+    boolean follows = status.isPresent() && status.get().role() == MemberRole.REPLICA;
+    return follows ? statusAskedAt : OptionalLong.empty();
+  }
+
   boolean claimsToLead() {
     return status.isPresent() && status.get().role() == MemberRole.PRIMARY;
   }
--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryChangeNeed.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryChangeNeed.java
@@ -1,6 +1,7 @@
 package org.sardinebay.internal.version;
 
 import java.util.Optional;
+import org.sardinebay.session.MemberRole;
 
 /**
  * Decides whether a service needs another primary, from what this host sees.
@@ -33,7 +34,7 @@
     REFUSED,
     /** The primary does not answer. */
     SILENT,
-    /** No member leads. */
+    /** Every member that answers says that it follows. */
     UNKNOWN,
     /** Members are fenced for a change of primary that nobody finishes. */
     ABANDONED
@@ -54,7 +55,8 @@
       return Optional.empty();
     }
     if (primary.isEmpty()) {
-      return view.unusableMillis(now) >= UNKNOWN_MILLIS
+      boolean leaderless = view.members().stream().allMatch(m -> follows(m, now));
+      return leaderless && view.unusableMillis(now) >= UNKNOWN_MILLIS
           ? Optional.of(Cause.UNKNOWN)
           : Optional.empty();
     }
@@ -72,4 +74,10 @@
     boolean abandoned = view.fencedAbove(view.term()) && view.unusableMillis(now) >= UNKNOWN_MILLIS;
     return abandoned ? Optional.of(Cause.ABANDONED) : Optional.empty();
   }
+
+  /** A member that was never heard of may lead: this host may only lack a connection to it. */
+  private static boolean follows(MemberView member, long now) {
+    boolean says = member.status().filter(s -> s.role() == MemberRole.REPLICA).isPresent();
+    return says || member.failingMillis(now) >= SILENT_MILLIS;
+  }
 }
--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryLease.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryLease.java
@@ -74,6 +74,17 @@
     endsAt = oldest + DURATION_MILLIS;
   }
 
+  /**
+   * Begins a lease on a member that was seen to take over: until it led, no later promotion could
+   * be under way.
+   *
+   * @param followedAt when the member was last asked and still followed
+   */
+  public void beginAfterTakeover(long followedAt) {
+    held = true;
+    endsAt = followedAt + DURATION_MILLIS;
+  }
+
   /**
    * Whether the primary may be relied upon.
    *
--- a/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.sardinebay.MemberId;
@@ -116,10 +117,11 @@
       return false;
     }
     member.answered();
+    OptionalLong followedAt = member.followedAt();
     member.status(status, askedAt);
     noteTerm(status.term());
     if (status.role() == MemberRole.PRIMARY) {
-      return onPrimary(id, status.term(), now);
+      return onPrimary(id, status.term(), followedAt, now);
     }
     if (status.fenceTerm() > term) {
       lease.revoke();
@@ -135,13 +137,14 @@
     return false;
   }
 
-  private boolean onPrimary(MemberId id, long primaryTerm, long now) {
+  private boolean onPrimary(MemberId id, long primaryTerm, OptionalLong followedAt, long now) {
     if (primaryTerm < term || (primaryTerm == term && primary.equals(Optional.of(id)))) {
       return false;
     }
     if (primaryTerm > term) {
       term = primaryTerm;
       lease.revoke();
+      followedAt.ifPresent(lease::beginAfterTakeover);
       floor.clear();
       history.clear();
     }
--- a/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
@@ -106,6 +106,27 @@
       assertThat(view.usablePrimary(later + 1)).isEmpty();
     }
 
+    @Test
+    void should_begin_with_a_takeover_that_was_seen_although_the_old_primary_is_dark() {
+      begin(100);
+      view.onUnreachable(LEADER, false, 500);
+      view.onStatus(FAR, replica(1, 5, 2), 2_000, 2_010);
+      view.onStatus(FAR, primary(2, 5), 2_250, 2_260);
+
+      assertThat(view.leaseMillis(2_260)).isEqualTo(2_000 + PrimaryLease.DURATION_MILLIS - 2_260);
+      view.onStatus(NEAR, replica(1, 5, 0), 2_500, 2_510);
+      assertThat(view.leaseMillis(2_510)).isEqualTo(2_500 + PrimaryLease.DURATION_MILLIS - 2_510);
+    }
+
+    @Test
+    void should_not_begin_with_a_primary_that_was_never_seen_to_follow() {
+      view.onUnreachable(LEADER, false, 500);
+      view.onStatus(FAR, primary(2, 5), 2_250, 2_260);
+      view.onStatus(NEAR, replica(2, 5, 0), 2_500, 2_510);
+
+      assertThat(view.usablePrimary(2_520)).isEmpty();
+    }
+
     private void begin(long at) {
       view.onStatus(LEADER, primary(1, 5), at, at);
       view.onStatus(FAR, replica(1, 5, 0), at, at);
