--- a/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
@@ -208,7 +208,10 @@
     establishLease(now);
   }
 
-  /** A member whose address refuses connections does not run, so it can't have been promoted. */
+  /**
+   * A member whose address refuses connections does not run, and one that is leaving is never
+   * ordered to lead: neither has to be seen unfenced.
+   */
   private void establishLease(long now) {
     if (primary.isEmpty() || newestTerm != term) {
       return;
@@ -216,6 +219,7 @@
     List<MemberId> others =
         members.values().stream()
             .filter(m -> !primary.get().equals(m.id()) && !m.refusing())
+            .filter(m -> !(m.entry().draining() && m.failing()))
             .map(MemberView::id)
             .toList();
     lease.establish(others, now);
--- a/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
@@ -118,6 +118,16 @@
       assertThat(view.leaseMillis(2_510)).isEqualTo(2_500 + PrimaryLease.DURATION_MILLIS - 2_510);
     }
 
+    @Test
+    void should_begin_although_a_leaving_member_is_out_of_reach() {
+      view.setMembers(List.of(entry(LEADER, false), entry(NEAR, false), entry(FAR, true)));
+      view.onStatus(LEADER, primary(1, 5), 100, 100);
+      view.onUnreachable(FAR, false, 110);
+      view.onStatus(NEAR, replica(1, 5, 0), 120, 120);
+
+      assertThat(view.usablePrimary(130)).isPresent();
+    }
+
     @Test
     void should_not_begin_with_a_primary_that_was_never_seen_to_follow() {
       view.onUnreachable(LEADER, false, 500);
