Read the boot clock without a structure of the C library

Cause: Checkstyle rejects the public fields and the name that the library's structure mapping needs. Change: the two numbers are read from a block of memory.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/HostClock.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/HostClock.java
@@ -1,9 +1,7 @@
 package org.sardinebay.gateway.internal.process;
 
-import com.sun.jna.Library;
-import com.sun.jna.Native;
-import com.sun.jna.NativeLong;
-import com.sun.jna.Structure;
+import com.sun.jna.Function;
+import com.sun.jna.Memory;
 import org.sardinebay.Clock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -14,39 +12,23 @@
  */
 final class HostClock implements Clock {
   private static final Logger LOG = LoggerFactory.getLogger(HostClock.class);
+
+  /** The number of the clock that counts suspensions, as the C library knows it. */
   private static final int CLOCK_BOOTTIME = 7;
+
   private static final long MILLIS_PER_SECOND = 1_000;
 
-  /** The C library's clock. */
-  public interface CLibrary extends Library {
-    /**
-     * Reads a clock.
-     *
-     * @param clock which
-     * @param time takes the reading
-     * @return 0 on success
-     */
-    @SuppressWarnings("checkstyle:MethodName")
-    int clock_gettime(int clock, TimeSpec time);
-  }
+  /** Seconds and nanoseconds, each of eight bytes. */
+  private static final long TIMESPEC_BYTES = 16;
 
-  /** Seconds and nanoseconds, as the C library lays them out. */
-  @Structure.FieldOrder({"seconds", "nanos"})
-  public static final class TimeSpec extends Structure {
-    /** Whole seconds. */
-    @SuppressWarnings("checkstyle:VisibilityModifier")
-    public NativeLong seconds = new NativeLong();
+  private static final long NANOS_OFFSET_BYTES = 8;
 
-    /** Nanoseconds of the second. */
-    @SuppressWarnings("checkstyle:VisibilityModifier")
-    public NativeLong nanos = new NativeLong();
-  }
+  private final Function clockGettime;
+  private final Memory timespec = new Memory(TIMESPEC_BYTES);
+  private final Object[] arguments = {CLOCK_BOOTTIME, timespec};
 
-  private final CLibrary library;
-  private final TimeSpec time = new TimeSpec();
-
-  private HostClock(CLibrary library) {
-    this.library = library;
+  private HostClock(Function clockGettime) {
+    this.clockGettime = clockGettime;
   }
 
   /**
@@ -56,8 +38,8 @@
    */
   static Clock create() {
     try {
-      HostClock clock = new HostClock(Native.load("c", CLibrary.class));
-      if (clock.read() > 0) {
+      HostClock clock = new HostClock(Function.getFunction("c", "clock_gettime"));
+      if (clock.millis() > 0) {
         return clock;
       }
       LOG.atWarn().setMessage("boot_clock_missing").addKeyValue("cause", "refused").log();
@@ -68,14 +50,11 @@
   }
 
   @Override
-  public long millis() {
-    return read();
-  }
-
-  private synchronized long read() {
-    if (library.clock_gettime(CLOCK_BOOTTIME, time) != 0) {
+  public synchronized long millis() {
+    if (clockGettime.invokeInt(arguments) != 0) {
       return 0;
     }
-    return time.seconds.longValue() * MILLIS_PER_SECOND + time.nanos.longValue() / NANOS_PER_MILLI;
+    return timespec.getLong(0) * MILLIS_PER_SECOND
+        + timespec.getLong(NANOS_OFFSET_BYTES) / NANOS_PER_MILLI;
   }
 }
