--- a/core/src/main/java/org/sardinebay/internal/version/HomeSelector.java
+++ b/core/src/main/java/org/sardinebay/internal/version/HomeSelector.java
@@ -1,15 +1,9 @@
 package org.sardinebay.internal.version;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import org.sardinebay.DatabaseId;
 import org.sardinebay.FailureDomain;
-import org.sardinebay.HostId;
 import org.sardinebay.record.DatabaseRecord;
 import org.sardinebay.record.MemberRecord;
 import org.sardinebay.record.ProxyRecord;
@@ -36,12 +30,9 @@
    */
   public static List<ProxyRecord> ranked(
       DatabaseId database, FailureDomain domain, Collection<ProxyRecord> proxies) {
-    return proxies.stream()
-        .filter(proxy -> proxy.failureDomain().equals(domain))
-        .sorted(
-            Comparator.comparingLong((ProxyRecord proxy) -> score(database, proxy.host()))
-                .thenComparing(ProxyRecord::host))
-        .toList();
+    List<ProxyRecord> here =
+        proxies.stream().filter(proxy -> proxy.failureDomain().equals(domain)).toList();
+    return RendezvousOrder.of(database.value(), here, proxy -> proxy.host().value());
   }
 
   /**
@@ -57,15 +48,4 @@
         .sorted()
         .toList();
   }
-
-  private static long score(DatabaseId database, HostId host) {
-    try {
-      MessageDigest sha = MessageDigest.getInstance("SHA-256");
-      sha.update(database.value().getBytes(StandardCharsets.UTF_8));
-      sha.update((byte) 0);
-      return ByteBuffer.wrap(sha.digest(host.value().getBytes(StandardCharsets.UTF_8))).getLong();
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("every Java runtime has SHA-256", e);
-    }
-  }
 }
--- a/core/src/main/java/org/sardinebay/internal/version/RendezvousOrder.java
+++ b/core/src/main/java/org/sardinebay/internal/version/RendezvousOrder.java
@@ -1,6 +1,9 @@
 package org.sardinebay.internal.version;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
@@ -15,12 +18,6 @@
  * }</pre>
  */
 public final class RendezvousOrder {
-  private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-  private static final long FNV_PRIME = 0x100000001b3L;
-  private static final long FIRST_MIX = 0xff51afd7ed558ccdL;
-  private static final long SECOND_MIX = 0xc4ceb9fe1a85ec53L;
-  private static final int MIX_SHIFT = 33;
-
   private RendezvousOrder() {}
 
   /**
@@ -33,18 +30,27 @@
    * @return the candidates, the responsible one first
    */
   public static <T> List<T> of(String key, Collection<T> candidates, Function<T, String> name) {
-    Comparator<T> byHash =
-        (a, b) -> Long.compareUnsigned(hash(key, name.apply(a)), hash(key, name.apply(b)));
-    return candidates.stream().sorted(byHash.thenComparing(name)).toList();
+    return candidates.stream()
+        .map(candidate -> new Ranked<>(candidate, name.apply(candidate), key))
+        .sorted(Comparator.comparingLong(Ranked<T>::score).thenComparing(Ranked::name))
+        .map(Ranked::candidate)
+        .toList();
+  }
+
+  private record Ranked<T>(T candidate, String name, long score) {
+    Ranked(T candidate, String name, String key) {
+      this(candidate, name, hash(key, name));
+    }
   }
 
   private static long hash(String key, String candidate) {
-    long hash = FNV_OFFSET;
-    for (byte b : (key + "\0" + candidate).getBytes(StandardCharsets.UTF_8)) {
-      hash = (hash ^ (b & 0xff)) * FNV_PRIME;
+    try {
+      MessageDigest sha = MessageDigest.getInstance("SHA-256");
+      sha.update(key.getBytes(StandardCharsets.UTF_8));
+      sha.update((byte) 0);
+      return ByteBuffer.wrap(sha.digest(candidate.getBytes(StandardCharsets.UTF_8))).getLong();
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java runtime has SHA-256", e);
     }
-    hash = (hash ^ (hash >>> MIX_SHIFT)) * FIRST_MIX;
-    hash = (hash ^ (hash >>> MIX_SHIFT)) * SECOND_MIX;
-    return hash ^ (hash >>> MIX_SHIFT);
   }
 }
