Check a pinned statement against the term in which its transaction began

Cause: found in review. A statement on a pinned link took the term of the moment, so a member that led again in a newer term would have been trusted with a transaction of the older one. Change: the pin's term is used.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/LinkPreparation.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/LinkPreparation.java
@@ -69,7 +69,7 @@
             apply(link, step);
             next(link, steps, done);
           } else {
-            link.give(LossCause.DISCARDED);
+            link.giveUp(LossCause.DISCARDED);
             done.accept(false);
           }
         });
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberLink.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberLink.java
@@ -103,7 +103,7 @@
     onLine.run();
     MemberMessage message = protocol.parse(line);
     if (waiting.isEmpty()) {
-      give(LossCause.OUT_OF_STEP);
+      giveUp(LossCause.OUT_OF_STEP);
     } else if (message instanceof MemberMessage.Row row) {
       rows.add(row.text());
     } else if (message instanceof MemberMessage.Done done && outcomeOpen()) {
@@ -113,7 +113,7 @@
     } else if (message instanceof MemberMessage.Ready ready) {
       finish(ready);
     } else {
-      give(LossCause.OUT_OF_STEP);
+      giveUp(LossCause.OUT_OF_STEP);
     }
   }
 
@@ -131,7 +131,7 @@
 
   @Override
   public void onTooLong() {
-    give(LossCause.OUT_OF_STEP);
+    giveUp(LossCause.OUT_OF_STEP);
   }
 
   @Override
@@ -158,7 +158,7 @@
    *
    * @param cause why
    */
-  public void give(LossCause cause) {
+  public void giveUp(LossCause cause) {
     if (!channel.closed()) {
       channel.reset();
       ended(cause);
@@ -173,7 +173,7 @@
   /** Gives the link up if its answer is overdue. */
   void checkDue(long now) {
     if (waiting.isPresent() && now >= answerDueAt) {
-      give(LossCause.ANSWER_TIMEOUT);
+      giveUp(LossCause.ANSWER_TIMEOUT);
     }
   }
 
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
@@ -166,7 +166,7 @@
       return;
     }
     if (closed || link.busy() || link.state() != TransactionState.IDLE) {
-      link.give(LossCause.DISCARDED);
+      link.giveUp(LossCause.DISCARDED);
       return;
     }
     link.releasedAt(clock.millis());
@@ -267,7 +267,7 @@
           .addKeyValue("code", code)
           .addKeyValue("own", all.size())
           .log();
-      link.give(LossCause.DISCARDED);
+      link.giveUp(LossCause.DISCARDED);
       opening--;
       reopenAt = clock.millis() + REOPEN_DELAY_MILLIS;
       return;
@@ -321,7 +321,7 @@
     if (allowance.shouldShrink(all.size()) && idle.size() > 1) {
       MemberLink oldest = idle.peekLast();
       if (now - oldest.releasedAt() >= ConnectionAllowance.IDLE_BEFORE_SHRINK_MILLIS) {
-        oldest.give(LossCause.DISCARDED);
+        oldest.giveUp(LossCause.DISCARDED);
       }
     }
   }
@@ -329,12 +329,12 @@
   /** Closes all links; statements on them get no answer. */
   public void close() {
     closed = true;
-    new ArrayList<>(all).forEach(link -> link.give(LossCause.DISCARDED));
+    new ArrayList<>(all).forEach(link -> link.giveUp(LossCause.DISCARDED));
   }
 
   /** Closes the idle links and those given back from now on: the member is leaving. */
   public void retire() {
     closed = true;
-    new ArrayList<>(idle).forEach(link -> link.give(LossCause.DISCARDED));
+    new ArrayList<>(idle).forEach(link -> link.giveUp(LossCause.DISCARDED));
   }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
@@ -82,8 +82,9 @@
       return;
     }
     attempts++;
-    Transaction.Pin p = pin.get();
-    prepare(p.pool(), p.link(), new PlacementNeed(p.asPrimary(), Optional.empty()), p.asPrimary());
+    Transaction.Pin held = pin.get();
+    PlacementNeed need = new PlacementNeed(held.asPrimary(), Optional.empty());
+    prepare(new Attempt(held.pool(), held.link(), need, held.asPrimary(), held.term()));
   }
 
   @Override
@@ -142,15 +143,14 @@
   @Override
   public void onLink(MemberPool pool, MemberLink link, PlacementNeed need, boolean asPrimary) {
     attempts++;
-    prepare(pool, link, need, asPrimary);
+    prepare(new Attempt(pool, link, need, asPrimary, service.view().term()));
   }
 
-  private void prepare(MemberPool pool, MemberLink link, PlacementNeed need, boolean asPrimary) {
-    Attempt attempt = new Attempt(pool, link, need, asPrimary, service.view().term());
+  private void prepare(Attempt attempt) {
     context
         .preparation()
         .run(
-            link,
+            attempt.link,
             request.session().values(),
             request.shape(),
             ready -> {
@@ -184,10 +184,9 @@
   private void begun(Attempt attempt, MemberAnswer answer) {
     if (answer instanceof MemberAnswer.Whole whole && whole.failure().isEmpty()) {
       applied(attempt, whole);
-      long term = attempt.term;
-      transaction
-          .get()
-          .pin(new Transaction.Pin(attempt.link, attempt.pool, attempt.asPrimary, term));
+      Transaction.Pin pin =
+          new Transaction.Pin(attempt.link, attempt.pool, attempt.asPrimary, attempt.term);
+      transaction.get().pin(pin);
       send(attempt);
       return;
     }
