Keep members that register again at once; a fault in a tick stops nothing; no lease on a member that only seems alone

Changes: a deletion is dated just above what it deleted; view and pools agree before pools close; each part of a tick is guarded and the next tick is set first; a lease needs a member beside the primary, or 10 s alone, and members that vanished within 10 s count as ones that may lead.

--- a/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
@@ -1,6 +1,8 @@
 package org.sardinebay.internal.version;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -26,6 +28,12 @@
  * <p>Not thread-safe: its owner's loop guards it.
  */
 public final class ServiceView {
+  /**
+   * How long a member that vanished may still lead unseen, and a member that seems alone may not
+   * be, in milliseconds: entries lapse and come back within some seconds of an outage.
+   */
+  public static final long VANISHED_MILLIS = 10_000;
+
   private final String service;
   private final Map<MemberId, MemberView> members = new LinkedHashMap<>();
   private final PrimaryLease lease = new PrimaryLease();
@@ -36,6 +44,8 @@
   /** What the primary held, with or without a lease: the ground for dating what replicas show. */
   private final PositionFloor history = new PositionFloor();
 
+  private final Map<MemberId, Long> vanishedAt = new HashMap<>();
+  private long aloneSince;
   private Optional<MemberId> primary = Optional.empty();
   private long term;
   private long newestTerm;
@@ -51,6 +61,7 @@
   public ServiceView(String service, long now) {
     this.service = service;
     this.unusableSince = now;
+    this.aloneSince = now;
   }
 
   /**
@@ -66,9 +77,19 @@
    * Takes over the registered members.
    *
    * @param entries one for each member
+   * @param now the time
    */
-  public void setMembers(Collection<MemberEntry> entries) {
+  public void setMembers(Collection<MemberEntry> entries, long now) {
     Set<MemberId> ids = entries.stream().map(MemberEntry::id).collect(Collectors.toSet());
+    for (MemberView known : members.values()) {
+      if (!ids.contains(known.id()) && !known.entry().draining()) {
+        vanishedAt.put(known.id(), now);
+      }
+    }
+    vanishedAt.keySet().removeAll(ids);
+    if (ids.size() != 1) {
+      aloneSince = now;
+    }
     members.keySet().retainAll(ids);
     for (MemberEntry entry : entries) {
       MemberView known = members.get(entry.id());
@@ -210,21 +231,27 @@
 
   /**
    * A member whose address refuses connections does not run, and one that is leaving is never
-   * ordered to lead: neither has to be seen unfenced.
+   * ordered to lead: neither has to be seen unfenced. One whose entry has just vanished may lead.
    */
   private void establishLease(long now) {
-    if (primary.isEmpty() || newestTerm != term) {
+    boolean alone = members.size() == 1 && now - aloneSince < VANISHED_MILLIS;
+    if (primary.isEmpty() || newestTerm != term || alone) {
       return;
     }
-    List<MemberId> others =
-        members.values().stream()
-            .filter(m -> !primary.get().equals(m.id()) && !m.refusing())
-            .filter(m -> !(m.entry().draining() && m.failing()))
-            .map(MemberView::id)
-            .toList();
+    vanishedAt.values().removeIf(at -> now - at >= VANISHED_MILLIS);
+    List<MemberId> others = new ArrayList<>(vanishedAt.keySet());
+    others.addAll(othersThatMayLead());
     lease.establish(others, now);
   }
 
+  private List<MemberId> othersThatMayLead() {
+    return members.values().stream()
+        .filter(m -> !primary.equals(Optional.of(m.id())) && !m.refusing())
+        .filter(m -> !(m.entry().draining() && m.failing()))
+        .map(MemberView::id)
+        .toList();
+  }
+
   private void noteTerm(long seen) {
     if (seen > newestTerm) {
       newestTerm = seen;
--- a/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeNeedTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeNeedTest.java
@@ -26,7 +26,8 @@
         List.of(
             ServiceViewTest.entry(LEADER, leaderLeaves),
             ServiceViewTest.entry(NEAR, false),
-            ServiceViewTest.entry(FAR, false)));
+            ServiceViewTest.entry(FAR, false)),
+        0);
   }
 
   @Nested
--- a/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeTest.java
@@ -24,7 +24,8 @@
         List.of(
             ServiceViewTest.entry(LEADER, false),
             ServiceViewTest.entry(NEAR, false),
-            ServiceViewTest.entry(FAR, false)));
+            ServiceViewTest.entry(FAR, false)),
+        0);
     view.onStatus(LEADER, ServiceViewTest.primary(1, 9), 0, 0);
   }
 
--- a/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
@@ -45,7 +45,7 @@
 
   @BeforeEach
   void addMembers() {
-    view.setMembers(List.of(entry(LEADER, false), entry(NEAR, false), entry(FAR, false)));
+    view.setMembers(List.of(entry(LEADER, false), entry(NEAR, false), entry(FAR, false)), 0);
   }
 
   @Nested
@@ -118,9 +118,34 @@
       assertThat(view.leaseMillis(2_510)).isEqualTo(2_500 + PrimaryLease.DURATION_MILLIS - 2_510);
     }
 
+    @Test
+    void should_not_begin_on_a_member_that_only_seems_to_be_alone() {
+      view.setMembers(List.of(entry(LEADER, false)), 100);
+      view.onStatus(LEADER, primary(1, 5), 110, 110);
+      assertThat(view.usablePrimary(120)).isEmpty();
+
+      long later = 100 + ServiceView.VANISHED_MILLIS;
+      view.setMembers(List.of(entry(LEADER, false)), later);
+      view.onStatus(LEADER, primary(1, 5), later, later);
+      view.onUnreachable(LEADER, true, later);
+      assertThat(view.usablePrimary(later + 10)).isPresent();
+    }
+
+    @Test
+    void should_not_begin_while_a_member_that_has_just_vanished_may_lead() {
+      view.onStatus(LEADER, primary(1, 5), 90, 90);
+      view.setMembers(List.of(entry(LEADER, false), entry(NEAR, false)), 100);
+      view.onStatus(NEAR, replica(1, 5, 0), 120, 120);
+      assertThat(view.usablePrimary(130)).isEmpty();
+
+      long later = 100 + ServiceView.VANISHED_MILLIS;
+      view.onStatus(NEAR, replica(1, 5, 0), later, later);
+      assertThat(view.usablePrimary(later + 10)).isPresent();
+    }
+
     @Test
     void should_begin_although_a_leaving_member_is_out_of_reach() {
-      view.setMembers(List.of(entry(LEADER, false), entry(NEAR, false), entry(FAR, true)));
+      view.setMembers(List.of(entry(LEADER, false), entry(NEAR, false), entry(FAR, true)), 0);
       view.onStatus(LEADER, primary(1, 5), 100, 100);
       view.onUnreachable(FAR, false, 110);
       view.onStatus(NEAR, replica(1, 5, 0), 120, 120);
@@ -247,7 +272,7 @@
               3,
               false,
               MemberRole.REPLICA);
-      view.setMembers(List.of(reborn, entry(NEAR, false), entry(FAR, false)));
+      view.setMembers(List.of(reborn, entry(NEAR, false), entry(FAR, false)), 0);
 
       assertThat(view.member(LEADER).flatMap(MemberView::status)).isEmpty();
     }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -184,12 +184,23 @@
   }
 
   private void tick() {
-    long now = clock.millis();
-    feeds.tick(now);
-    services.all().forEach(service -> service.tick(now));
-    sessions.tick(now);
-    duty.tick(now);
     loop.delay(TICK_MILLIS, this::tick);
+    long now = clock.millis();
+    guarded("members", () -> feeds.tick(now));
+    for (ServiceRuntime service : List.copyOf(services.all())) {
+      guarded("service", () -> service.tick(now));
+    }
+    guarded("sessions", () -> sessions.tick(now));
+    guarded("promotions", () -> duty.tick(now));
+  }
+
+  /** Runs one part of a tick: a fault in it must not stop the others, nor the ticks to come. */
+  private static void guarded(String part, Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      LOG.atError().setMessage("tick_failed").addKeyValue("part", part).setCause(e).log();
+    }
   }
 
   @Override
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -140,12 +140,13 @@
   public void members(Collection<MemberEntry> entries) {
     Map<MemberId, MemberEntry> byId = new LinkedHashMap<>();
     entries.forEach(entry -> byId.put(entry.id(), entry));
+    List<MemberPool> gone = new ArrayList<>();
     for (MemberPool pool : new ArrayList<>(pools.values())) {
       MemberEntry newer = byId.get(pool.entry().id());
       if (newer == null || !newer.sameIncarnation(pool.entry())) {
         pools.remove(pool.entry().id());
         statusAskedAt.remove(pool.entry().id());
-        pool.close();
+        gone.add(pool);
         logMember("member_gone", pool.entry());
       }
     }
@@ -158,7 +159,10 @@
         logMember("member_found", entry);
       }
     }
-    view.setMembers(byId.values());
+    view.setMembers(byId.values(), clock.millis());
+    // Closing a pool ends statements, which look for another place at once: only now that pools and
+    // view agree.
+    gone.forEach(MemberPool::close);
     serveWaiting();
   }
 
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
@@ -76,18 +76,27 @@
 
       @Override
       public void onChanges(long revision, List<PlatformObject> objects) {
-        feed.mergeAll(objects.stream().map(object -> datedAt(object, revision)).toList());
+        objects.forEach(object -> feed.mergeAll(dated(object).stream().toList()));
       }
     };
   }
 
-  /** A deletion is dated by the store's revision: its own is that of the change before. */
-  private static PlatformObject datedAt(PlatformObject object, long revision) {
-    return object.deleted() ? tombstone(object.key(), revision) : object;
+  /**
+   * Dates a deletion just above what it deleted: below any later creation of the same name, which
+   * may follow at once. One of something older than what is held says nothing.
+   */
+  private Optional<PlatformObject> dated(PlatformObject object) {
+    if (!object.deleted()) {
+      return Optional.of(object);
+    }
+    Long held = records.versions().get(object.key());
+    return held == null || object.version() < held
+        ? Optional.empty()
+        : Optional.of(tombstone(object.key(), Math.max(held + 1, object.version())));
   }
 
-  private static PlatformObject tombstone(ObjectKey key, long revision) {
-    return new PlatformObject(key, revision, true, Json.newObject());
+  private static PlatformObject tombstone(ObjectKey key, long version) {
+    return new PlatformObject(key, version, true, Json.newObject());
   }
 
   private List<PlatformObject> vanished(String kind, long revision, List<PlatformObject> listed) {
@@ -96,7 +105,7 @@
     return records.changedSince(Map.of()).stream()
         .filter(record -> record.key().kind().equals(kind) && !record.deleted())
         .filter(record -> !present.contains(record.key()) && record.version() < revision)
-        .map(record -> tombstone(record.key(), revision))
+        .map(record -> tombstone(record.key(), record.version() + 1))
         .toList();
   }
 
--- a/standins/src/main/java/org/sardinebay/standins/impeller/ImpellerStore.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/ImpellerStore.java
@@ -66,6 +66,14 @@
     announce(new Change(kind, revision, true, object));
   }
 
+  /** Deletes an object and creates it again, as one page of a watch tells it. */
+  synchronized void replaceInOneChange(String kind, String name) {
+    ObjectNode object = objects.get(kind + "/" + name);
+    revision++;
+    changes.add(new Change(kind, revision, true, object));
+    store(kind, name, object.path("spec"));
+  }
+
   /** Answers 503 to everything, or stops doing so. */
   synchronized void down(boolean isDown) {
     down = isDown;
--- a/standins/src/test/java/org/sardinebay/standins/impeller/GatewayTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/GatewayTest.java
@@ -16,6 +16,7 @@
 import org.sardinebay.Address;
 import org.sardinebay.Clock;
 import org.sardinebay.gateway.internal.process.GatewayBinary;
+import org.sardinebay.internal.version.MemberDirectory;
 import org.sardinebay.net.RunningProcess;
 import org.sardinebay.net.http.Json;
 import org.sardinebay.record.FieldReader;
@@ -302,6 +303,31 @@
       assertThat(read("strict", "a").get(0)).startsWith("ROW");
     }
 
+    @Test
+    void should_keep_a_member_that_is_registered_again_in_the_same_moment() throws Exception {
+      for (int i = 0; i < 3; i++) {
+        platform.store().replaceInOneChange("servers", "m-" + (i + 1));
+      }
+      Thread.sleep(MemberDirectory.LAPSE_GRACE_MILLIS + 1_000);
+      assertThat(read("strict", "a").get(0)).startsWith("ROW");
+    }
+
+    @Test
+    void should_go_on_after_all_members_were_gone_for_a_while() throws Exception {
+      try (LineCaller caller = LineCaller.open(callers, "own")) {
+        caller.query("BEGIN");
+        caller.query("READ a");
+        for (int i = 0; i < 3; i++) {
+          platform.store().delete("servers", "m-" + (i + 1));
+        }
+        Thread.sleep(MemberDirectory.LAPSE_GRACE_MILLIS + 1_000);
+      }
+      for (int i = 0; i < 3; i++) {
+        platform.register(i, "ready");
+      }
+      await(() -> read("strict", "a").get(0).startsWith("ROW"));
+    }
+
     @Test
     void should_ignore_entries_that_can_not_be_read() throws Exception {
       platform.store().put("servers", "m-9", Json.newObject().put("backend", 7));
@@ -355,6 +381,26 @@
       assertThat(platform.group().commitsOf("b")).isZero();
     }
 
+    @Test
+    void should_serve_others_while_callers_do_not_read_their_answers() throws Exception {
+      try (LineCaller writer = LineCaller.open(callers, "strict")) {
+        writer.query("WRITE big " + "x".repeat(100_000));
+      }
+      List<LineCaller> silent = new ArrayList<>();
+      try {
+        for (int i = 0; i < 30; i++) {
+          LineCaller caller = LineCaller.open(callers, "strict");
+          caller.send("QUERY s" + i + " READ big\r\n");
+          silent.add(caller);
+        }
+        assertThat(read("strict", "a").get(0)).startsWith("ROW");
+      } finally {
+        for (LineCaller caller : silent) {
+          caller.close();
+        }
+      }
+    }
+
     @Test
     void should_answer_an_unknown_statement_and_go_on() throws Exception {
       try (LineCaller caller = LineCaller.open(callers, "strict")) {
