Cover HISTORY_GONE in the command line's failures

Ruled out: a difference of compilers (a clean build fails here in the same way). Change: both switches name it. Figures: clean build of all modules: failed before, passes after.

--- a/ctl/src/main/java/org/sardinebay/ctl/internal/request/Failure.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/request/Failure.java
@@ -171,6 +171,7 @@
         case NOT_SENT -> "no connection could be made to it";
         case RATE_LIMITED -> "it refused the call for its rate";
         case UNAVAILABLE -> "it says that it is down";
+        case HISTORY_GONE -> "it no longer keeps the changes that were asked for";
         case NO_ANSWER -> "no answer came in time, or none that can be read";
         case BAD_CALL -> "it can't read the call";
       };
@@ -181,6 +182,7 @@
         case NOT_SENT -> "check the address after --platform, and repeat the command";
         case RATE_LIMITED -> "repeat the command in a second";
         case UNAVAILABLE -> "repeat the command when the platform is back";
+        case HISTORY_GONE -> "repeat the command: it lists the records anew";
         case NO_ANSWER -> "repeat the command, with a greater --timeout if need be";
         case BAD_CALL -> "check that the address after --platform is the platform's";
       };
