Close three ways to two primaries; demote a replaced one; drop dead code

Ruled out: the fence's wait (bounds every lease); late writes of the duty record (conditional). Change: a refusal counts like a confirmation, for one lease's time; a silent member is left out only once its entry has lapsed, and a driver that can't reach one for 5.5 s hands the service over; a member that starts again is fenced again before the order; no fence is lifted while an order may take effect. A former primary is told to follow by whichever host reaches it. Conclusion: no availability was traded but for a dead primary with a silent replica, which now waits for the replica's entry to lapse.

--- a/core/src/main/java/org/sardinebay/internal/request/WaitingLine.java
+++ b/core/src/main/java/org/sardinebay/internal/request/WaitingLine.java
@@ -1,9 +1,7 @@
 package org.sardinebay.internal.request;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
-import java.util.Iterator;
 import java.util.List;
 import java.util.TreeSet;
 import java.util.function.Predicate;
@@ -62,30 +60,14 @@
    * @return these items
    */
   public List<T> expire(long now) {
-    return removeIf(entry -> entry.giveUpAt <= now);
-  }
-
-  /**
-   * Removes items.
-   *
-   * @param unwanted which
-   * @return these items
-   */
-  public Collection<T> remove(Predicate<T> unwanted) {
-    return removeIf(entry -> unwanted.test(entry.item));
-  }
-
-  private List<T> removeIf(Predicate<Entry<T>> unwanted) {
-    List<T> removed = new ArrayList<>();
-    Iterator<Entry<T>> iterator = entries.iterator();
-    while (iterator.hasNext()) {
-      Entry<T> entry = iterator.next();
-      if (unwanted.test(entry)) {
-        iterator.remove();
-        removed.add(entry.item);
+    List<T> expired = new ArrayList<>();
+    for (Entry<T> entry : entries) {
+      if (entry.giveUpAt <= now) {
+        expired.add(entry.item);
       }
     }
-    return removed;
+    entries.removeIf(entry -> entry.giveUpAt <= now);
+    return expired;
   }
 
   /**
--- a/core/src/main/java/org/sardinebay/internal/version/MemberDirectory.java
+++ b/core/src/main/java/org/sardinebay/internal/version/MemberDirectory.java
@@ -18,7 +18,7 @@
  * <pre>{@code
  * directory.replaceAll(entries, now);
  * directory.remove(id, now);
- * Collection<MemberEntry> members = directory.members(now);
+ * List<MemberEntry> members = directory.members(now);
  * }</pre>
  */
 public final class MemberDirectory {
@@ -31,6 +31,8 @@
 
   private final Map<MemberId, MemberEntry> entries = new LinkedHashMap<>();
   private final Map<MemberId, Long> vanishedAt = new HashMap<>();
+  private List<MemberEntry> current = List.of();
+  private boolean changed;
 
   /**
    * Takes over a complete list.
@@ -53,8 +55,9 @@
    * @param entry the entry
    */
   public void put(MemberEntry entry) {
-    entries.put(entry.id(), entry);
-    vanishedAt.remove(entry.id());
+    boolean known = entry.equals(entries.put(entry.id(), entry));
+    boolean back = vanishedAt.remove(entry.id()) != null;
+    changed |= !known || back;
   }
 
   /**
@@ -64,8 +67,8 @@
    * @param now the time
    */
   public void remove(MemberId id, long now) {
-    if (entries.containsKey(id)) {
-      vanishedAt.putIfAbsent(id, now);
+    if (entries.containsKey(id) && vanishedAt.putIfAbsent(id, now) == null) {
+      changed = true;
     }
   }
 
@@ -73,9 +76,10 @@
    * The members to use.
    *
    * @param now the time
-   * @return those registered, and those whose entry vanished a short while ago
+   * @return those registered, and those whose entry vanished a short while ago; the same list until
+   *     something changes
    */
-  public Collection<MemberEntry> members(long now) {
+  public List<MemberEntry> members(long now) {
     List<MemberId> gone = new ArrayList<>();
     vanishedAt.forEach(
         (id, at) -> {
@@ -87,7 +91,15 @@
         id -> {
           vanishedAt.remove(id);
           entries.remove(id);
+          changed = true;
         });
-    return List.copyOf(entries.values());
+    if (changed) {
+      current =
+          entries.values().stream()
+              .map(entry -> vanishedAt.containsKey(entry.id()) ? entry.lapse() : entry)
+              .toList();
+      changed = false;
+    }
+    return current;
   }
 }
--- a/core/src/main/java/org/sardinebay/internal/version/MemberView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/MemberView.java
@@ -113,6 +113,16 @@
     return failing && refusing;
   }
 
+  /**
+   * Whether the member may take part in a change of primary unseen: it can't be reached, but
+   * nothing says that it has ended.
+   *
+   * @return false if it is in reach, refuses connections, or has lapsed from the registry
+   */
+  public boolean unaccounted() {
+    return failing && !refusing && !entry.lapsed();
+  }
+
   /**
    * How long the member has been out of reach.
    *
--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryChange.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryChange.java
@@ -30,10 +30,17 @@
   private static final long REPEAT_MILLIS = 150;
 
   /**
-   * How long a member must be out of reach before it is left out of the fence, in milliseconds. A
-   * member that other hosts still reach could go on confirming the old primary.
+   * How long the fence may take, in milliseconds, before the change is handed to a driver
+   * elsewhere: this host may be the only one that can't reach a member. Above the time in which the
+   * entry of a member that has ended lapses.
    */
-  private static final long LEFT_OUT_MILLIS = 2_500;
+  private static final long FENCE_MILLIS = 5_500;
+
+  /**
+   * For how long an order of an earlier driver may still take effect, in milliseconds: above the
+   * longest promotion known, of one second.
+   */
+  private static final long EARLIER_ORDER_MILLIS = 2_500;
 
   /** How long a demoted primary's last commits take to reach the replicas, in milliseconds. */
   private static final long DELIVERY_MILLIS = 80;
@@ -103,25 +110,33 @@
   private final boolean planned;
   private final long nextTerm;
   private final Map<MemberId, MemberStatus> fenced = new HashMap<>();
+  private final Map<MemberId, Long> fencedAt = new HashMap<>();
   private final Map<MemberId, Long> askedAt = new HashMap<>();
   private final Set<MemberId> notRunning = new HashSet<>();
+  private final boolean inherited;
+  private final long startedAt;
   private Phase phase;
   private long phaseSince;
   private Optional<MemberId> target = Optional.empty();
   private boolean orderPending;
+  private boolean mayTakeEffect;
 
   /**
    * A change that begins.
    *
    * @param oldPrimary the primary to replace; any id that no member has if none is known
    * @param planned whether the old primary is leaving and in reach
+   * @param inherited whether members are fenced already: an earlier driver may have given its order
    * @param nextTerm the term of the new primary
    * @param now the time
    */
-  public PrimaryChange(MemberId oldPrimary, boolean planned, long nextTerm, long now) {
+  public PrimaryChange(
+      MemberId oldPrimary, boolean planned, boolean inherited, long nextTerm, long now) {
     this.oldPrimary = oldPrimary;
     this.planned = planned;
+    this.inherited = inherited;
     this.nextTerm = nextTerm;
+    this.startedAt = now;
     this.phase = planned ? Phase.DEMOTING : Phase.FENCING;
     this.phaseSince = now;
   }
@@ -165,7 +180,7 @@
     if (phase == Phase.DEMOTING) {
       demote(view, now, steps);
     }
-    if (phase == Phase.FENCING) {
+    if (phase == Phase.FENCING || phase == Phase.WAITING) {
       fence(view, now, steps);
     }
     if (phase == Phase.WAITING && now - phaseSince >= leaseWaitMillis()) {
@@ -203,10 +218,13 @@
     boolean complete = true;
     for (MemberView member : view.members()) {
       MemberId id = member.id();
+      if (restarted(member)) {
+        fenced.remove(id);
+      }
       if (id.equals(oldPrimary) || fenced.containsKey(id)) {
         continue;
       }
-      if (member.failingMillis(now) >= LEFT_OUT_MILLIS || member.refusing()) {
+      if (member.failing() && !member.unaccounted()) {
         continue;
       }
       complete = false;
@@ -214,13 +232,39 @@
         steps.add(new Step.Fence(id, nextTerm));
       }
     }
-    if (complete && !fenced.isEmpty()) {
+    if (!complete && phase == Phase.WAITING) {
+      enter(Phase.FENCING, now);
+    } else if (complete && !fenced.isEmpty() && phase == Phase.FENCING) {
       enter(Phase.WAITING, now);
     }
   }
 
+  /** A fence ends with the member's process. */
+  private boolean restarted(MemberView member) {
+    long asked = member.statusAskedAt().orElse(Long.MIN_VALUE);
+    return asked > fencedAt.getOrDefault(member.id(), Long.MAX_VALUE)
+        && member.status().filter(s -> s.fenceTerm() < nextTerm && s.term() < nextTerm).isPresent();
+  }
+
+  /**
+   * Whether the fence fails for a member that this host can't reach although nothing says that it
+   * has ended: other hosts may reach it, and go on by its confirmations.
+   *
+   * @param view what is known of the service
+   * @param now the time
+   * @return true if another host should drive the change
+   */
+  public boolean stuck(ServiceView view, long now) {
+    return phase == Phase.FENCING
+        && now - phaseSince >= FENCE_MILLIS
+        && view.members().stream().anyMatch(m -> !m.id().equals(oldPrimary) && m.unaccounted());
+  }
+
   private void order(ServiceView view, long now, List<Step> steps) {
     target = mostAdvanced(view);
+    if (target.isEmpty() && mayTakeEffect) {
+      return;
+    }
     if (target.isEmpty()) {
       steps.addAll(giveUp(view, now));
       return;
@@ -274,6 +318,7 @@
   public void onFenced(MemberId member, MemberStatus status, long now) {
     if (status.fenceTerm() >= nextTerm || status.term() >= nextTerm) {
       fenced.put(member, status);
+      fencedAt.put(member, now);
     }
   }
 
@@ -288,6 +333,7 @@
     if (outcome == PromotionCall.Outcome.MEMBER_DOWN) {
       target.ifPresent(notRunning::add);
     } else if (outcome != PromotionCall.Outcome.REFUSED) {
+      mayTakeEffect = true;
       enter(Phase.TAKING_OVER, now);
     }
   }
@@ -298,10 +344,12 @@
    *
    * @param view what is known of the service
    * @param now the time
-   * @return one step for each fenced member, empty once the order was given
+   * @return one step for each fenced member; empty, and nothing given up, while an order may take
+   *     effect
    */
   public List<Step> giveUp(ServiceView view, long now) {
-    if (phase == Phase.TAKING_OVER || phase == Phase.DONE || orderPending) {
+    boolean earlierOrder = inherited && now - startedAt < EARLIER_ORDER_MILLIS;
+    if (phase == Phase.DONE || orderPending || mayTakeEffect || earlierOrder) {
       return List.of();
     }
     enter(Phase.GIVEN_UP, now);
--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryLease.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryLease.java
@@ -13,11 +13,12 @@
  * not fenced prolongs it: no promotion can have taken effect yet, so the replica can't have been
  * fenced and let go again. Once a lease has run out, a replica may have been let go by a promotion
  * that it does not know of; then all other members must be seen unfenced within one lease's time,
- * among them whichever could have been promoted. No store and no clock of another host takes part.
+ * among them whichever could have been promoted, or found not running within that time. No store
+ * and no clock of another host takes part.
  *
  * <pre>{@code
  * lease.confirm(replica, askedAt, now);
- * lease.establish(othersThatRun, now);
+ * lease.establish(othersThatMayLead, now);
  * boolean usable = lease.valid(now);
  * }</pre>
  */
@@ -53,15 +54,24 @@
   }
 
   /**
-   * Begins a lease if every other member was seen unfenced within one lease's time.
+   * Notes that a member's address refused a connection: at that moment it ran no process, so it
+   * neither led nor could be ordered to. Prolongs nothing.
    *
-   * @param others the members besides the primary that may be running
+   * @param member the member
+   * @param now the time of the refusal
+   */
+  public void noteNotRunning(MemberId member, long now) {
+    confirmedAt.merge(member, now, Math::max);
+  }
+
+  /**
+   * Begins or prolongs a lease if every other member was seen unfenced, or not running, within one
+   * lease's time.
+   *
+   * @param others the members besides the primary that may be ordered to lead
    * @param now the time
    */
   public void establish(Collection<MemberId> others, long now) {
-    if (valid(now)) {
-      return;
-    }
     long oldest = now;
     for (MemberId other : others) {
       Long at = confirmedAt.get(other);
@@ -70,8 +80,8 @@
       }
       oldest = Math.min(oldest, at);
     }
+    endsAt = valid(now) ? Math.max(endsAt, oldest + DURATION_MILLIS) : oldest + DURATION_MILLIS;
     held = true;
-    endsAt = oldest + DURATION_MILLIS;
   }
 
   /**
--- a/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
@@ -226,12 +226,15 @@
       return;
     }
     member.failed(refused, now);
+    if (refused) {
+      lease.noteNotRunning(id, now);
+    }
     establishLease(now);
   }
 
   /**
-   * A member whose address refuses connections does not run, and one that is leaving is never
-   * ordered to lead: neither has to be seen unfenced. One whose entry has just vanished may lead.
+   * One that is leaving is never ordered to lead: it does not have to be seen unfenced. One whose
+   * entry has just vanished may lead.
    */
   private void establishLease(long now) {
     boolean alone = members.size() == 1 && now - aloneSince < VANISHED_MILLIS;
@@ -246,7 +249,7 @@
 
   private List<MemberId> othersThatMayLead() {
     return members.values().stream()
-        .filter(m -> !primary.equals(Optional.of(m.id())) && !m.refusing())
+        .filter(m -> !primary.equals(Optional.of(m.id())))
         .filter(m -> !(m.entry().draining() && m.failing()))
         .map(MemberView::id)
         .toList();
--- a/core/src/main/java/org/sardinebay/session/MemberEntry.java
+++ b/core/src/main/java/org/sardinebay/session/MemberEntry.java
@@ -16,6 +16,7 @@
  * @param slots statements that it runs at once
  * @param draining whether it is about to leave
  * @param role its role as it sees itself
+ * @param lapsed whether the entry has vanished from the registry a short while ago
  */
 public record MemberEntry(
     MemberId id,
@@ -25,7 +26,8 @@
     FailureDomain failureDomain,
     int slots,
     boolean draining,
-    MemberRole role) {
+    MemberRole role,
+    boolean lapsed) {
   /**
    * Whether another entry is of the same start of the same member.
    *
@@ -35,4 +37,13 @@
   public boolean sameIncarnation(MemberEntry other) {
     return id.equals(other.id) && born.equals(other.born) && address.equals(other.address);
   }
+
+  /**
+   * The same member after its entry has vanished.
+   *
+   * @return a lapsed copy
+   */
+  public MemberEntry lapse() {
+    return new MemberEntry(id, born, service, address, failureDomain, slots, draining, role, true);
+  }
 }
--- a/core/src/main/java/org/sardinebay/session/ServiceSpec.java
+++ b/core/src/main/java/org/sardinebay/session/ServiceSpec.java
@@ -5,6 +5,5 @@
  *
  * @param name its name
  * @param maxConnections connections that each of its members accepts from all hosts together
- * @param synchronousReplicas replicas that must have received a commit before it is acknowledged
  */
-public record ServiceSpec(String name, int maxConnections, int synchronousReplicas) {}
+public record ServiceSpec(String name, int maxConnections) {}
--- a/core/src/test/java/org/sardinebay/internal/version/MemberDirectoryTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/MemberDirectoryTest.java
@@ -18,7 +18,8 @@
     directory.replaceAll(List.of(ENTRY), 0);
     directory.remove(ID, 1_000);
 
-    assertThat(directory.members(999 + MemberDirectory.LAPSE_GRACE_MILLIS)).containsExactly(ENTRY);
+    assertThat(directory.members(999 + MemberDirectory.LAPSE_GRACE_MILLIS))
+        .containsExactly(ENTRY.lapse());
     assertThat(directory.members(1_000 + MemberDirectory.LAPSE_GRACE_MILLIS)).isEmpty();
   }
 
@@ -31,6 +32,15 @@
     assertThat(directory.members(60_000)).containsExactly(ENTRY);
   }
 
+  @Test
+  void should_give_the_same_list_until_something_changes() {
+    directory.replaceAll(List.of(ENTRY), 0);
+    List<MemberEntry> first = directory.members(10);
+    directory.replaceAll(List.of(ENTRY), 20);
+
+    assertThat(directory.members(30)).isSameAs(first);
+  }
+
   @Test
   void should_count_the_lapse_from_its_first_sight() {
     directory.replaceAll(List.of(ENTRY), 0);
--- a/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
@@ -32,7 +32,8 @@
         new FailureDomain("hall"),
         3,
         draining,
-        MemberRole.REPLICA);
+        MemberRole.REPLICA,
+        false);
   }
 
   static MemberStatus primary(long term, long index) {
@@ -214,6 +215,26 @@
       assertThat(view.usablePrimary(180)).isPresent();
     }
 
+    @Test
+    void should_go_on_without_a_gap_while_no_other_member_runs() {
+      view.onStatus(LEADER, primary(1, 5), 100, 100);
+      for (long now = 150; now < 5_000; now += 150) {
+        view.onUnreachable(NEAR, true, now);
+        view.onUnreachable(FAR, true, now);
+        assertThat(view.usablePrimary(now + 149)).isPresent();
+      }
+    }
+
+    @Test
+    void should_not_begin_by_a_refusal_from_before_the_member_may_have_been_ordered_to_lead() {
+      view.onStatus(LEADER, primary(1, 5), 100, 100);
+      view.onUnreachable(FAR, true, 150);
+      long later = 150 + PrimaryLease.DURATION_MILLIS;
+      view.onStatus(NEAR, replica(1, 5, 0), later, later);
+
+      assertThat(view.usablePrimary(later + 10)).isEmpty();
+    }
+
     @Test
     void should_not_hold_while_another_member_is_only_silent() {
       view.onStatus(LEADER, primary(1, 5), 100, 100);
@@ -271,7 +292,8 @@
               new FailureDomain("hall"),
               3,
               false,
-              MemberRole.REPLICA);
+              MemberRole.REPLICA,
+              false);
       view.setMembers(List.of(reborn, entry(NEAR, false), entry(FAR, false)), 0);
 
       assertThat(view.member(LEADER).flatMap(MemberView::status)).isEmpty();
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/Placeable.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/Placeable.java
@@ -1,7 +1,6 @@
 package org.sardinebay.gateway.internal.request;
 
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import org.sardinebay.MemberId;
 import org.sardinebay.gateway.internal.connection.MemberLink;
@@ -13,9 +12,9 @@
   /**
    * What it needs now.
    *
-   * @return the need, empty while too little is known to place it
+   * @return the need
    */
-  Optional<PlacementNeed> need();
+  PlacementNeed need();
 
   /**
    * The session's values; a link that holds them already is preferred.
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
@@ -88,21 +88,20 @@
   }
 
   @Override
-  public Optional<PlacementNeed> need() {
+  public PlacementNeed need() {
     if (route.kind() == RouteKind.PRIMARY || !readsOnly()) {
-      return Optional.of(PlacementNeed.PRIMARY);
+      return PlacementNeed.PRIMARY;
     }
     long from = transaction.map(Transaction::startedAt).orElse(startedAt);
     Optional<Position> floor = service.view().floor(from, route.maxStalenessMillis());
     if (floor.isEmpty()) {
-      return Optional.of(PlacementNeed.PRIMARY);
+      return PlacementNeed.PRIMARY;
     }
     Optional<Position> own = request.session().position().flatMap(service.view()::inThisTerm);
     if (own.isEmpty() && request.session().position().isPresent()) {
-      return Optional.of(PlacementNeed.PRIMARY);
+      return PlacementNeed.PRIMARY;
     }
-    return Optional.of(
-        new PlacementNeed(false, Optional.of(own.map(floor.get()::max).orElse(floor.get()))));
+    return new PlacementNeed(false, Optional.of(own.map(floor.get()::max).orElse(floor.get())));
   }
 
   private boolean readsOnly() {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
@@ -44,10 +44,9 @@
     /**
      * Objects that changed, the deleted ones included.
      *
-     * @param revision the store's revision up to which these are all
      * @param objects the objects, oldest change first
      */
-    void onChanges(long revision, List<PlatformObject> objects);
+    void onChanges(List<PlatformObject> objects);
   }
 
   private final PlatformClient store;
@@ -93,7 +92,7 @@
       if (listing) {
         listener.onListing(page.revision(), page.objects());
       } else if (!page.objects().isEmpty()) {
-        listener.onChanges(page.revision(), page.objects());
+        listener.onChanges(page.objects());
       }
       start();
       return;
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionDuty.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionDuty.java
@@ -44,6 +44,15 @@
   /** What must be left of the right during a change, in milliseconds, so that others keep off. */
   private static final long CHANGE_RIGHT_MILLIS = 400;
 
+  /**
+   * How long this host leaves a service to another driver, in milliseconds: above the time after
+   * which another host takes the duty over, and its fence.
+   */
+  private static final long HANDED_OVER_MILLIS = 8_000;
+
+  /** How often a former primary is told to follow, in milliseconds. */
+  private static final long DEMOTE_REPEAT_MILLIS = 1_000;
+
   private final Services services;
   private final DutyRecord record;
   private final PromotionCall orders;
@@ -54,6 +63,8 @@
   private final Map<String, PrimaryChange> changes = new HashMap<>();
   private final Map<String, PrimaryChangeNeed.Cause> needs = new HashMap<>();
   private final Map<String, PrimaryChange.Phase> loggedPhases = new HashMap<>();
+  private final Map<String, Long> handedOverUntil = new HashMap<>();
+  private final Map<MemberId, Long> demotedAt = new HashMap<>();
 
   /**
    * A duty that nobody holds yet.
@@ -92,6 +103,7 @@
    */
   public void tick(long now) {
     for (ServiceRuntime service : services.all()) {
+      demoteFormer(service, now);
       PrimaryChange change = changes.get(service.view().service());
       if (change == null) {
         considerChange(service, now);
@@ -101,6 +113,25 @@
     }
   }
 
+  /**
+   * Makes a replaced primary a replica. It also follows by itself once it reaches its successor; a
+   * cut between the two may last longer than one between it and this host.
+   */
+  private void demoteFormer(ServiceRuntime service, long now) {
+    ServiceView view = service.view();
+    Optional<MemberView> former = view.formerPrimary().filter(m -> !m.failing());
+    if (former.isEmpty() || view.usablePrimary(now).isEmpty()) {
+      return;
+    }
+    MemberId id = former.get().id();
+    if (now - demotedAt.getOrDefault(id, Long.MIN_VALUE / 2) < DEMOTE_REPEAT_MILLIS) {
+      return;
+    }
+    demotedAt.put(id, now);
+    log("former_primary_demoted", view).addKeyValue("member", id.value()).log();
+    control(service, id, protocol.demoteText(view.term()));
+  }
+
   private void considerChange(ServiceRuntime service, long now) {
     ServiceView view = service.view();
     Optional<PrimaryChangeNeed.Cause> cause = PrimaryChangeNeed.of(view, now);
@@ -116,14 +147,16 @@
           .addKeyValue("statuses", statuses(view))
           .log();
     }
-    if (!record.ensureRight(CHANGE_RIGHT_MILLIS)) {
+    if (now < handedOverUntil.getOrDefault(view.service(), Long.MIN_VALUE)
+        || !record.ensureRight(CHANGE_RIGHT_MILLIS)) {
       return;
     }
     boolean planned =
         cause.get() == PrimaryChangeNeed.Cause.LEAVING
             && view.primary().filter(m -> !m.failing()).isPresent();
     MemberId old = view.primary().map(MemberView::id).orElse(new MemberId("none"));
-    PrimaryChange change = new PrimaryChange(old, planned, view.newestTerm() + 1, now);
+    boolean inherited = view.fencedAbove(view.term());
+    PrimaryChange change = new PrimaryChange(old, planned, inherited, view.newestTerm() + 1, now);
     changes.put(view.service(), change);
     log("primary_change_started", view)
         .addKeyValue("cause", cause.get())
@@ -147,6 +180,10 @@
             .isPresent();
     if (change.revocable() && primaryBack) {
       perform(service, change, change.giveUp(view, now));
+    } else if (change.stuck(view, now)) {
+      log("primary_change_stuck", view).addKeyValue("statuses", statuses(view)).log();
+      handedOverUntil.put(view.service(), now + HANDED_OVER_MILLIS);
+      perform(service, change, change.giveUp(view, now));
     }
     if (view.term() >= change.nextTerm() && change.phase() != PrimaryChange.Phase.TAKING_OVER) {
       changes.remove(view.service());
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -194,22 +194,19 @@
   }
 
   private boolean tryPlace(Placeable statement) {
-    Optional<PlacementNeed> need = statement.need();
-    if (need.isEmpty()) {
-      return false;
-    }
+    PlacementNeed need = statement.need();
     long now = clock.millis();
-    Optional<MemberId> best = choose(statement, need.get(), now, false);
+    Optional<MemberId> best = choose(statement, need, now, false);
     if (best.isPresent() && !pools.get(best.get()).hasIdle()) {
       pools.get(best.get()).open();
-      best = choose(statement, need.get(), now, true);
+      best = choose(statement, need, now, true);
     }
     if (best.isEmpty()) {
       return false;
     }
     MemberPool pool = pools.get(best.get());
     MemberLink link = pool.lend(statement.values()).orElseThrow();
-    statement.onLink(pool, link, need.get(), isUsablePrimary(best.get(), now));
+    statement.onLink(pool, link, need, isUsablePrimary(best.get(), now));
     return true;
   }
 
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/Services.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/Services.java
@@ -3,12 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
-import org.sardinebay.MemberId;
 import org.sardinebay.session.DatabaseRoute;
 import org.sardinebay.session.MemberEntry;
 import org.sardinebay.session.RouteTable;
@@ -30,7 +28,7 @@
 
   private final Function<ServiceSpec, ServiceRuntime> factory;
   private final Map<String, ServiceRuntime> runtimes = new HashMap<>();
-  private Map<MemberId, MemberEntry> members = Map.of();
+  private List<MemberEntry> members = List.of();
   private RouteTable table = RouteTable.EMPTY;
 
   /**
@@ -79,13 +77,11 @@
    *
    * @param entries all of them
    */
-  public void members(Collection<MemberEntry> entries) {
-    Map<MemberId, MemberEntry> byId = new LinkedHashMap<>();
-    entries.forEach(entry -> byId.put(entry.id(), entry));
-    if (byId.equals(members)) {
+  public void members(List<MemberEntry> entries) {
+    if (entries.equals(members)) {
       return;
     }
-    members = byId;
+    members = entries;
     spreadMembers();
   }
 
@@ -93,7 +89,7 @@
     runtimes.forEach(
         (name, runtime) -> {
           List<MemberEntry> own =
-              members.values().stream().filter(entry -> entry.service().equals(name)).toList();
+              members.stream().filter(entry -> entry.service().equals(name)).toList();
           runtime.members(own);
         });
   }
@@ -107,15 +103,6 @@
     return table;
   }
 
-  /**
-   * The members in use.
-   *
-   * @return their entries
-   */
-  public Collection<MemberEntry> memberEntries() {
-    return members.values();
-  }
-
   /**
    * The service behind a route.
    *
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
@@ -75,7 +75,7 @@
       }
 
       @Override
-      public void onChanges(long revision, List<PlatformObject> objects) {
+      public void onChanges(List<PlatformObject> objects) {
         objects.forEach(object -> feed.mergeAll(dated(object).stream().toList()));
       }
     };
