End a gateway's sockets, peers and loop with its shutdown

Cause: the known red RelayProcessTest.CutLink.should_keep_a_connection_that_lost_nothing. Gateways of GatewayTest went on after their shutdown in the same JVM: their loops connected to members' addresses for ever, and a later test whose listener got such a port took a stray connection for its own. Shown: the new test should_leave_nothing_running failed on the code before (connections at a member that was started again after the shutdown). Not shown: that the one failure came from this. Change: shutdown closes every channel, breaks the loop, stops the peers. How long the balancer may send callers is a setting (2500 ms), so that tests need not wait for it. A failed listing of hosts has its log line.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
+import java.nio.channels.SelectionKey;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -52,13 +53,10 @@
   private static final Duration STORE_SILENCE = Duration.ofSeconds(6);
 
   /**
-   * How long after the start of a shutdown the balancer may still send callers, in milliseconds: it
-   * asks every second and needs two refusals.
+   * How long callers that the balancer sent last have for a first statement, in milliseconds,
+   * before idle sessions are closed.
    */
-  private static final long BALANCER_NOTICES_MILLIS = 2_500;
-
-  /** When idle sessions are closed, in milliseconds after the start of a shutdown. */
-  private static final long CLOSE_IDLE_MILLIS = 3_700;
+  private static final long LAST_CALLERS_MILLIS = 1_200;
 
   /** Left at the end of a shutdown's time, in milliseconds, so that the process ends by itself. */
   private static final long SHUTDOWN_RESERVE_MILLIS = 1_500;
@@ -218,12 +216,26 @@
     stopping = true;
     long startedAt = clock.millis();
     LOG.atInfo().setMessage("shutdown_started").addKeyValue("sessions", sessions.size()).log();
-    sleepUntil(startedAt + BALANCER_NOTICES_MILLIS);
+    sleepUntil(startedAt + settings.balancerNoticesMillis());
     loop.execute(sessions::leaveAfterNext);
-    sleepUntil(startedAt + CLOSE_IDLE_MILLIS);
+    sleepUntil(startedAt + settings.balancerNoticesMillis() + LAST_CALLERS_MILLIS);
     loop.execute(sessions::leave);
     sleepUntil(startedAt + settings.shutdownMillis() - SHUTDOWN_RESERVE_MILLIS);
     LOG.atInfo().setMessage("shutdown_ended").addKeyValue("sessions_left", sessions.size()).log();
+    loop.execute(this::closeChannels);
+    peers.stop();
+  }
+
+  /** Closes every socket and listener, and ends the loop. */
+  private void closeChannels() {
+    for (SelectionKey key : List.copyOf(loop.ensureSelector().keys())) {
+      try {
+        key.channel().close();
+      } catch (IOException e) {
+        LOG.atWarn().setMessage("close_failed").addKeyValue("cause", e.getMessage()).log();
+      }
+    }
+    loop.breakEventloop();
   }
 
   private void sleepUntil(long end) {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewaySettings.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewaySettings.java
@@ -19,6 +19,8 @@
  * @param store the platform's metadata store
  * @param promotions where the platform takes promotion orders
  * @param shutdownMillis how long a shutdown may take
+ * @param balancerNoticesMillis how long after the start of a shutdown the balancer may still send
+ *     callers
  */
 public record GatewaySettings(
     HostId host,
@@ -30,10 +32,15 @@
     Address metrics,
     Address store,
     Address promotions,
-    long shutdownMillis) {
+    long shutdownMillis,
+    long balancerNoticesMillis) {
   private static final long MAX_SHUTDOWN_SECONDS = 3_600;
   private static final long MILLIS_PER_SECOND = 1_000;
   private static final int MAX_PORT = 65_535;
+  private static final long MAX_NOTICES_MILLIS = 600_000;
+
+  /** A balancer that asks every second and needs two refusals. */
+  private static final long DEFAULT_NOTICES_MILLIS = 2_500;
 
   static GatewaySettings read(FieldReader reader) {
     String ip = reader.text("ip");
@@ -48,7 +55,8 @@
         new Address(ip, metricsPort),
         reader.address("store"),
         reader.address("promotions"),
-        reader.number("shutdownSeconds", 1, MAX_SHUTDOWN_SECONDS) * MILLIS_PER_SECOND);
+        reader.number("shutdownSeconds", 1, MAX_SHUTDOWN_SECONDS) * MILLIS_PER_SECOND,
+        reader.number("balancerNoticesMillis", 0, MAX_NOTICES_MILLIS, DEFAULT_NOTICES_MILLIS));
   }
 
   static List<String> help() {
@@ -63,6 +71,7 @@
         "seeds            a list of IP:PORT where some other gateways may be found",
         "store            IP:PORT of the platform's metadata store",
         "promotions       IP:PORT where the platform takes promotion orders",
-        "shutdownSeconds  how long a shutdown may take");
+        "shutdownSeconds  how long a shutdown may take",
+        "balancerNoticesMillis  how long a balancer may send callers then, 2500 if left out");
   }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/HostRegistration.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/HostRegistration.java
@@ -78,6 +78,8 @@
   private void onListed(PlatformResult result) {
     if (result instanceof PlatformResult.Listing listing) {
       listener.onListing(listing.revision(), listing.objects());
+    } else {
+      LOG.atInfo().setMessage("hosts_not_listed").addKeyValue("result", result).log();
     }
     loop.delay(LIST_MILLIS, this::list);
   }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/PeerFeed.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/PeerFeed.java
@@ -6,6 +6,7 @@
 import java.util.Collections;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
@@ -32,6 +33,10 @@
   private final Supplier<List<Address>> registered;
   private final Clock clock;
   private final MeterRegistry registry;
+  private final ScheduledExecutorService timer =
+      Executors.newScheduledThreadPool(1, PeerFeed::timerThread);
+  private Optional<PeerServer> server = Optional.empty();
+  private Optional<PeerClient> client = Optional.empty();
 
   PeerFeed(
       GatewaySettings settings,
@@ -47,27 +52,33 @@
   }
 
   void start() throws IOException {
-    ScheduledExecutorService timer =
-        Executors.newScheduledThreadPool(
-            1,
-            task -> {
-              Thread thread = new Thread(task, "peer-timer");
-              thread.setDaemon(true);
-              return thread;
-            });
-    ConfigFeedServer server = new ConfigFeedServer(feed, timer);
-    PeerServer.start(settings.peers(), call -> answer(server, call));
-    PeerClient client = PeerClient.start(AddressTranslation.none(), clock, registry);
+    ConfigFeedServer answers = new ConfigFeedServer(feed, timer);
+    server = Optional.of(PeerServer.start(settings.peers(), call -> answer(answers, call)));
+    PeerClient calls = PeerClient.start(AddressTranslation.none(), clock, registry);
+    client = Optional.of(calls);
     Supplier<List<Address>> forward = () -> others(false);
     Supplier<List<Address>> backward = () -> others(true);
     for (Supplier<List<Address>> peers : List.of(forward, backward)) {
-      new ConfigFeedClient(settings.host().value(), client, feed, peers, List::of, clock, timer)
+      new ConfigFeedClient(settings.host().value(), calls, feed, peers, List::of, clock, timer)
           .start();
     }
   }
 
-  private static CompletableFuture<Frame> answer(ConfigFeedServer server, Frame call) {
-    return call.hasConfigCall() ? server.handle(call.getConfigCall()) : new CompletableFuture<>();
+  /** Ends the feed and its connections. */
+  void stop() {
+    timer.shutdownNow();
+    client.ifPresent(PeerClient::stop);
+    server.ifPresent(PeerServer::stop);
+  }
+
+  private static Thread timerThread(Runnable task) {
+    Thread thread = new Thread(task, "peer-timer");
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  private static CompletableFuture<Frame> answer(ConfigFeedServer answers, Frame call) {
+    return call.hasConfigCall() ? answers.handle(call.getConfigCall()) : new CompletableFuture<>();
   }
 
   private List<Address> others(boolean reversed) {
--- a/standins/src/test/java/org/sardinebay/standins/impeller/GatewayTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/GatewayTest.java
@@ -1,11 +1,13 @@
 package org.sardinebay.standins.impeller;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.assertj.core.api.Assertions.fail;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -52,7 +54,8 @@
             .put("peers", peers.toString())
             .put("store", platform.address().toString())
             .put("promotions", platform.address().toString())
-            .put("shutdownSeconds", 6);
+            .put("balancerNoticesMillis", 100)
+            .put("shutdownSeconds", 3);
     ArrayNode seedList = settings.putArray("seeds");
     seeds.forEach(seed -> seedList.add(seed.toString()));
     seeds.add(peers);
@@ -430,5 +433,19 @@
       }
       assertThat(platform.group().commitsOf("s")).isEqualTo(1);
     }
+
+    @Test
+    void should_leave_nothing_running() throws Exception {
+      gateway.shutdown();
+      LineMember member = platform.member(0);
+      member.crash();
+      member.start();
+      Thread.sleep(500);
+
+      assertThat(member.connections()).isZero();
+      assertThat(platform.member(1).connections()).isZero();
+      assertThatThrownBy(() -> LineCaller.open(callers, "strict"))
+          .isInstanceOf(ConnectException.class);
+    }
   }
 }
