--- /dev/null
+++ b/core/src/test/java/org/sardinebay/internal/version/ServiceHomesTest.java
@@ -0,0 +1,97 @@
+package org.sardinebay.internal.version;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.Address;
+import org.sardinebay.FailureDomain;
+import org.sardinebay.HostId;
+import org.sardinebay.session.HostEntry;
+
+class ServiceHomesTest {
+  private static final Set<FailureDomain> DOMAINS =
+      Set.of(new FailureDomain("a"), new FailureDomain("b"), new FailureDomain("c"));
+
+  private static List<HostEntry> hosts(int inEachDomain) {
+    List<HostEntry> hosts = new ArrayList<>();
+    for (String domain : List.of("a", "b", "c", "d")) {
+      for (int i = 0; i < inEachDomain; i++) {
+        Address address = new Address("127.0.0.1", 9_000 + hosts.size());
+        hosts.add(new HostEntry(new HostId(domain + i), new FailureDomain(domain), address));
+      }
+    }
+    return hosts;
+  }
+
+  private static List<HostEntry> homes(int limit, List<HostEntry> hosts) {
+    return ServiceHomes.of(ServiceHomes.ranked("orders", DOMAINS, hosts), limit, host -> true);
+  }
+
+  @Nested
+  class EveryHost {
+    @Test
+    void should_connect_where_few_share_the_limit() {
+      assertThat(ServiceHomes.everyHost(21, 6)).isTrue();
+    }
+
+    @Test
+    void should_not_connect_where_the_limit_gives_less_than_two_each() {
+      assertThat(ServiceHomes.everyHost(47, 68)).isFalse();
+      assertThat(ServiceHomes.everyHost(13, 6)).isFalse();
+    }
+
+    @Test
+    void should_not_connect_in_a_large_fleet_whatever_the_limit() {
+      assertThat(ServiceHomes.everyHost(1_000, 68)).isFalse();
+    }
+  }
+
+  @Nested
+  class Chosen {
+    @Test
+    void should_stand_in_the_domains_of_the_members_only() {
+      assertThat(homes(47, hosts(17)))
+          .hasSize(6)
+          .extracting(host -> host.failureDomain().value())
+          .containsOnly("a", "b", "c");
+    }
+
+    @Test
+    void should_be_fewer_where_the_limit_would_give_them_too_little() {
+      assertThat(homes(21, hosts(17))).hasSize(3);
+      assertThat(homes(4, hosts(17))).hasSize(3);
+    }
+
+    @Test
+    void should_be_the_same_whatever_the_order_in_which_hosts_are_listed() {
+      List<HostEntry> shuffled = hosts(17);
+      Collections.reverse(shuffled);
+
+      assertThat(homes(47, shuffled)).isEqualTo(homes(47, hosts(17)));
+    }
+
+    @Test
+    void should_be_replaced_within_the_domain_when_one_does_not_answer() {
+      List<List<HostEntry>> ranked = ServiceHomes.ranked("orders", DOMAINS, hosts(17));
+      List<HostEntry> before = ServiceHomes.of(ranked, 47, host -> true);
+      HostEntry lost = before.get(0);
+      List<HostEntry> after = ServiceHomes.of(ranked, 47, host -> !host.equals(lost));
+
+      assertThat(after).hasSize(6).doesNotContain(lost);
+      assertThat(after).containsAll(before.subList(1, 6));
+    }
+
+    @Test
+    void should_be_none_in_a_domain_without_hosts() {
+      List<HostEntry> onlyA =
+          hosts(17).stream().filter(host -> host.failureDomain().value().equals("a")).toList();
+
+      assertThat(homes(47, onlyA)).hasSize(2);
+    }
+  }
+}
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
@@ -7,8 +7,7 @@
 import org.sardinebay.Clock;
 import org.sardinebay.Position;
 import org.sardinebay.gateway.internal.request.StatementRequest;
-import org.sardinebay.gateway.internal.request.StatementRun;
-import org.sardinebay.gateway.internal.request.StatementRunContext;
+import org.sardinebay.gateway.internal.request.StatementRunner;
 import org.sardinebay.gateway.internal.version.ServiceRuntime;
 import org.sardinebay.gateway.internal.version.Services;
 import org.sardinebay.session.CallerMessage;
@@ -33,17 +32,13 @@
   /** How long a line may take to arrive once it has begun, in milliseconds. */
   private static final long LINE_TIMEOUT_MILLIS = 10_000;
 
-  /** How long rolling back at the member may take, in milliseconds. */
-  private static final long ROLLBACK_TIMEOUT_MILLIS = 500;
-
   /** How long a start waits for the first configuration: callers give up after 2 s. */
   private static final long START_PATIENCE_MILLIS = 1_500;
 
   private final Services services;
-  private final StatementRunContext context;
+  private final StatementRunner runner;
   private final CallerProtocol protocol;
   private final MemberProtocol memberProtocol;
-  private final PreparedNames preparedNames;
   private final Clock clock;
   private final Consumer<CallerSession> onEnd;
   private final long openedAt;
@@ -68,23 +63,24 @@
    * A session that has not started.
    *
    * @param services the configuration and the services
-   * @param context what statements share
+   * @param runner runs statements at members
    * @param protocol the callers' protocol
-   * @param preparedNames names of prepared statements at members
+   * @param memberProtocol the members' protocol
+   * @param clock the clock
    * @param onEnd called once when the session has ended
    */
   public CallerSession(
       Services services,
-      StatementRunContext context,
+      StatementRunner runner,
       CallerProtocol protocol,
-      PreparedNames preparedNames,
+      MemberProtocol memberProtocol,
+      Clock clock,
       Consumer<CallerSession> onEnd) {
     this.services = services;
-    this.context = context;
+    this.runner = runner;
     this.protocol = protocol;
-    this.memberProtocol = context.protocol();
-    this.preparedNames = preparedNames;
-    this.clock = context.clock();
+    this.memberProtocol = memberProtocol;
+    this.clock = clock;
     this.onEnd = onEnd;
     this.openedAt = clock.millis();
   }
@@ -228,14 +224,12 @@
     }
     answering = true;
     transaction.ifPresent(t -> t.used(clock.millis()));
-    new StatementRun(
-            context,
-            request.get(),
-            transaction,
-            service.get(),
-            route.orElseThrow(),
-            reply -> onReply(request.get(), reply))
-        .start();
+    runner.run(
+        request.get(),
+        transaction,
+        service.get(),
+        route.orElseThrow(),
+        reply -> onReply(request.get(), reply));
   }
 
   private Optional<StatementRequest> request(String id, Statement statement) {
@@ -244,11 +238,9 @@
       if (shape == null) {
         return Optional.empty();
       }
-      Statement renamed = new Statement.Execute(preparedNames.name(shape), execute.arguments());
       boolean writes = shape.access() == Statement.Access.WRITE;
       return Optional.of(
-          new StatementRequest(
-              id, memberProtocol.text(renamed), writes, false, Optional.of(shape), this));
+          new StatementRequest(id, execute.arguments(), writes, false, Optional.of(shape), this));
     }
     return Optional.of(
         new StatementRequest(
@@ -332,20 +324,7 @@
 
   private void rollBackAtMember(String id) {
     Optional<Transaction.Pin> pin = transaction.flatMap(Transaction::unpin);
-    if (pin.isEmpty()) {
-      return;
-    }
-    MemberLink link = pin.get().link();
-    MemberPool pool = pin.get().pool();
-    if (!link.usable() || link.busy() || link.state() == TransactionState.IDLE) {
-      pool.giveBack(link);
-      return;
-    }
-    String rollback = memberProtocol.text(new Statement.Rollback());
-    link.exchange(
-        memberProtocol.query(id, Optional.empty(), rollback),
-        ROLLBACK_TIMEOUT_MILLIS,
-        answer -> pool.giveBack(link));
+    pin.ifPresent(p -> p.rollBack(memberProtocol, id));
   }
 
   /** Ends the session as soon as no statement and no transaction is open. */
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
@@ -326,15 +326,21 @@
     }
   }
 
+  /**
+   * Closes the links that have been idle for a while: this host needs none any more.
+   *
+   * @param now the time
+   */
+  public void dropIdle(long now) {
+    new ArrayList<>(idle)
+        .stream()
+            .filter(l -> now - l.releasedAt() >= ConnectionAllowance.IDLE_BEFORE_SHRINK_MILLIS)
+            .forEach(l -> l.giveUp(LossCause.DISCARDED));
+  }
+
   /** Closes all links; statements on them get no answer. */
   public void close() {
     closed = true;
     new ArrayList<>(all).forEach(link -> link.giveUp(LossCause.DISCARDED));
   }
-
-  /** Closes the idle links and those given back from now on: the member is leaving. */
-  public void retire() {
-    closed = true;
-    new ArrayList<>(idle).forEach(link -> link.giveUp(LossCause.DISCARDED));
-  }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/Transaction.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/Transaction.java
@@ -3,21 +3,23 @@
 import java.util.Optional;
 import org.sardinebay.gateway.internal.version.ServiceRuntime;
 import org.sardinebay.session.DatabaseRoute;
+import org.sardinebay.session.MemberProtocol;
 
 /**
  * A caller's transaction. It gets a member connection with its first statement and keeps it to its
  * end.
  */
 public final class Transaction {
-  /**
-   * The member connection of a transaction.
-   *
-   * @param link the connection
-   * @param pool where it goes back to
-   * @param asPrimary whether the member was chosen as the primary
-   * @param term the primary's term when the transaction began there
-   */
-  public record Pin(MemberLink link, MemberPool pool, boolean asPrimary, long term) {}
+  /** Where a transaction is open: at a member, or at another host that holds the connection. */
+  public interface Pin {
+    /**
+     * Rolls the transaction back if it is still open there, and lets the connection go.
+     *
+     * @param protocol the members' protocol
+     * @param id the name of the request that rolls back
+     */
+    void rollBack(MemberProtocol protocol, String id);
+  }
 
   private final String beginId;
   private final DatabaseRoute route;
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayDump.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayDump.java
@@ -28,6 +28,7 @@
   private static void writeService(ObjectNode node, ServiceRuntime service, long now) {
     ServiceView view = service.view();
     node.put("name", view.service());
+    node.put("home", service.home());
     node.put("term", view.term());
     node.put("primary", view.primary().map(m -> m.id().value()).orElse(""));
     node.put("leaseMillis", view.leaseMillis(now));
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -9,15 +9,23 @@
 import java.nio.channels.SelectionKey;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import org.sardinebay.Clock;
+import org.sardinebay.gateway.internal.connection.HomeLink;
 import org.sardinebay.gateway.internal.connection.LinkPreparation;
 import org.sardinebay.gateway.internal.connection.PreparedNames;
+import org.sardinebay.gateway.internal.request.ForwardedStatements;
+import org.sardinebay.gateway.internal.request.ForwardingRunner;
+import org.sardinebay.gateway.internal.request.LocalRunner;
 import org.sardinebay.gateway.internal.request.StatementLog;
 import org.sardinebay.gateway.internal.request.StatementRunContext;
+import org.sardinebay.gateway.internal.request.StatementRunner;
+import org.sardinebay.gateway.internal.version.Homes;
 import org.sardinebay.gateway.internal.version.ObjectWatch;
 import org.sardinebay.gateway.internal.version.PromotionDuty;
 import org.sardinebay.gateway.internal.version.ServiceRuntime;
@@ -72,7 +80,9 @@
   private final Services services;
   private final Sessions sessions;
   private final StoreFeeds feeds;
-  private final PeerFeed peers;
+  private final Peers peers;
+  private final Homes homes;
+  private final Set<ForwardedStatements> forwarded = new HashSet<>();
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private PromotionDuty duty;
@@ -91,23 +101,42 @@
                     clock,
                     settings.host(),
                     settings.failureDomain(),
+                    settings.topology(),
                     memberProtocol,
-                    this::hosts,
                     spec));
-    PreparedNames names = new PreparedNames();
-    StatementRunContext context =
-        new StatementRunContext(
-            loop,
-            clock,
-            memberProtocol,
-            new LinkPreparation(memberProtocol, names),
-            new StatementLog(clock, registry));
-    this.sessions = new Sessions(services, context, new LineCallerProtocol(), names);
+    StatementLog log = new StatementLog(clock, registry);
+    StatementRunner local = new LocalRunner(runContext(memberProtocol, log));
     ConfigStore records = new ConfigStore();
     ConfigStoreFeed feed = new ConfigStoreFeed(records);
     this.feeds = new StoreFeeds(records, feed, services, clock);
     feed.onChange(() -> loop.execute(feeds::refresh));
-    this.peers = new PeerFeed(settings, feed, feeds::hosts, clock, registry);
+    ForwardedStatements.Parts forwardedParts =
+        new ForwardedStatements.Parts(
+            loop, clock, services, local, memberProtocol, () -> stopping, forwarded::add);
+    this.peers =
+        new Peers(
+            settings,
+            feed,
+            feeds::hosts,
+            () -> new ForwardedStatements(forwardedParts),
+            clock,
+            registry);
+    this.homes =
+        new Homes(
+            settings.host(),
+            settings.failureDomain(),
+            settings.topology(),
+            feeds::hosts,
+            host -> new HomeLink(host, peers::client, loop, clock));
+    StatementRunner runner =
+        new ForwardingRunner(new ForwardingRunner.Parts(clock, log, homes, local));
+    this.sessions = new Sessions(services, runner, new LineCallerProtocol(), memberProtocol, clock);
+  }
+
+  private StatementRunContext runContext(MemberProtocol protocol, StatementLog log) {
+    PreparedNames names = new PreparedNames();
+    return new StatementRunContext(
+        loop, clock, protocol, names, new LinkPreparation(protocol, names), log);
   }
 
   static GatewayProcess start(GatewaySettings settings) throws IOException {
@@ -163,10 +192,6 @@
     tick();
   }
 
-  private int hosts() {
-    return feeds.hosts().size();
-  }
-
   private void startPeers() {
     try {
       peers.start();
@@ -186,12 +211,20 @@
     long now = clock.millis();
     guarded("members", () -> feeds.tick(now));
     for (ServiceRuntime service : List.copyOf(services.all())) {
+      guarded("homes", () -> homes.assign(service, now));
       guarded("service", () -> service.tick(now));
     }
+    guarded("homes", () -> homes.tick(now));
+    guarded("forwarded", () -> tickForwarded(now));
     guarded("sessions", () -> sessions.tick(now));
     guarded("promotions", () -> duty.tick(now));
   }
 
+  private void tickForwarded(long now) {
+    forwarded.forEach(connection -> connection.tick(now));
+    forwarded.removeIf(ForwardedStatements::over);
+  }
+
   /** Runs one part of a tick: a fault in it must not stop the others, nor the ticks to come. */
   private static void guarded(String part, Runnable task) {
     try {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewaySettings.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewaySettings.java
@@ -1,9 +1,12 @@
 package org.sardinebay.gateway.internal.process;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.sardinebay.Address;
 import org.sardinebay.FailureDomain;
 import org.sardinebay.HostId;
+import org.sardinebay.internal.process.Topology;
 import org.sardinebay.record.FieldReader;
 
 /**
@@ -11,6 +14,7 @@
  *
  * @param host this host's name
  * @param failureDomain where this host stands
+ * @param topology which failure domains are in one region
  * @param callers where callers connect
  * @param readiness where the balancer asks whether this host is ready
  * @param peers where other gateways call this one
@@ -25,6 +29,7 @@
 public record GatewaySettings(
     HostId host,
     FailureDomain failureDomain,
+    Topology topology,
     Address callers,
     Address readiness,
     Address peers,
@@ -48,6 +53,7 @@
     return new GatewaySettings(
         new HostId(reader.text("host")),
         new FailureDomain(reader.text("failureDomain")),
+        topology(reader),
         reader.address("callers"),
         reader.address("readiness"),
         reader.address("peers"),
@@ -59,10 +65,24 @@
         reader.number("balancerNoticesMillis", 0, MAX_NOTICES_MILLIS, DEFAULT_NOTICES_MILLIS));
   }
 
+  private static Topology topology(FieldReader reader) {
+    Map<FailureDomain, String> regions = new HashMap<>();
+    if (reader.has("regions")) {
+      reader
+          .object("regions")
+          .tree()
+          .fields()
+          .forEachRemaining(
+              field -> regions.put(new FailureDomain(field.getKey()), field.getValue().asText("")));
+    }
+    return new Topology(regions);
+  }
+
   static List<String> help() {
     return List.of(
         "host             this host's name",
         "failureDomain    where this host stands",
+        "regions          the region of each failure domain, an object; may be left out",
         "ip               this host's IP number, for metrics",
         "metricsPort      port of /metrics and /dump on that number",
         "callers          IP:PORT where callers connect",
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
@@ -0,0 +1,137 @@
+package org.sardinebay.gateway.internal.process;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Supplier;
+import org.sardinebay.Address;
+import org.sardinebay.Clock;
+import org.sardinebay.gateway.internal.request.ForwardedStatements;
+import org.sardinebay.net.AddressTranslation;
+import org.sardinebay.net.peer.ConfigFeedClient;
+import org.sardinebay.net.peer.ConfigFeedServer;
+import org.sardinebay.net.peer.ConfigStoreFeed;
+import org.sardinebay.net.peer.PeerClient;
+import org.sardinebay.net.peer.PeerHandler;
+import org.sardinebay.net.peer.PeerServer;
+import org.sardinebay.net.peer.generated.Frame;
+import org.sardinebay.session.HostEntry;
+
+/**
+ * The calls between gateways. They pass configuration and members on, so that one which the store
+ * turns away still learns of them, and carry statements to the homes of their services. Two calls
+ * of the feed are held open at different peers: one of these may be turned away by the store, too.
+ */
+final class Peers {
+  private final GatewaySettings settings;
+  private final ConfigStoreFeed feed;
+  private final Supplier<List<HostEntry>> registered;
+  private final Supplier<ForwardedStatements> statements;
+  private final Clock clock;
+  private final MeterRegistry registry;
+  private final ScheduledExecutorService timer =
+      Executors.newScheduledThreadPool(1, Peers::timerThread);
+  private Optional<PeerServer> server = Optional.empty();
+  private Optional<PeerClient> client = Optional.empty();
+
+  Peers(
+      GatewaySettings settings,
+      ConfigStoreFeed feed,
+      Supplier<List<HostEntry>> registered,
+      Supplier<ForwardedStatements> statements,
+      Clock clock,
+      MeterRegistry registry) {
+    this.settings = settings;
+    this.feed = feed;
+    this.registered = registered;
+    this.statements = statements;
+    this.clock = clock;
+    this.registry = registry;
+  }
+
+  void start() throws IOException {
+    ConfigFeedServer answers = new ConfigFeedServer(feed, timer);
+    server =
+        Optional.of(PeerServer.start(settings.peers(), () -> new Connection(answers, statements)));
+    PeerClient calls = client();
+    Supplier<List<Address>> forward = () -> others(false);
+    Supplier<List<Address>> backward = () -> others(true);
+    for (Supplier<List<Address>> peers : List.of(forward, backward)) {
+      new ConfigFeedClient(settings.host().value(), calls, feed, peers, List::of, clock, timer)
+          .start();
+    }
+  }
+
+  /** What sends calls to the others; started when it is first needed. */
+  synchronized PeerClient client() {
+    if (client.isEmpty()) {
+      client = Optional.of(PeerClient.start(AddressTranslation.none(), clock, registry));
+    }
+    return client.get();
+  }
+
+  /** Ends the feed and its connections. */
+  synchronized void stop() {
+    timer.shutdownNow();
+    client.ifPresent(PeerClient::stop);
+    server.ifPresent(PeerServer::stop);
+  }
+
+  private static Thread timerThread(Runnable task) {
+    Thread thread = new Thread(task, "peer-timer");
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  private List<Address> others(boolean reversed) {
+    Set<Address> known = new LinkedHashSet<>();
+    registered.get().forEach(host -> known.add(host.peers()));
+    known.addAll(settings.seeds());
+    known.remove(settings.peers());
+    List<Address> list = new ArrayList<>(known);
+    if (reversed) {
+      Collections.reverse(list);
+    }
+    return list;
+  }
+
+  /** One connection of another host: most only carry the feed. */
+  private static final class Connection implements PeerHandler {
+    private final ConfigFeedServer configuration;
+    private final Supplier<ForwardedStatements> statements;
+    private Optional<ForwardedStatements> forwarded = Optional.empty();
+
+    private Connection(ConfigFeedServer configuration, Supplier<ForwardedStatements> statements) {
+      this.configuration = configuration;
+      this.statements = statements;
+    }
+
+    @Override
+    public CompletableFuture<Frame> handle(Frame call) {
+      if (call.hasConfigCall()) {
+        return configuration.handle(call.getConfigCall());
+      }
+      if (!call.hasStatementCall()) {
+        return CompletableFuture.failedFuture(
+            new IllegalArgumentException("a gateway can't answer " + call.getBodyCase()));
+      }
+      if (forwarded.isEmpty()) {
+        forwarded = Optional.of(statements.get());
+      }
+      return forwarded.get().handle(call);
+    }
+
+    @Override
+    public void disconnected() {
+      forwarded.ifPresent(ForwardedStatements::disconnected);
+    }
+  }
+}
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/Sessions.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/Sessions.java
@@ -9,32 +9,36 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.sardinebay.Address;
+import org.sardinebay.Clock;
 import org.sardinebay.gateway.internal.connection.CallerSession;
 import org.sardinebay.gateway.internal.connection.LineChannel;
 import org.sardinebay.gateway.internal.connection.MemberLink;
-import org.sardinebay.gateway.internal.connection.PreparedNames;
-import org.sardinebay.gateway.internal.request.StatementRunContext;
+import org.sardinebay.gateway.internal.request.StatementRunner;
 import org.sardinebay.gateway.internal.version.Services;
 import org.sardinebay.session.CallerProtocol;
+import org.sardinebay.session.MemberProtocol;
 
 /** Accepts callers and keeps their sessions. */
 final class Sessions {
   private final Services services;
-  private final StatementRunContext context;
+  private final StatementRunner runner;
   private final CallerProtocol protocol;
-  private final PreparedNames preparedNames;
+  private final MemberProtocol memberProtocol;
+  private final Clock clock;
   private final Set<CallerSession> open = new HashSet<>();
   private boolean leaving;
 
   Sessions(
       Services services,
-      StatementRunContext context,
+      StatementRunner runner,
       CallerProtocol protocol,
-      PreparedNames preparedNames) {
+      MemberProtocol memberProtocol,
+      Clock clock) {
     this.services = services;
-    this.context = context;
+    this.runner = runner;
     this.protocol = protocol;
-    this.preparedNames = preparedNames;
+    this.memberProtocol = memberProtocol;
+    this.clock = clock;
   }
 
   void listen(Eventloop loop, Address address) throws IOException {
@@ -46,7 +50,7 @@
 
   private void accept(ITcpSocket socket) {
     CallerSession session =
-        new CallerSession(services, context, protocol, preparedNames, open::remove);
+        new CallerSession(services, runner, protocol, memberProtocol, clock, open::remove);
     open.add(session);
     session.start(new LineChannel((TcpSocket) socket, MemberLink.MAX_LINE_BYTES, session));
     if (leaving) {
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardingRunner.java
@@ -0,0 +1,58 @@
+package org.sardinebay.gateway.internal.request;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.sardinebay.Clock;
+import org.sardinebay.gateway.internal.connection.SessionReply;
+import org.sardinebay.gateway.internal.connection.Transaction;
+import org.sardinebay.gateway.internal.version.Homes;
+import org.sardinebay.gateway.internal.version.ServiceRuntime;
+import org.sardinebay.session.DatabaseRoute;
+
+/**
+ * Runs statements from this host where it is a home of their service, and by way of a home
+ * otherwise. A transaction stays where its first statement ran.
+ *
+ * <pre>{@code
+ * StatementRunner runner = new ForwardingRunner(new Parts(clock, log, homes, localRunner));
+ * }</pre>
+ */
+public final class ForwardingRunner implements StatementRunner {
+  private final Parts parts;
+  private long numbers;
+
+  /**
+   * What its runs share.
+   *
+   * @param clock the clock
+   * @param log where decisions on statements are logged
+   * @param homes which hosts are homes
+   * @param local runs statements from this host
+   */
+  public record Parts(Clock clock, StatementLog log, Homes homes, StatementRunner local) {}
+
+  /**
+   * A runner.
+   *
+   * @param parts what its runs share
+   */
+  public ForwardingRunner(Parts parts) {
+    this.parts = parts;
+  }
+
+  @Override
+  public void run(
+      StatementRequest request,
+      Optional<Transaction> transaction,
+      ServiceRuntime service,
+      DatabaseRoute route,
+      Consumer<SessionReply> done) {
+    Optional<Transaction.Pin> pin = transaction.flatMap(Transaction::pin);
+    boolean here = pin.isPresent() ? !(pin.get() instanceof HomePin) : service.home();
+    if (here) {
+      parts.local().run(request, transaction, service, route, done);
+      return;
+    }
+    new ForwardedRun(parts, request, transaction, service, route, ++numbers, done).start();
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/LocalRunner.java
@@ -0,0 +1,33 @@
+package org.sardinebay.gateway.internal.request;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.sardinebay.gateway.internal.connection.SessionReply;
+import org.sardinebay.gateway.internal.connection.Transaction;
+import org.sardinebay.gateway.internal.version.ServiceRuntime;
+import org.sardinebay.session.DatabaseRoute;
+
+/** Runs statements from this host. */
+public final class LocalRunner implements StatementRunner {
+  private final StatementRunContext context;
+
+  /**
+   * A runner.
+   *
+   * @param context what all runs share
+   */
+  public LocalRunner(StatementRunContext context) {
+    this.context = context;
+  }
+
+  @Override
+  public void run(
+      StatementRequest request,
+      Optional<Transaction> transaction,
+      ServiceRuntime service,
+      DatabaseRoute route,
+      Consumer<SessionReply> done) {
+    long now = context.clock().millis();
+    new StatementRun(context, request, transaction, service, route, now, done).start();
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementFrames.java
@@ -0,0 +1,111 @@
+package org.sardinebay.gateway.internal.request;
+
+import java.util.Optional;
+import org.sardinebay.Position;
+import org.sardinebay.gateway.internal.connection.SessionReply;
+import org.sardinebay.gateway.internal.connection.Transaction;
+import org.sardinebay.net.peer.generated.PreparedStatement;
+import org.sardinebay.net.peer.generated.StatementCall;
+import org.sardinebay.net.peer.generated.StatementReply;
+import org.sardinebay.net.peer.generated.StatementRoute;
+import org.sardinebay.net.peer.generated.TransactionCall;
+import org.sardinebay.session.DatabaseRoute;
+import org.sardinebay.session.ErrorCode;
+import org.sardinebay.session.PreparedShape;
+import org.sardinebay.session.RouteKind;
+import org.sardinebay.session.Statement;
+
+/** Translates between statements and the messages that carry them to a home and back. */
+final class StatementFrames {
+  private StatementFrames() {}
+
+  static StatementCall.Builder call(
+      StatementRequest request, DatabaseRoute route, long elapsedMillis) {
+    StatementCall.Builder call =
+        StatementCall.newBuilder()
+            .setRoute(route(route))
+            .setRequestId(request.id())
+            .setText(request.text())
+            .setWrites(request.writes())
+            .setCommits(request.commits())
+            .putAllValues(request.session().values())
+            .setElapsedMillis(elapsedMillis);
+    request.shape().ifPresent(shape -> call.setPrepared(prepared(shape)));
+    request
+        .session()
+        .position()
+        .ifPresent(at -> call.setPositionTerm(at.term()).setPositionIndex(at.index()));
+    return call;
+  }
+
+  private static StatementRoute route(DatabaseRoute route) {
+    return StatementRoute.newBuilder()
+        .setDatabase(route.database())
+        .setService(route.service())
+        .setKind(route.kind().name())
+        .setMaxStalenessMillis(route.maxStalenessMillis())
+        .setTimeoutMillis(route.timeoutMillis())
+        .setTargetMillis(route.targetMillis())
+        .setPriority(route.priority())
+        .build();
+  }
+
+  private static PreparedStatement prepared(PreparedShape shape) {
+    return PreparedStatement.newBuilder()
+        .setWrites(shape.access() == Statement.Access.WRITE)
+        .setShape(shape.shape())
+        .build();
+  }
+
+  static TransactionCall transaction(Transaction transaction, long number, long now) {
+    return TransactionCall.newBuilder()
+        .setNumber(number)
+        .setFirst(transaction.pin().isEmpty())
+        .setBeginId(transaction.beginId())
+        .setReadOnly(transaction.readOnly())
+        .setElapsedMillis(Math.max(0, now - transaction.startedAt()))
+        .build();
+  }
+
+  static DatabaseRoute route(StatementRoute route) {
+    return new DatabaseRoute(
+        route.getDatabase(),
+        route.getService(),
+        RouteKind.valueOf(route.getKind()),
+        route.getMaxStalenessMillis(),
+        route.getTimeoutMillis(),
+        route.getTargetMillis(),
+        route.getPriority());
+  }
+
+  static StatementRequest request(StatementCall call, StatementRequest.SessionFacts session) {
+    Optional<PreparedShape> shape =
+        call.hasPrepared() ? Optional.of(shape(call.getPrepared())) : Optional.empty();
+    return new StatementRequest(
+        call.getRequestId(), call.getText(), call.getWrites(), call.getCommits(), shape, session);
+  }
+
+  private static PreparedShape shape(PreparedStatement prepared) {
+    return new PreparedShape(
+        prepared.getWrites() ? Statement.Access.WRITE : Statement.Access.READ, prepared.getShape());
+  }
+
+  static Optional<Position> position(long term, long index) {
+    return term == 0 ? Optional.empty() : Optional.of(new Position(term, index));
+  }
+
+  static StatementReply.Builder reply(SessionReply reply) {
+    StatementReply.Builder message = StatementReply.newBuilder().setAccepted(true);
+    if (reply instanceof SessionReply.Failure failure) {
+      return message.setCode(failure.code().name()).setMessage(failure.text());
+    }
+    SessionReply.Success success = (SessionReply.Success) reply;
+    return message.setSuccess(true).addAllRows(success.rows()).setSignature(success.signature());
+  }
+
+  static SessionReply reply(StatementReply message) {
+    return message.getSuccess()
+        ? new SessionReply.Success(message.getRowsList(), message.getSignature())
+        : new SessionReply.Failure(ErrorCode.valueOf(message.getCode()), message.getMessage());
+  }
+}
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementLog.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementLog.java
@@ -7,9 +7,11 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.sardinebay.Clock;
+import org.sardinebay.HostId;
 import org.sardinebay.MemberId;
 import org.sardinebay.gateway.internal.connection.SessionReply;
 import org.sardinebay.internal.request.AttemptOutcome;
+import org.sardinebay.net.peer.PeerResult;
 import org.sardinebay.session.DatabaseRoute;
 import org.sardinebay.session.RouteKind;
 import org.slf4j.Logger;
@@ -62,6 +64,27 @@
         .log();
   }
 
+  void forwardFailed(
+      StatementRequest request, DatabaseRoute route, HostId home, int attempt, PeerResult result) {
+    retries.increment();
+    LOG.atInfo()
+        .setMessage("forward_failed")
+        .addKeyValue("request", request.id())
+        .addKeyValue("database", route.database())
+        .addKeyValue("home", home)
+        .addKeyValue("attempt", attempt)
+        .addKeyValue("writes", request.writes() || request.commits())
+        .addKeyValue("outcome", outcome(result))
+        .log();
+  }
+
+  private static String outcome(PeerResult result) {
+    if (result instanceof PeerResult.NotSent) {
+      return "not sent";
+    }
+    return result instanceof PeerResult.NoReply ? "no reply" : "not accepted";
+  }
+
   void ended(
       StatementRequest request,
       DatabaseRoute route,
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRequest.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRequest.java
@@ -9,7 +9,7 @@
  * A caller's statement that a member has to run.
  *
  * @param id the caller's name for the request
- * @param memberText the text to send
+ * @param text the text to send; for a prepared statement its arguments
  * @param writes whether it may write by itself
  * @param commits whether it ends a transaction
  * @param shape the prepared statement that it runs, if it runs one
@@ -17,7 +17,7 @@
  */
 public record StatementRequest(
     String id,
-    String memberText,
+    String text,
     boolean writes,
     boolean commits,
     Optional<PreparedShape> shape,
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
@@ -9,6 +9,7 @@
 import org.sardinebay.Position;
 import org.sardinebay.gateway.internal.connection.MemberAnswer;
 import org.sardinebay.gateway.internal.connection.MemberLink;
+import org.sardinebay.gateway.internal.connection.MemberPin;
 import org.sardinebay.gateway.internal.connection.MemberPool;
 import org.sardinebay.gateway.internal.connection.SessionReply;
 import org.sardinebay.gateway.internal.connection.Transaction;
@@ -56,6 +57,7 @@
    * @param transaction the transaction that it belongs to, if any
    * @param service the service
    * @param route the route
+   * @param startedAt when the statement arrived
    * @param done takes the outcome; called once
    */
   public StatementRun(
@@ -64,6 +66,7 @@
       Optional<Transaction> transaction,
       ServiceRuntime service,
       DatabaseRoute route,
+      long startedAt,
       Consumer<SessionReply> done) {
     this.context = context;
     this.request = request;
@@ -71,18 +74,18 @@
     this.service = service;
     this.route = route;
     this.done = done;
-    this.startedAt = context.clock().millis();
+    this.startedAt = startedAt;
   }
 
   /** Starts the run. */
   public void start() {
-    Optional<Transaction.Pin> pin = transaction.flatMap(Transaction::pin);
+    Optional<MemberPin> pin = transaction.flatMap(Transaction::pin).map(MemberPin.class::cast);
     if (pin.isEmpty()) {
       service.place(this);
       return;
     }
     attempts++;
-    Transaction.Pin held = pin.get();
+    MemberPin held = pin.get();
     PlacementNeed need = new PlacementNeed(held.asPrimary(), Optional.empty());
     prepare(new Attempt(held.pool(), held.link(), need, held.asPrimary(), held.term()));
   }
@@ -183,8 +186,7 @@
   private void begun(Attempt attempt, MemberAnswer answer) {
     if (answer instanceof MemberAnswer.Whole whole && whole.failure().isEmpty()) {
       applied(attempt, whole);
-      Transaction.Pin pin =
-          new Transaction.Pin(attempt.link, attempt.pool, attempt.asPrimary, attempt.term);
+      MemberPin pin = new MemberPin(attempt.link, attempt.pool, attempt.asPrimary, attempt.term);
       transaction.get().pin(pin);
       send(attempt);
       return;
@@ -203,7 +205,7 @@
     boolean plain = transaction.isEmpty() && !attempt.asPrimary;
     Optional<Position> after = plain ? attempt.need.least() : Optional.empty();
     attempt.link.exchange(
-        context.protocol().query(request.id(), after, request.memberText()),
+        context.protocol().query(request.id(), after, context.memberText(request)),
         attemptTimeout(),
         answer -> answered(attempt, answer));
   }
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRunner.java
@@ -0,0 +1,28 @@
+package org.sardinebay.gateway.internal.request;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.sardinebay.gateway.internal.connection.SessionReply;
+import org.sardinebay.gateway.internal.connection.Transaction;
+import org.sardinebay.gateway.internal.version.ServiceRuntime;
+import org.sardinebay.session.DatabaseRoute;
+
+/** Runs statements of callers at members, from this host or by way of another one. */
+@FunctionalInterface
+public interface StatementRunner {
+  /**
+   * Runs one statement.
+   *
+   * @param request the statement
+   * @param transaction the transaction that it belongs to, if any
+   * @param service the service
+   * @param route the route
+   * @param done takes the outcome; called once
+   */
+  void run(
+      StatementRequest request,
+      Optional<Transaction> transaction,
+      ServiceRuntime service,
+      DatabaseRoute route,
+      Consumer<SessionReply> done);
+}
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionDuty.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionDuty.java
@@ -103,11 +103,11 @@
    */
   public void tick(long now) {
     for (ServiceRuntime service : services.all()) {
-      demoteFormer(service, now);
       PrimaryChange change = changes.get(service.view().service());
-      if (change == null) {
+      if (change == null && service.home()) {
+        demoteFormer(service, now);
         considerChange(service, now);
-      } else {
+      } else if (change != null) {
         drive(service, change, now);
       }
     }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -8,8 +8,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.IntSupplier;
+import java.util.stream.Collectors;
 import org.sardinebay.Clock;
 import org.sardinebay.FailureDomain;
 import org.sardinebay.HostId;
@@ -20,6 +21,7 @@
 import org.sardinebay.gateway.internal.connection.MemberPool;
 import org.sardinebay.gateway.internal.request.Placeable;
 import org.sardinebay.internal.connection.ConnectionAllowance;
+import org.sardinebay.internal.process.Topology;
 import org.sardinebay.internal.request.Placement;
 import org.sardinebay.internal.request.PlacementCandidate;
 import org.sardinebay.internal.request.PlacementNeed;
@@ -57,22 +59,28 @@
   /** How long a status may take, in milliseconds: it waits for a slot behind other statements. */
   private static final long STATUS_TIMEOUT_MILLIS = 700;
 
-  private static final long LOCAL_ROUND_TRIP_MILLIS = 1;
-  private static final long REMOTE_ROUND_TRIP_MILLIS = 16;
+  /**
+   * How long a host that another one has asked to run statements keeps its connections, in
+   * milliseconds: that host holds it for a home.
+   */
+  private static final long ASKED_AS_HOME_MILLIS = 10_000;
 
   private final Eventloop loop;
   private final Clock clock;
   private final HostId self;
-  private final FailureDomain home;
+  private final FailureDomain here;
+  private final Topology topology;
   private final MemberProtocol protocol;
   private final ServiceView view;
   private final Map<MemberId, MemberPool> pools = new LinkedHashMap<>();
   private final Map<MemberId, Long> statusAskedAt = new HashMap<>();
   private final Map<MemberId, Integer> othersBusy = new HashMap<>();
   private final WaitingLine<Placeable> waiting = new WaitingLine<>();
-  private final IntSupplier hosts;
   private ServiceSpec spec;
   private boolean serving;
+  private boolean home = true;
+  private int sharers = 1;
+  private long askedAsHomeAt = Long.MIN_VALUE / 2;
 
   /**
    * A service with no members yet.
@@ -80,25 +88,25 @@
    * @param loop the loop that it runs on
    * @param clock the clock
    * @param self this host
-   * @param home this host's failure domain
+   * @param here this host's failure domain
+   * @param topology how far failure domains are from each other
    * @param protocol the members' protocol
-   * @param hosts how many hosts share the members' connections
    * @param spec the service's configuration
    */
   public ServiceRuntime(
       Eventloop loop,
       Clock clock,
       HostId self,
-      FailureDomain home,
+      FailureDomain here,
+      Topology topology,
       MemberProtocol protocol,
-      IntSupplier hosts,
       ServiceSpec spec) {
     this.loop = loop;
     this.clock = clock;
     this.self = self;
-    this.home = home;
+    this.here = here;
+    this.topology = topology;
     this.protocol = protocol;
-    this.hosts = hosts;
     this.spec = spec;
     this.view = new ServiceView(spec.name(), clock.millis());
   }
@@ -122,6 +130,66 @@
     return Optional.ofNullable(pools.get(member));
   }
 
+  /**
+   * Takes over whether this host is a home of the service: holds connections to its members.
+   *
+   * @param chosen whether it is one of the hosts chosen
+   * @param sharersOfLimit how many hosts share the members' connections
+   * @param now the time
+   */
+  public void home(boolean chosen, int sharersOfLimit, long now) {
+    boolean asked = now - askedAsHomeAt < ASKED_AS_HOME_MILLIS;
+    sharers = sharersOfLimit;
+    if (home != (chosen || asked)) {
+      home = !home;
+      LOG.atInfo()
+          .setMessage(home ? "home_of_service" : "home_of_service_ended")
+          .addKeyValue("service", spec.name())
+          .addKeyValue("chosen", chosen)
+          .addKeyValue("homes", sharersOfLimit)
+          .log();
+    }
+  }
+
+  /**
+   * Notes that this host is to run a statement of the service, chosen as a home or not.
+   *
+   * @param now the time
+   */
+  public void serveAsHome(long now) {
+    askedAsHomeAt = now;
+    home(false, sharers, now);
+  }
+
+  /**
+   * Whether this host holds connections to the service's members.
+   *
+   * @return true if it runs the service's statements itself
+   */
+  public boolean home() {
+    return home;
+  }
+
+  /**
+   * Connections that each member accepts from all hosts together.
+   *
+   * @return the limit in force
+   */
+  public int maxConnections() {
+    return spec.maxConnections();
+  }
+
+  /**
+   * Where the service's members stand.
+   *
+   * @return their failure domains
+   */
+  public Set<FailureDomain> failureDomains() {
+    return view.members().stream()
+        .map(member -> member.entry().failureDomain())
+        .collect(Collectors.toSet());
+  }
+
   /**
    * Takes over a newer configuration of the service.
    *
@@ -221,7 +289,7 @@
               member.id(),
               isUsablePrimary(member.id(), now),
               pool.hasIdle() || (!idleOnly && pool.mayOpen()),
-              distance(member.entry()),
+              topology.distanceMillis(here, member.entry().failureDomain()),
               othersBusy.getOrDefault(member.id(), 0) + pool.lent(),
               member.entry().slots(),
               member.applied(),
@@ -230,10 +298,6 @@
     return Placement.choose(need, candidates);
   }
 
-  private long distance(MemberEntry entry) {
-    return entry.failureDomain().equals(home) ? LOCAL_ROUND_TRIP_MILLIS : REMOTE_ROUND_TRIP_MILLIS;
-  }
-
   private boolean isUsablePrimary(MemberId member, long now) {
     return view.usablePrimary(now).filter(m -> m.id().equals(member)).isPresent();
   }
@@ -287,9 +351,11 @@
    */
   public void tick(long now) {
     for (MemberPool pool : new ArrayList<>(pools.values())) {
-      pool.allowance().hosts(hosts.getAsInt());
+      pool.allowance().hosts(sharers);
       pool.sweep(now);
-      if (pool.size() == 0) {
+      if (!home) {
+        pool.dropIdle(now);
+      } else if (pool.size() == 0) {
         pool.open();
       } else if (statusDue(pool, now)) {
         askStatus(pool);
@@ -300,7 +366,7 @@
   }
 
   private boolean statusDue(MemberPool pool, long now) {
-    if (!pool.hasIdle()) {
+    if (!pool.hasIdle() || !home) {
       return false;
     }
     long silent = now - statusAskedAt.getOrDefault(pool.entry().id(), Long.MIN_VALUE / 2);
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/Services.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/Services.java
@@ -110,7 +110,17 @@
    * @return its runtime, empty if it is not configured
    */
   public Optional<ServiceRuntime> service(DatabaseRoute route) {
-    return Optional.ofNullable(runtimes.get(route.service()));
+    return service(route.service());
+  }
+
+  /**
+   * The service of a name.
+   *
+   * @param name the name
+   * @return its runtime, empty if it is not configured
+   */
+  public Optional<ServiceRuntime> service(String name) {
+    return Optional.ofNullable(runtimes.get(name));
   }
 
   /**
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
@@ -9,6 +9,8 @@
 import java.util.Set;
 import org.sardinebay.Address;
 import org.sardinebay.Clock;
+import org.sardinebay.FailureDomain;
+import org.sardinebay.HostId;
 import org.sardinebay.impeller.ConfigurationDecoder;
 import org.sardinebay.impeller.MemberEntryDecoder;
 import org.sardinebay.impeller.PlatformNames;
@@ -19,6 +21,7 @@
 import org.sardinebay.net.peer.ConfigStoreFeed;
 import org.sardinebay.platform.ObjectKey;
 import org.sardinebay.platform.PlatformObject;
+import org.sardinebay.session.HostEntry;
 import org.sardinebay.session.MemberEntry;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -42,7 +45,7 @@
   private final MemberEntryDecoder entries = new MemberEntryDecoder();
   private final MemberDirectory directory = new MemberDirectory();
   private final Map<ObjectKey, Long> seen = new HashMap<>();
-  private volatile List<Address> hosts = List.of();
+  private volatile List<HostEntry> hosts = List.of();
 
   /**
    * Creates the feeds.
@@ -113,7 +116,7 @@
   public void refresh() {
     List<VersionedRecord> all = records.changedSince(Map.of());
     List<MemberEntry> members = new ArrayList<>();
-    List<Address> addresses = new ArrayList<>();
+    List<HostEntry> registered = new ArrayList<>();
     for (VersionedRecord record : all) {
       boolean changed =
           !Long.valueOf(record.version()).equals(seen.put(record.key(), record.version()));
@@ -122,16 +125,26 @@
       }
       switch (record.key().kind()) {
         case PlatformNames.MEMBERS -> entry(record, changed).ifPresent(members::add);
-        case HOSTS ->
-            Address.parse(record.body().path("peers").asText("")).ifPresent(addresses::add);
+        case HOSTS -> host(record).ifPresent(registered::add);
         default -> onConfiguration(record, changed);
       }
     }
-    hosts = List.copyOf(addresses);
+    if (!registered.equals(hosts)) {
+      hosts = List.copyOf(registered);
+    }
     directory.replaceAll(members, clock.millis());
     services.members(directory.members(clock.millis()));
   }
 
+  private static Optional<HostEntry> host(VersionedRecord record) {
+    String domain = record.body().path("failureDomain").asText("");
+    return Address.parse(record.body().path("peers").asText(""))
+        .filter(address -> !domain.isEmpty())
+        .map(
+            address ->
+                new HostEntry(new HostId(record.key().name()), new FailureDomain(domain), address));
+  }
+
   private void onConfiguration(VersionedRecord record, boolean changed) {
     if (!changed || !record.key().equals(PlatformNames.CONFIGURATION)) {
       return;
@@ -159,11 +172,11 @@
   }
 
   /**
-   * Where the registered hosts take calls of their peers.
+   * The registered hosts.
    *
-   * @return the addresses; may be read on any thread
+   * @return the same list until something changes; may be read on any thread
    */
-  public List<Address> hosts() {
+  public List<HostEntry> hosts() {
     return hosts;
   }
 
--- a/net/src/main/java/org/sardinebay/net/peer/PeerHandler.java
+++ b/net/src/main/java/org/sardinebay/net/peer/PeerHandler.java
@@ -14,4 +14,7 @@
    *     that fails sends no answer.
    */
   CompletableFuture<Frame> handle(Frame call);
+
+  /** The connection that this handler was made for has ended. */
+  default void disconnected() {}
 }
--- a/net/src/main/java/org/sardinebay/net/peer/PeerServer.java
+++ b/net/src/main/java/org/sardinebay/net/peer/PeerServer.java
@@ -15,6 +15,7 @@
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.sardinebay.Address;
 import org.sardinebay.net.peer.generated.Frame;
 import org.slf4j.Logger;
@@ -52,6 +53,19 @@
    * @throws IOException if the address can't be bound
    */
   public static PeerServer start(Address listen, PeerHandler handler) throws IOException {
+    return start(listen, () -> handler);
+  }
+
+  /**
+   * Starts a server whose handlers keep something for each connection.
+   *
+   * @param listen where to listen
+   * @param handlers makes the handler of one connection
+   * @return the running server
+   * @throws IOException if the address can't be bound
+   */
+  public static PeerServer start(Address listen, Supplier<PeerHandler> handlers)
+      throws IOException {
     EventLoopGroup group = eventLoops("peer-server-" + listen.port());
     ChannelFuture bound =
         new ServerBootstrap()
@@ -59,7 +73,7 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new FramePipeline(() -> new Inbound(handler)))
+            .childHandler(new FramePipeline(() -> new Inbound(handlers.get())))
             .bind(listen.socketAddress())
             .awaitUninterruptibly();
     if (!bound.isSuccess()) {
@@ -108,6 +122,11 @@
       ChannelFuture unused = context.writeAndFlush(correlated, context.voidPromise());
     }
 
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      handler.disconnected();
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       LOG.atDebug()
--- a/standins/src/main/java/org/sardinebay/standins/impeller/ImpellerPlatform.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/ImpellerPlatform.java
@@ -36,6 +36,7 @@
   private final Address address;
   private final List<LineMember> members = new ArrayList<>();
   private int version;
+  private int maxConnections = MAX_CONNECTIONS;
 
   private ImpellerPlatform(MemberGroup group, ImpellerStore store, Address address) {
     this.group = group;
@@ -68,6 +69,14 @@
     return platform;
   }
 
+  /**
+   * Writes a configuration with a lower limit on connections; the members enforce the usual one.
+   */
+  void limitConnections(int limit) {
+    maxConnections = limit;
+    configure("strict", "aged", "own");
+  }
+
   /** Writes a configuration with these databases; the name says the kind of route. */
   void configure(String... databases) {
     version += 3;
@@ -85,7 +94,7 @@
           .put("backend", SERVICE)
           .put("maxStalenessMs", MAX_STALENESS_MILLIS);
     }
-    spec.putArray("backends").addObject().put("name", SERVICE).put("maxConns", MAX_CONNECTIONS);
+    spec.putArray("backends").addObject().put("name", SERVICE).put("maxConns", maxConnections);
     spec.putObject("limits").put("txIdleMs", TIMEOUT_MILLIS);
     store.put("config", "main", spec);
   }
--- a/standins/src/test/java/org/sardinebay/standins/impeller/GatewayTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/GatewayTest.java
@@ -2,10 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
-import static org.assertj.core.api.Assertions.fail;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.util.ArrayList;
@@ -17,53 +14,29 @@
 import org.junit.jupiter.api.Test;
 import org.sardinebay.Address;
 import org.sardinebay.Clock;
-import org.sardinebay.gateway.internal.process.GatewayBinary;
 import org.sardinebay.internal.version.MemberDirectory;
 import org.sardinebay.net.RunningProcess;
 import org.sardinebay.net.http.Json;
-import org.sardinebay.record.FieldReader;
 import org.sardinebay.standins.platform.FreePorts;
 
 class GatewayTest {
-  private static final long PATIENCE_MILLIS = 20_000;
-
   private final Clock clock = Clock.system();
   private ImpellerPlatform platform;
   private RunningProcess gateway;
   private Address callers;
-  private final List<Address> seeds = new ArrayList<>();
+  private GatewayFleet fleet;
 
   @BeforeEach
   void startAll() throws Exception {
     platform = ImpellerPlatform.start(FreePorts::next, clock);
+    fleet = new GatewayFleet(platform.address());
     callers = FreePorts.next();
     gateway = startGateway(callers, "host-1");
     await(() -> read("strict", "probe").get(0).startsWith("ROW"));
   }
 
   private RunningProcess startGateway(Address listen, String host) throws IOException {
-    Address peers = FreePorts.next();
-    ObjectNode settings =
-        Json.newObject()
-            .put("host", host)
-            .put("failureDomain", "hall-m-1")
-            .put("ip", "127.0.0.1")
-            .put("metricsPort", FreePorts.next().port())
-            .put("callers", listen.toString())
-            .put("readiness", FreePorts.next().toString())
-            .put("peers", peers.toString())
-            .put("store", platform.address().toString())
-            .put("promotions", platform.address().toString())
-            .put("balancerNoticesMillis", 100)
-            .put("shutdownSeconds", 3);
-    ArrayNode seedList = settings.putArray("seeds");
-    seeds.forEach(seed -> seedList.add(seed.toString()));
-    seeds.add(peers);
-    GatewayBinary binary = new GatewayBinary();
-    FieldReader reader = FieldReader.of(settings);
-    var checked = binary.settings(reader);
-    assertThat(reader.problems()).isEmpty();
-    return binary.start(checked);
+    return fleet.start(listen, host, "hall-m-1");
   }
 
   @AfterEach
@@ -79,18 +52,7 @@
   }
 
   private void await(Callable<Boolean> condition) throws Exception {
-    long end = clock.millis() + PATIENCE_MILLIS;
-    while (clock.millis() < end) {
-      try {
-        if (condition.call()) {
-          return;
-        }
-      } catch (IOException e) {
-        // The gateway is not there yet.
-      }
-      Thread.sleep(50);
-    }
-    fail("not met within " + PATIENCE_MILLIS + " ms; dump: " + gateway.dump());
+    GatewayFleet.await(condition, () -> "dump: " + gateway.dump());
   }
 
   @Nested
--- /dev/null
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/HomesTest.java
@@ -0,0 +1,163 @@
+package org.sardinebay.standins.impeller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.Address;
+import org.sardinebay.Clock;
+import org.sardinebay.net.RunningProcess;
+import org.sardinebay.standins.platform.FreePorts;
+
+/** Two hosts before members whose connections are too few for both: one is the home. */
+class HomesTest {
+  private static final int TOO_FEW_CONNECTIONS = 4;
+
+  private record Host(Address callers, RunningProcess process) {}
+
+  private final List<Host> hosts = new ArrayList<>();
+  private ImpellerPlatform platform;
+  private Host home;
+  private Host other;
+
+  @BeforeEach
+  void startAll() throws Exception {
+    platform = ImpellerPlatform.start(FreePorts::next, Clock.system());
+    platform.limitConnections(TOO_FEW_CONNECTIONS);
+    GatewayFleet fleet = new GatewayFleet(platform.address());
+    for (String name : List.of("host-1", "host-2")) {
+      Address callers = FreePorts.next();
+      hosts.add(new Host(callers, fleet.start(callers, name, "hall-m-1")));
+    }
+    GatewayFleet.await(() -> homes().size() == 1, this::dumps);
+    home = homes().get(0);
+    other =
+        hosts.stream()
+            .filter(host -> !host.callers().equals(home.callers()))
+            .findFirst()
+            .orElseThrow();
+    GatewayFleet.await(() -> read(other, "probe").startsWith("ROW"), this::dumps);
+    GatewayFleet.await(() -> connections(other) == 0, this::dumps);
+  }
+
+  @AfterEach
+  void stopAll() throws Exception {
+    hosts.parallelStream().forEach(host -> host.process().shutdown());
+    platform.close();
+  }
+
+  private List<Host> homes() {
+    return hosts.stream().filter(host -> service(host).path("home").asBoolean()).toList();
+  }
+
+  private static JsonNode service(Host host) {
+    return host.process().dump().at("/services/0");
+  }
+
+  private static int connections(Host host) {
+    int sum = 0;
+    for (JsonNode member : service(host).path("members")) {
+      sum += member.path("connections").asInt();
+    }
+    return sum;
+  }
+
+  private String dumps() {
+    return "dumps: " + hosts.stream().map(host -> host.process().dump().toString()).toList();
+  }
+
+  private static String read(Host host, String item) throws IOException {
+    try (LineCaller caller = LineCaller.open(host.callers(), "strict")) {
+      return caller.query("READ " + item).get(0);
+    }
+  }
+
+  @Test
+  void should_run_statements_of_the_other_host_over_the_homes_connections() throws Exception {
+    try (LineCaller caller = LineCaller.open(other.callers(), "own")) {
+      assertThat(caller.query("WRITE a 17 sealed")).first().isEqualTo("DONE sig.a");
+      assertThat(caller.query("READ a")).startsWith("ROW 17 sealed{}", "DONE sig.a");
+    }
+    assertThat(connections(other)).isZero();
+    assertThat(connections(home)).isPositive();
+  }
+
+  @Test
+  void should_hold_session_values_and_prepared_statements_at_the_home() throws Exception {
+    try (LineCaller one = LineCaller.open(other.callers(), "strict");
+        LineCaller two = LineCaller.open(home.callers(), "strict")) {
+      two.query("PREPARE q WRITE shape0");
+      two.query("EXEC q k old");
+      one.query("SET zone north");
+      one.query("PREPARE q READ shape1");
+
+      assertThat(one.query("EXEC q k").get(0)).isEqualTo("ROW old{zone=north}");
+      assertThat(two.query("READ k").get(0)).isEqualTo("ROW old{}");
+    }
+  }
+
+  @Test
+  void should_commit_a_transaction_at_its_home() throws Exception {
+    try (LineCaller caller = LineCaller.open(other.callers(), "strict")) {
+      caller.query("BEGIN");
+      caller.query("WRITE t 1");
+      assertThat(caller.query("READ t").get(0)).isEqualTo("ROW 1{}");
+      assertThat(caller.query("COMMIT").get(0)).startsWith("DONE");
+    }
+    assertThat(platform.group().commitsOf("t")).isEqualTo(1);
+  }
+
+  @Test
+  void should_keep_nothing_of_a_transaction_whose_caller_leaves() throws Exception {
+    try (LineCaller caller = LineCaller.open(other.callers(), "strict")) {
+      caller.query("BEGIN");
+      caller.query("WRITE t 1");
+    }
+    assertThat(read(other, "t")).isEqualTo("ROW -{}");
+    assertThat(platform.group().commitsOf("t")).isZero();
+  }
+
+  @Test
+  void should_roll_back_at_the_home_when_its_caller_says_so() throws Exception {
+    try (LineCaller caller = LineCaller.open(other.callers(), "strict")) {
+      caller.query("BEGIN");
+      caller.query("WRITE t 1");
+      assertThat(caller.query("ROLLBACK").get(0)).startsWith("DONE");
+      assertThat(caller.query("READ t").get(0)).isEqualTo("ROW -{}");
+    }
+  }
+
+  @Test
+  void should_leave_a_write_in_doubt_whose_answer_the_home_lost() throws Exception {
+    platform.member(0).loseAnswers(1);
+    try (LineCaller caller = LineCaller.open(other.callers(), "strict")) {
+      assertThat(caller.query("WRITE d 1").get(0)).startsWith("ERR INDOUBT");
+    }
+    assertThat(platform.group().commitsOf("d")).isEqualTo(1);
+  }
+
+  @Test
+  void should_connect_itself_once_no_home_is_left() throws Exception {
+    home.process().shutdown();
+
+    GatewayFleet.await(() -> read(other, "x").startsWith("ROW"), this::dumps);
+    assertThat(connections(other)).isPositive();
+  }
+
+  @Test
+  void should_abort_a_transaction_whose_home_has_ended() throws Exception {
+    try (LineCaller caller = LineCaller.open(other.callers(), "strict")) {
+      caller.query("BEGIN");
+      caller.query("WRITE t 1");
+      home.process().shutdown();
+
+      assertThat(caller.query("COMMIT").get(0)).startsWith("ERR ABORTED");
+    }
+    assertThat(platform.group().commitsOf("t")).isZero();
+  }
+}
