sardinebayctl explain; one format of log lines; metrics of queue, members, store and logs

Change: net.log: KeyValueLayout writes and LogLine reads one line, values quoted where needed, a failure with its first frames in the same line; BoundedAppender drops samples first, then all, never blocks, and counts. explain gathers a request's decisions from the logs of all processes, what its service and hosts went through around it, and concludes the cause or says that it can't tell. A statement that finds no place logs what decided it (place_not_found). Metrics: waiting and member times, failures by kind and code, attempts by outcome, connections by member and state, lag, term, lease, changes of primary by phase, configuration version and age, store calls by call, kind and result, log lines dropped. Ruled out: Logback's own discarding, which counts nothing and knows levels only.

--- a/core/src/main/java/org/sardinebay/internal/version/ServiceHomes.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceHomes.java
@@ -7,7 +7,7 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import org.sardinebay.FailureDomain;
-import org.sardinebay.session.HostEntry;
+import org.sardinebay.session.RegisteredHost;
 
 /**
  * Chooses the homes of a service: the hosts that hold connections to its members. A few hosts share
@@ -15,8 +15,8 @@
  * need one, so the statements of all others go by way of a home.
  *
  * <pre>{@code
- * List<List<HostEntry>> ranked = ServiceHomes.ranked(service, domains, hosts);
- * List<HostEntry> homes = ServiceHomes.of(ranked, limit, this::usable);
+ * List<List<RegisteredHost>> ranked = ServiceHomes.ranked(service, domains, hosts);
+ * List<RegisteredHost> homes = ServiceHomes.of(ranked, limit, this::usable);
  * }</pre>
  */
 public final class ServiceHomes {
@@ -57,13 +57,13 @@
    * @param hosts all hosts
    * @return one list for each domain, the same at every host that knows the same
    */
-  public static List<List<HostEntry>> ranked(
-      String service, Collection<FailureDomain> domains, Collection<HostEntry> hosts) {
+  public static List<List<RegisteredHost>> ranked(
+      String service, Collection<FailureDomain> domains, Collection<RegisteredHost> hosts) {
     Set<String> names = new TreeSet<>();
     domains.forEach(domain -> names.add(domain.value()));
-    List<List<HostEntry>> ranked = new ArrayList<>();
+    List<List<RegisteredHost>> ranked = new ArrayList<>();
     for (String name : names) {
-      List<HostEntry> here =
+      List<RegisteredHost> here =
           hosts.stream().filter(host -> host.failureDomain().value().equals(name)).toList();
       ranked.add(RendezvousOrder.of(service, here, host -> host.id().value()));
     }
@@ -79,8 +79,8 @@
    * @param usable whether a host answers, as far as is known
    * @return the homes
    */
-  public static List<HostEntry> of(
-      List<List<HostEntry>> ranked, int maxConnections, Predicate<HostEntry> usable) {
+  public static List<RegisteredHost> of(
+      List<List<RegisteredHost>> ranked, int maxConnections, Predicate<RegisteredHost> usable) {
     int each = homesInDomain(maxConnections, ranked.size());
     return ranked.stream().flatMap(here -> here.stream().filter(usable).limit(each)).toList();
   }
--- a/core/src/main/java/org/sardinebay/session/HostEntry.java
+++ b/core/src/main/java/org/sardinebay/session/RegisteredHost.java
@@ -11,4 +11,4 @@
  * @param failureDomain where it stands
  * @param peers where it takes calls of other hosts
  */
-public record HostEntry(HostId id, FailureDomain failureDomain, Address peers) {}
+public record RegisteredHost(HostId id, FailureDomain failureDomain, Address peers) {}
--- a/core/src/test/java/org/sardinebay/internal/version/ServiceHomesTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/ServiceHomesTest.java
@@ -11,24 +11,24 @@
 import org.sardinebay.Address;
 import org.sardinebay.FailureDomain;
 import org.sardinebay.HostId;
-import org.sardinebay.session.HostEntry;
+import org.sardinebay.session.RegisteredHost;
 
 class ServiceHomesTest {
   private static final Set<FailureDomain> DOMAINS =
       Set.of(new FailureDomain("a"), new FailureDomain("b"), new FailureDomain("c"));
 
-  private static List<HostEntry> hosts(int inEachDomain) {
-    List<HostEntry> hosts = new ArrayList<>();
+  private static List<RegisteredHost> hosts(int inEachDomain) {
+    List<RegisteredHost> hosts = new ArrayList<>();
     for (String domain : List.of("a", "b", "c", "d")) {
       for (int i = 0; i < inEachDomain; i++) {
         Address address = new Address("127.0.0.1", 9_000 + hosts.size());
-        hosts.add(new HostEntry(new HostId(domain + i), new FailureDomain(domain), address));
+        hosts.add(new RegisteredHost(new HostId(domain + i), new FailureDomain(domain), address));
       }
     }
     return hosts;
   }
 
-  private static List<HostEntry> homes(int limit, List<HostEntry> hosts) {
+  private static List<RegisteredHost> homes(int limit, List<RegisteredHost> hosts) {
     return ServiceHomes.of(ServiceHomes.ranked("orders", DOMAINS, hosts), limit, host -> true);
   }
 
@@ -69,7 +69,7 @@
 
     @Test
     void should_be_the_same_whatever_the_order_in_which_hosts_are_listed() {
-      List<HostEntry> shuffled = hosts(17);
+      List<RegisteredHost> shuffled = hosts(17);
       Collections.reverse(shuffled);
 
       assertThat(homes(47, shuffled)).isEqualTo(homes(47, hosts(17)));
@@ -77,10 +77,10 @@
 
     @Test
     void should_be_replaced_within_the_domain_when_one_does_not_answer() {
-      List<List<HostEntry>> ranked = ServiceHomes.ranked("orders", DOMAINS, hosts(17));
-      List<HostEntry> before = ServiceHomes.of(ranked, 47, host -> true);
-      HostEntry lost = before.get(0);
-      List<HostEntry> after = ServiceHomes.of(ranked, 47, host -> !host.equals(lost));
+      List<List<RegisteredHost>> ranked = ServiceHomes.ranked("orders", DOMAINS, hosts(17));
+      List<RegisteredHost> before = ServiceHomes.of(ranked, 47, host -> true);
+      RegisteredHost lost = before.get(0);
+      List<RegisteredHost> after = ServiceHomes.of(ranked, 47, host -> !host.equals(lost));
 
       assertThat(after).hasSize(6).doesNotContain(lost);
       assertThat(after).containsAll(before.subList(1, 6));
@@ -88,7 +88,7 @@
 
     @Test
     void should_be_none_in_a_domain_without_hosts() {
-      List<HostEntry> onlyA =
+      List<RegisteredHost> onlyA =
           hosts(17).stream().filter(host -> host.failureDomain().value().equals("a")).toList();
 
       assertThat(homes(47, onlyA)).hasSize(2);
--- a/ctl/src/main/java/org/sardinebay/ctl/internal/process/CommandLine.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/process/CommandLine.java
@@ -83,6 +83,8 @@
         "  watch KIND                       shows changes until it is interrupted",
         "  status KIND NAME                 shows whether a record is accepted, and promotions",
         "  dump ADDRESS                     shows the state of a process; needs no --platform",
+        "  explain REQUEST-ID LOG...        explains from logs (- for standard input)",
+        "                                   what became of a request; needs no --platform",
         "  --timeout MILLIS                 how long to wait for an answer, "
             + DEFAULT_TIMEOUT_MILLIS
             + " if absent",
@@ -120,7 +122,8 @@
   }
 
   private Optional<String> problem(CommandName command, int operands, OptionSet options) {
-    if (operands != command.operands().size()) {
+    int wanted = command.operands().size();
+    if (operands < wanted || (operands > wanted && !command.takesMoreOperands())) {
       return Optional.of(command.word() + " takes the operands " + command.operands());
     }
     if (command.needsPlatform() && address(options).isEmpty()) {
--- a/ctl/src/main/java/org/sardinebay/ctl/internal/process/CommandName.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/process/CommandName.java
@@ -20,7 +20,9 @@
   /** Shows what the system made of one record. */
   STATUS,
   /** Shows the state of one process. */
-  DUMP;
+  DUMP,
+  /** Explains from logs what became of a request. */
+  EXPLAIN;
 
   /**
    * Finds a command.
@@ -52,6 +54,7 @@
       case LIST, WATCH -> List.of("KIND");
       case GET, DELETE, STATUS -> List.of("KIND", "NAME");
       case DUMP -> List.of("ADDRESS");
+      case EXPLAIN -> List.of("REQUEST-ID", "LOG");
     };
   }
 
@@ -65,10 +68,19 @@
       case APPLY -> List.of("f", "if-version");
       case GET -> List.of("schema");
       case DELETE -> List.of("if-version");
-      case LIST, WATCH, STATUS, DUMP -> List.of();
+      case LIST, WATCH, STATUS, DUMP, EXPLAIN -> List.of();
     };
   }
 
+  /**
+   * Whether the last operand may be given several times.
+   *
+   * @return true for {@link #EXPLAIN}, which reads one log or more
+   */
+  public boolean takesMoreOperands() {
+    return this == EXPLAIN;
+  }
+
   /**
    * The options without which the command can't run.
    *
@@ -78,16 +90,16 @@
     return switch (this) {
       case APPLY -> List.of("f");
       case DELETE -> List.of("if-version");
-      case GET, LIST, WATCH, STATUS, DUMP -> List.of();
+      case GET, LIST, WATCH, STATUS, DUMP, EXPLAIN -> List.of();
     };
   }
 
   /**
    * Whether the command calls the platform.
    *
-   * @return false for {@link #DUMP}
+   * @return false for {@link #DUMP} and {@link #EXPLAIN}
    */
   public boolean needsPlatform() {
-    return this != DUMP;
+    return this != DUMP && this != EXPLAIN;
   }
 }
--- a/ctl/src/main/java/org/sardinebay/ctl/internal/process/Commands.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/process/Commands.java
@@ -1,10 +1,12 @@
 package org.sardinebay.ctl.internal.process;
 
 import java.io.PrintStream;
+import java.util.List;
 import org.sardinebay.ctl.internal.request.ApplyCommand;
 import org.sardinebay.ctl.internal.request.Command;
 import org.sardinebay.ctl.internal.request.DeleteCommand;
 import org.sardinebay.ctl.internal.request.DumpCommand;
+import org.sardinebay.ctl.internal.request.ExplainCommand;
 import org.sardinebay.ctl.internal.request.GetCommand;
 import org.sardinebay.ctl.internal.request.ListCommand;
 import org.sardinebay.ctl.internal.request.PlatformCalls;
@@ -39,6 +41,11 @@
     if (arguments.command() == CommandName.DUMP) {
       return new DumpCommand(http, arguments.operands().get(0), arguments.timeoutMillis(), out);
     }
+    if (arguments.command() == CommandName.EXPLAIN) {
+      List<String> operands = arguments.operands();
+      return new ExplainCommand(
+          operands.get(0), operands.subList(1, operands.size()), System.in, out);
+    }
     PlatformCalls platform =
         new PlatformCalls(
             new HttpPlatformClient(
@@ -53,7 +60,8 @@
           new DeleteCommand(platform, key(arguments), arguments.ifVersion().orElseThrow(), out);
       case WATCH -> new WatchCommand(platform, arguments.operands().get(0), out, err);
       case STATUS -> new StatusCommand(platform, key(arguments), out);
-      case DUMP -> throw new IllegalStateException("dump needs no platform");
+      case DUMP, EXPLAIN ->
+          throw new IllegalStateException(arguments.command().word() + " needs no platform");
     };
   }
 
--- a/ctl/src/main/java/org/sardinebay/ctl/internal/request/Failure.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/request/Failure.java
@@ -41,6 +41,42 @@
     }
   }
 
+  /**
+   * A log can't be read.
+   *
+   * @param file its name
+   */
+  record NoLog(String file) implements Failure {
+    @Override
+    public FailureReport report() {
+      return new FailureReport(
+          EXIT_USAGE,
+          "the log " + file + " can't be read",
+          List.of("no such file, or no right to read it"),
+          "name the log of each process, or - for standard input");
+    }
+  }
+
+  /**
+   * No line names the request.
+   *
+   * @param request its id
+   * @param lines lines that were read
+   */
+  record RequestNotLogged(String request, int lines) implements Failure {
+    @Override
+    public FailureReport report() {
+      return new FailureReport(
+          EXIT_FAILURE,
+          "no line names the request " + request,
+          List.of(
+              "of " + lines + " lines read, none has it",
+              "a request that succeeds at once is logged only as a sample",
+              "a request that no process received has no line"),
+          "name the logs of all hosts for the time in question");
+    }
+  }
+
   /**
    * The kind is none that operators write.
    *
--- /dev/null
+++ b/ctl/src/test/java/org/sardinebay/ctl/internal/request/CauseFinderTest.java
@@ -0,0 +1,111 @@
+package org.sardinebay.ctl.internal.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.net.log.LogLine;
+
+class CauseFinderTest {
+  private final List<SourcedLine> lines = new ArrayList<>();
+
+  private void line(int second, String source, String rest) {
+    String text = String.format("time=2026-12-03T10:00:%02d.000Z level=INFO %s", second, rest);
+    lines.add(new SourcedLine(source, LogLine.parse(text).orElseThrow()));
+  }
+
+  private Optional<String> cause() {
+    return CauseFinder.cause(RequestHistory.of("r1", lines));
+  }
+
+  @Nested
+  class Refused {
+    @Test
+    void should_name_why_the_primary_was_replaced() {
+      line(18, "host-1", "event=primary_change_needed service=s primary=m-1 cause=REFUSED");
+      line(
+          20,
+          "host-1",
+          "event=place_not_found request=r1 service=s needs=primary unusable_millis=1900");
+      line(20, "host-1", "event=statement_failed request=r1 service=s code=BUSY");
+
+      assertThat(cause())
+          .contains(
+              "no primary could be relied upon for 1900 ms: the primary was m-1, replaced because"
+                  + " REFUSED");
+    }
+
+    @Test
+    void should_take_no_other_services_trouble_for_the_cause() {
+      line(18, "host-1", "event=primary_change_needed service=other primary=m-9 cause=REFUSED");
+      line(
+          20,
+          "host-1",
+          "event=place_not_found request=r1 service=s needs=primary unusable_millis=1900");
+      line(20, "host-1", "event=statement_failed request=r1 service=s code=BUSY");
+
+      assertThat(cause()).contains("no primary could be relied upon for 1900 ms");
+    }
+
+    @Test
+    void should_name_the_last_attempt_when_every_one_failed() {
+      line(20, "host-1", "event=attempt_failed request=r1 member=m-2 outcome=Refused[LAGGING]");
+      line(20, "host-1", "event=statement_failed request=r1 service=s code=BUSY");
+
+      assertThat(cause()).contains("every attempt failed, the last with Refused[LAGGING] at m-2");
+    }
+  }
+
+  @Nested
+  class InDoubt {
+    @Test
+    void should_name_the_lease_that_had_run_out() {
+      line(20, "host-1", "event=attempt_failed request=r1 member=m-1 outcome=LeaseLost[]");
+      line(20, "host-1", "event=statement_failed request=r1 service=s code=IN_DOUBT");
+
+      assertThat(cause())
+          .contains(
+              "the answer of m-1 came when it could not be relied upon as the primary any more");
+    }
+
+    @Test
+    void should_name_the_home_that_gave_no_answer() {
+      line(20, "host-1", "event=forward_failed request=r1 home=host-7 outcome=\"no reply\"");
+      line(20, "host-1", "event=statement_failed request=r1 service=s code=IN_DOUBT");
+
+      assertThat(cause()).contains("the home host-7 that had the write gave no answer");
+    }
+  }
+
+  @Nested
+  class Untold {
+    @Test
+    void should_not_be_concluded_from_lines_that_do_not_tell() {
+      line(20, "host-1", "event=statement_failed request=r1 service=s code=BUSY");
+
+      assertThat(cause()).isEmpty();
+    }
+
+    @Test
+    void should_be_none_for_a_statement_that_succeeded() {
+      line(20, "host-1", "event=statement_done request=r1 service=s");
+
+      assertThat(cause()).contains("none: the statement succeeded");
+    }
+  }
+
+  @Test
+  void should_put_the_decisions_of_all_processes_in_order() {
+    line(21, "host-1", "event=statement_failed request=r1 service=s code=TIMEOUT");
+    line(20, "host-2", "event=attempt_failed request=r1 member=m-1 outcome=NoAnswer[]");
+    line(20, "host-2", "event=attempt_failed request=r2 member=m-1 outcome=NoAnswer[]");
+
+    assertThat(RequestHistory.of("r1", lines).decisions())
+        .extracting(SourcedLine::source)
+        .containsExactly("host-2", "host-1");
+    assertThat(cause()).contains("no answer in time, the last attempt: NoAnswer[] at m-1");
+  }
+}
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/HomeLink.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/HomeLink.java
@@ -13,7 +13,7 @@
 import org.sardinebay.net.peer.generated.Frame;
 import org.sardinebay.net.peer.generated.StatementCall;
 import org.sardinebay.net.peer.generated.StatementReply;
-import org.sardinebay.session.HostEntry;
+import org.sardinebay.session.RegisteredHost;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -44,7 +44,7 @@
 
   private static final StatementCall PROBE = StatementCall.newBuilder().setProbe(true).build();
 
-  private final HostEntry host;
+  private final RegisteredHost host;
   private final Supplier<PeerClient> client;
   private final Eventloop loop;
   private final Clock clock;
@@ -66,7 +66,7 @@
    * @param loop the loop that it runs on
    * @param clock the clock
    */
-  public HomeLink(HostEntry host, Supplier<PeerClient> client, Eventloop loop, Clock clock) {
+  public HomeLink(RegisteredHost host, Supplier<PeerClient> client, Eventloop loop, Clock clock) {
     this.host = host;
     this.client = client;
     this.loop = loop;
@@ -78,7 +78,7 @@
    *
    * @return its entry
    */
-  public HostEntry host() {
+  public RegisteredHost host() {
     return host;
   }
 
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayLogging.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayLogging.java
@@ -1,14 +1,17 @@
 package org.sardinebay.gateway.internal.process;
 
-import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
-import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
 import ch.qos.logback.classic.spi.Configurator;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.encoder.LayoutWrappingEncoder;
 import ch.qos.logback.core.spi.ContextAwareBase;
+import java.util.Set;
+import org.sardinebay.net.log.BoundedAppender;
+import org.sardinebay.net.log.KeyValueLayout;
+import org.slf4j.LoggerFactory;
 
 /**
  * Sets the gateway's logging up in code: reading a configuration file took a third of its start.
@@ -16,37 +19,50 @@
  * other programs with this class on their path keep their own.
  */
 public final class GatewayLogging extends ContextAwareBase implements Configurator {
-  private static final String PATTERN =
-      "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS'Z',UTC} level=%level event=%msg %kvp{NONE}%n";
+  private static final String APPENDER = "bounded";
 
-  /** Lines that wait to be written: some seconds of the busiest logging. */
-  private static final int QUEUE_LINES = 2_048;
+  /** Events that are dropped first: a sample, and news that the next change repeats. */
+  private static final Set<String> MINOR = Set.of("statement_done", "config_applied");
 
   @Override
   public ExecutionStatus configure(LoggerContext context) {
     if (!"gateway".equals(System.getProperty("sardinebay.logging"))) {
       return ExecutionStatus.INVOKE_NEXT_IF_ANY;
     }
-    PatternLayoutEncoder encoder = new PatternLayoutEncoder();
+    KeyValueLayout layout = new KeyValueLayout();
+    layout.setContext(context);
+    layout.start();
+    LayoutWrappingEncoder<ILoggingEvent> encoder = new LayoutWrappingEncoder<>();
     encoder.setContext(context);
-    encoder.setPattern(PATTERN);
+    encoder.setLayout(layout);
     encoder.start();
     ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
     console.setContext(context);
     console.setEncoder(encoder);
     console.start();
-    AsyncAppender async = new AsyncAppender();
-    async.setContext(context);
-    async.setQueueSize(QUEUE_LINES);
-    async.setDiscardingThreshold(0);
-    async.setNeverBlock(true);
-    async.addAppender(console);
-    async.start();
+    BoundedAppender bounded = new BoundedAppender(MINOR);
+    bounded.setName(APPENDER);
+    bounded.setContext(context);
+    bounded.addAppender(console);
+    bounded.start();
     Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
     root.setLevel(Level.toLevel(System.getProperty("sardinebay.log.level"), Level.INFO));
-    root.addAppender(async);
+    root.addAppender(bounded);
     context.getLogger("io.activej").setLevel(Level.ERROR);
     context.getLogger("io.netty").setLevel(Level.ERROR);
     return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
   }
+
+  /**
+   * Lines that this process could not write.
+   *
+   * @return how many since the start; 0 where another logging is set up
+   */
+  static long droppedLines() {
+    return LoggerFactory.getILoggerFactory() instanceof LoggerContext context
+            && context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).getAppender(APPENDER)
+                instanceof BoundedAppender bounded
+        ? bounded.dropped()
+        : 0;
+  }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -25,6 +25,7 @@
 import org.sardinebay.gateway.internal.request.StatementLog;
 import org.sardinebay.gateway.internal.request.StatementRunContext;
 import org.sardinebay.gateway.internal.request.StatementRunner;
+import org.sardinebay.gateway.internal.version.CountedPlatformClient;
 import org.sardinebay.gateway.internal.version.Homes;
 import org.sardinebay.gateway.internal.version.ObjectWatch;
 import org.sardinebay.gateway.internal.version.PromotionDuty;
@@ -86,6 +87,7 @@
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private PromotionDuty duty;
+  private GatewayMetrics metrics;
   private volatile boolean stopping;
 
   private GatewayProcess(GatewaySettings settings, Eventloop loop, Clock clock) {
@@ -103,7 +105,8 @@
                     settings.failureDomain(),
                     settings.topology(),
                     memberProtocol,
-                    spec));
+                    spec),
+            clock);
     StatementLog log = new StatementLog(clock, registry);
     StatementRunner local = new LocalRunner(runContext(memberProtocol, log));
     ConfigStore records = new ConfigStore();
@@ -165,7 +168,8 @@
 
   private void serve() throws IOException {
     JsonHttpClient http = JsonHttpClient.on(loop, STORE_SILENCE);
-    PlatformClient store = new StoreClient(http, settings.store());
+    PlatformClient store =
+        new CountedPlatformClient(new StoreClient(http, settings.store()), registry);
     for (String kind : List.of(PlatformNames.CONFIGURATION.kind(), PlatformNames.MEMBERS)) {
       new ObjectWatch(store, kind, feeds.listener(kind), loop, clock).start();
     }
@@ -180,7 +184,8 @@
             settings.host(),
             UUID.randomUUID().toString(),
             loop,
-            clock);
+            clock,
+            registry);
     sessions.listen(loop, settings.callers());
     JsonHttpServer.serveOn(
         loop,
@@ -188,7 +193,7 @@
         List.of(new Route(HttpMethod.GET, PlatformNames.READY_PATH, call -> readiness())));
     List<Route> admin = new ArrayList<>(AdminRoutes.of(this, registry));
     JsonHttpServer.serveOn(loop, settings.metrics(), admin);
-    registry.gauge("sardinebay_sessions", sessions, Sessions::size);
+    metrics = new GatewayMetrics(services, sessions, clock, registry);
     tick();
   }
 
@@ -216,6 +221,7 @@
     }
     guarded("homes", () -> homes.tick(now));
     guarded("forwarded", () -> tickForwarded(now));
+    guarded("metrics", () -> metrics.tick(now));
     guarded("sessions", () -> sessions.tick(now));
     guarded("promotions", () -> duty.tick(now));
   }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
@@ -23,7 +23,7 @@
 import org.sardinebay.net.peer.PeerHandler;
 import org.sardinebay.net.peer.PeerServer;
 import org.sardinebay.net.peer.generated.Frame;
-import org.sardinebay.session.HostEntry;
+import org.sardinebay.session.RegisteredHost;
 
 /**
  * The calls between gateways. They pass configuration and members on, so that one which the store
@@ -33,7 +33,7 @@
 final class Peers {
   private final GatewaySettings settings;
   private final ConfigStoreFeed feed;
-  private final Supplier<List<HostEntry>> registered;
+  private final Supplier<List<RegisteredHost>> registered;
   private final Supplier<ForwardedStatements> statements;
   private final Clock clock;
   private final MeterRegistry registry;
@@ -45,7 +45,7 @@
   Peers(
       GatewaySettings settings,
       ConfigStoreFeed feed,
-      Supplier<List<HostEntry>> registered,
+      Supplier<List<RegisteredHost>> registered,
       Supplier<ForwardedStatements> statements,
       Clock clock,
       MeterRegistry registry) {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementLog.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementLog.java
@@ -10,9 +10,12 @@
 import org.sardinebay.HostId;
 import org.sardinebay.MemberId;
 import org.sardinebay.gateway.internal.connection.SessionReply;
+import org.sardinebay.gateway.internal.version.PlaceFacts;
 import org.sardinebay.internal.request.AttemptOutcome;
+import org.sardinebay.internal.request.PlacementNeed;
 import org.sardinebay.net.peer.PeerResult;
 import org.sardinebay.session.DatabaseRoute;
+import org.sardinebay.session.ErrorCode;
 import org.sardinebay.session.RouteKind;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -29,9 +32,11 @@
 
   private final Clock clock;
   private final MeterRegistry registry;
-  private final Map<String, Counter> failures = new HashMap<>();
+  private final Map<FailedKind, Counter> failures = new HashMap<>();
+  private final Map<String, Counter> attempts = new HashMap<>();
   private final Map<RouteKind, Timer> successes = new HashMap<>();
-  private final Counter retries;
+  private final Timer waits;
+  private final Timer runs;
   private long sampled;
 
   /**
@@ -43,7 +48,33 @@
   public StatementLog(Clock clock, MeterRegistry registry) {
     this.clock = clock;
     this.registry = registry;
-    this.retries = registry.counter("sardinebay_statement_attempts_failed");
+    this.waits = timer("sardinebay_statement_wait_duration");
+    this.runs = timer("sardinebay_statement_member_duration");
+  }
+
+  private record FailedKind(RouteKind kind, ErrorCode code) {}
+
+  /** Records how long a statement waited for a place. */
+  void placed(long waitedMillis) {
+    waits.record(Duration.ofMillis(waitedMillis));
+  }
+
+  /** Records how long a member took for a statement. */
+  void answered(long tookMillis) {
+    runs.record(Duration.ofMillis(tookMillis));
+  }
+
+  private void countAttempt(String outcome) {
+    attempts
+        .computeIfAbsent(
+            outcome, o -> registry.counter("sardinebay_statement_attempts_failed", "outcome", o))
+        .increment();
+  }
+
+  private static String kind(AttemptOutcome outcome) {
+    return outcome instanceof AttemptOutcome.Refused refused
+        ? refused.code().name()
+        : outcome.getClass().getSimpleName();
   }
 
   void attemptFailed(
@@ -52,7 +83,7 @@
       MemberId member,
       int attempt,
       AttemptOutcome outcome) {
-    retries.increment();
+    countAttempt(kind(outcome));
     LOG.atInfo()
         .setMessage("attempt_failed")
         .addKeyValue("request", request.id())
@@ -64,9 +95,26 @@
         .log();
   }
 
+  void placeNotFound(
+      StatementRequest request, DatabaseRoute route, PlacementNeed need, PlaceFacts facts) {
+    LOG.atInfo()
+        .setMessage("place_not_found")
+        .addKeyValue("request", request.id())
+        .addKeyValue("service", route.service())
+        .addKeyValue("needs", need.primaryOnly() ? "primary" : "any")
+        .addKeyValue("least", need.least().map(Object::toString).orElse("-"))
+        .addKeyValue("primary", facts.primary())
+        .addKeyValue("lease_millis", facts.leaseMillis())
+        .addKeyValue("unusable_millis", facts.unusableMillis())
+        .addKeyValue("waiting", facts.waiting())
+        .addKeyValue("reachable_members", facts.reachableMembers())
+        .addKeyValue("members", facts.members())
+        .log();
+  }
+
   void forwardFailed(
       StatementRequest request, DatabaseRoute route, HostId home, int attempt, PeerResult result) {
-    retries.increment();
+    countAttempt("home " + outcome(result));
     LOG.atInfo()
         .setMessage("forward_failed")
         .addKeyValue("request", request.id())
@@ -94,9 +142,7 @@
     long took = clock.millis() - startedAt;
     if (reply instanceof SessionReply.Failure failure) {
       failures
-          .computeIfAbsent(
-              failure.code().name(),
-              code -> registry.counter("sardinebay_statements_failed", "code", code))
+          .computeIfAbsent(new FailedKind(route.kind(), failure.code()), this::failureCounter)
           .increment();
       LOG.atInfo()
           .setMessage("statement_failed")
@@ -125,10 +171,20 @@
     }
   }
 
+  private Counter failureCounter(FailedKind failed) {
+    return registry.counter(
+        "sardinebay_statements_failed", "kind", failed.kind().name(), "code", failed.code().name());
+  }
+
   private Timer timer(RouteKind kind) {
-    return Timer.builder("sardinebay_statement_duration")
-        .tag("kind", kind.name())
+    return timer("sardinebay_statement_duration", "kind", kind.name());
+  }
+
+  private Timer timer(String name, String... tags) {
+    return Timer.builder(name)
+        .tags(tags)
         .serviceLevelObjectives(
+            Duration.ofMillis(5),
             Duration.ofMillis(50),
             Duration.ofMillis(200),
             Duration.ofMillis(500),
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
@@ -46,6 +46,7 @@
   private final Consumer<SessionReply> done;
   private final long startedAt;
   private final Set<MemberId> excluded = new HashSet<>();
+  private long placingSince;
   private int attempts;
   private boolean finished;
 
@@ -81,7 +82,7 @@
   public void start() {
     Optional<MemberPin> pin = transaction.flatMap(Transaction::pin).map(MemberPin.class::cast);
     if (pin.isEmpty()) {
-      service.place(this);
+      place();
       return;
     }
     attempts++;
@@ -90,6 +91,11 @@
     prepare(new Attempt(held.pool(), held.link(), need, held.asPrimary(), held.term()));
   }
 
+  private void place() {
+    placingSince = context.clock().millis();
+    service.place(this);
+  }
+
   @Override
   public PlacementNeed need() {
     if (route.kind() == RouteKind.PRIMARY || !readsOnly()) {
@@ -137,6 +143,9 @@
 
   @Override
   public void onNoPlace() {
+    context
+        .log()
+        .placeNotFound(request, route, need(), service.placeFacts(context.clock().millis()));
     finish(
         new SessionReply.Failure(
             ErrorCode.BUSY, "not run: no member could take the statement; retry in 500 ms"));
@@ -144,6 +153,7 @@
 
   @Override
   public void onLink(MemberPool pool, MemberLink link, PlacementNeed need, boolean asPrimary) {
+    context.log().placed(context.clock().millis() - placingSince);
     attempts++;
     prepare(new Attempt(pool, link, need, asPrimary, service.view().term()));
   }
@@ -230,6 +240,7 @@
       failed(attempt, outcome(answer, new AttemptOutcome.NoAnswer()));
       return;
     }
+    context.log().answered(context.clock().millis() - whole.askedAt());
     applied(attempt, whole);
     boolean mustBeTrusted =
         !request.commits() || transaction.filter(Transaction::wrote).isPresent();
@@ -282,9 +293,9 @@
     if (step instanceof RetryPolicy.Step.GiveUp giveUp) {
       finish(new SessionReply.Failure(giveUp.code(), giveUp.text()));
     } else if (outcome instanceof AttemptOutcome.Refused) {
-      context.retryLater(() -> service.place(this));
+      context.retryLater(this::place);
     } else {
-      service.place(this);
+      place();
     }
   }
 
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/Homes.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/Homes.java
@@ -15,7 +15,7 @@
 import org.sardinebay.internal.process.Topology;
 import org.sardinebay.internal.version.RendezvousOrder;
 import org.sardinebay.internal.version.ServiceHomes;
-import org.sardinebay.session.HostEntry;
+import org.sardinebay.session.RegisteredHost;
 
 /**
  * Which hosts connect to the members of which service, as this host sees it.
@@ -29,14 +29,16 @@
   private final HostId self;
   private final FailureDomain here;
   private final Topology topology;
-  private final Supplier<Collection<HostEntry>> hosts;
-  private final Function<HostEntry, HomeLink> connector;
+  private final Supplier<Collection<RegisteredHost>> hosts;
+  private final Function<RegisteredHost, HomeLink> connector;
   private final Map<HostId, HomeLink> links = new HashMap<>();
   private final Map<String, Ranking> rankings = new HashMap<>();
 
   /** The order of hosts for a service, and what it was worked out from. */
   private record Ranking(
-      Collection<HostEntry> hosts, Set<FailureDomain> domains, List<List<HostEntry>> order) {}
+      Collection<RegisteredHost> hosts,
+      Set<FailureDomain> domains,
+      List<List<RegisteredHost>> order) {}
 
   /**
    * No homes are known yet.
@@ -51,8 +53,8 @@
       HostId self,
       FailureDomain here,
       Topology topology,
-      Supplier<Collection<HostEntry>> hosts,
-      Function<HostEntry, HomeLink> connector) {
+      Supplier<Collection<RegisteredHost>> hosts,
+      Function<RegisteredHost, HomeLink> connector) {
     this.self = self;
     this.here = here;
     this.topology = topology;
@@ -67,17 +69,17 @@
    * @param now the time
    */
   public void assign(ServiceRuntime service, long now) {
-    Collection<HostEntry> all = hosts.get();
+    Collection<RegisteredHost> all = hosts.get();
     if (ServiceHomes.everyHost(service.maxConnections(), all.size())) {
       service.home(true, all.size(), now);
       return;
     }
-    List<HostEntry> homes = homes(service, all);
+    List<RegisteredHost> homes = homes(service, all);
     boolean own = homes.stream().anyMatch(host -> host.id().equals(self));
     service.home(own, homes.size(), now);
   }
 
-  private List<HostEntry> homes(ServiceRuntime service, Collection<HostEntry> all) {
+  private List<RegisteredHost> homes(ServiceRuntime service, Collection<RegisteredHost> all) {
     String name = service.view().service();
     Set<FailureDomain> domains = service.failureDomains();
     Ranking ranking = rankings.get(name);
@@ -91,7 +93,7 @@
         host -> host.id().equals(self) || link(host).usable());
   }
 
-  private HomeLink link(HostEntry host) {
+  private HomeLink link(RegisteredHost host) {
     HomeLink known = links.get(host.id());
     if (known == null || !known.host().equals(host)) {
       known = connector.apply(host);
@@ -109,13 +111,13 @@
    * @return the home, empty if none is known that answers
    */
   public Optional<HomeLink> choose(ServiceRuntime service, Set<HostId> excluded) {
-    List<HostEntry> candidates =
+    List<RegisteredHost> candidates =
         homes(service, hosts.get()).stream()
             .filter(host -> !host.id().equals(self) && !excluded.contains(host.id()))
             .toList();
-    HostEntry best = null;
+    RegisteredHost best = null;
     long bestMillis = Long.MAX_VALUE;
-    for (HostEntry host : RendezvousOrder.of(self.value(), candidates, h -> h.id().value())) {
+    for (RegisteredHost host : RendezvousOrder.of(self.value(), candidates, h -> h.id().value())) {
       long millis = topology.distanceMillis(here, host.failureDomain());
       if (millis < bestMillis) {
         best = host;
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionDuty.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionDuty.java
@@ -1,6 +1,7 @@
 package org.sardinebay.gateway.internal.version;
 
 import io.activej.eventloop.Eventloop;
+import io.micrometer.core.instrument.MeterRegistry;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -58,6 +59,7 @@
   private final PromotionCall orders;
   private final MemberProtocol protocol;
   private final HostId self;
+  private final MeterRegistry registry;
   private final Eventloop loop;
   private final Clock clock;
   private final Map<String, PrimaryChange> changes = new HashMap<>();
@@ -77,6 +79,7 @@
    * @param incarnation the start of this process
    * @param loop the loop that it runs on
    * @param clock the clock
+   * @param registry where the steps of changes are counted
    */
   public PromotionDuty(
       Services services,
@@ -86,13 +89,15 @@
       HostId self,
       String incarnation,
       Eventloop loop,
-      Clock clock) {
+      Clock clock,
+      MeterRegistry registry) {
     this.services = services;
     this.orders = orders;
     this.protocol = protocol;
     this.self = self;
     this.loop = loop;
     this.clock = clock;
+    this.registry = registry;
     this.record = new DutyRecord(store, new DutyClaim(self.value(), incarnation), loop, clock);
   }
 
@@ -203,6 +208,7 @@
 
   private void logPhase(ServiceView view, PrimaryChange change) {
     if (loggedPhases.put(view.service(), change.phase()) != change.phase()) {
+      registry.counter("sardinebay_primary_changes", "phase", change.phase().name()).increment();
       log("primary_change_phase", view)
           .addKeyValue("phase", change.phase())
           .addKeyValue("next_term", change.nextTerm())
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -456,6 +456,28 @@
     }
   }
 
+  /**
+   * What decides now whether a statement finds a place.
+   *
+   * @param now the time
+   * @return the facts
+   */
+  public PlaceFacts placeFacts(long now) {
+    return new PlaceFacts(
+        view.primary().map(m -> m.id().value()).orElse("-"),
+        view.leaseMillis(now),
+        view.unusableMillis(now),
+        waiting.size(),
+        view.members().stream().filter(m -> !m.failing()).count(),
+        view.members().stream().map(this::placeFacts).collect(Collectors.joining(",")));
+  }
+
+  private String placeFacts(MemberView member) {
+    MemberPool pool = pools.get(member.id());
+    String state = member.failing() ? ":unreachable" : "";
+    return member.id().value() + ":" + pool.lent() + "/" + pool.size() + state;
+  }
+
   /**
    * Statements that wait for a place.
    *
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/Services.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/Services.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import org.sardinebay.Clock;
 import org.sardinebay.session.DatabaseRoute;
 import org.sardinebay.session.MemberEntry;
 import org.sardinebay.session.RouteTable;
@@ -27,17 +28,22 @@
   private static final Logger LOG = LoggerFactory.getLogger(Services.class);
 
   private final Function<ServiceSpec, ServiceRuntime> factory;
+  private final Clock clock;
   private final Map<String, ServiceRuntime> runtimes = new HashMap<>();
   private List<MemberEntry> members = List.of();
   private RouteTable table = RouteTable.EMPTY;
+  private long appliedAt;
 
   /**
    * No configuration yet.
    *
    * @param factory makes the runtime of a service
+   * @param clock the clock
    */
-  public Services(Function<ServiceSpec, ServiceRuntime> factory) {
+  public Services(Function<ServiceSpec, ServiceRuntime> factory, Clock clock) {
     this.factory = factory;
+    this.clock = clock;
+    this.appliedAt = clock.millis();
   }
 
   /**
@@ -56,6 +62,7 @@
         .addKeyValue("routes", newer.routes().size())
         .log();
     table = newer;
+    appliedAt = clock.millis();
     for (String name : new ArrayList<>(runtimes.keySet())) {
       if (!newer.services().containsKey(name)) {
         runtimes.remove(name).close();
@@ -103,6 +110,15 @@
     return table;
   }
 
+  /**
+   * When the configuration in force was taken over.
+   *
+   * @return the time, of the start before the first one
+   */
+  public long appliedAt() {
+    return appliedAt;
+  }
+
   /**
    * The service behind a route.
    *
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
@@ -21,8 +21,8 @@
 import org.sardinebay.net.peer.ConfigStoreFeed;
 import org.sardinebay.platform.ObjectKey;
 import org.sardinebay.platform.PlatformObject;
-import org.sardinebay.session.HostEntry;
 import org.sardinebay.session.MemberEntry;
+import org.sardinebay.session.RegisteredHost;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -45,7 +45,7 @@
   private final MemberEntryDecoder entries = new MemberEntryDecoder();
   private final MemberDirectory directory = new MemberDirectory();
   private final Map<ObjectKey, Long> seen = new HashMap<>();
-  private volatile List<HostEntry> hosts = List.of();
+  private volatile List<RegisteredHost> hosts = List.of();
 
   /**
    * Creates the feeds.
@@ -116,7 +116,7 @@
   public void refresh() {
     List<VersionedRecord> all = records.changedSince(Map.of());
     List<MemberEntry> members = new ArrayList<>();
-    List<HostEntry> registered = new ArrayList<>();
+    List<RegisteredHost> registered = new ArrayList<>();
     for (VersionedRecord record : all) {
       boolean changed =
           !Long.valueOf(record.version()).equals(seen.put(record.key(), record.version()));
@@ -136,13 +136,14 @@
     services.members(directory.members(clock.millis()));
   }
 
-  private static Optional<HostEntry> host(VersionedRecord record) {
+  private static Optional<RegisteredHost> host(VersionedRecord record) {
     String domain = record.body().path("failureDomain").asText("");
     return Address.parse(record.body().path("peers").asText(""))
         .filter(address -> !domain.isEmpty())
         .map(
             address ->
-                new HostEntry(new HostId(record.key().name()), new FailureDomain(domain), address));
+                new RegisteredHost(
+                    new HostId(record.key().name()), new FailureDomain(domain), address));
   }
 
   private void onConfiguration(VersionedRecord record, boolean changed) {
@@ -176,7 +177,7 @@
    *
    * @return the same list until something changes; may be read on any thread
    */
-  public List<HostEntry> hosts() {
+  public List<RegisteredHost> hosts() {
     return hosts;
   }
 
--- /dev/null
+++ b/net/src/test/java/org/sardinebay/net/log/KeyValueLayoutTest.java
@@ -0,0 +1,41 @@
+package org.sardinebay.net.log;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.LoggingEvent;
+import java.time.Instant;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.slf4j.event.KeyValuePair;
+
+class KeyValueLayoutTest {
+  private static LoggingEvent event(Throwable failure) {
+    LoggingEvent event =
+        new LoggingEvent(
+            "x", new LoggerContext().getLogger("x"), Level.WARN, "store_lost", failure, null);
+    event.setInstant(Instant.parse("2026-12-03T10:00:00Z"));
+    event.setKeyValuePairs(
+        List.of(new KeyValuePair("kind", "config"), new KeyValuePair("result", "no answer")));
+    return event;
+  }
+
+  @Test
+  void should_write_one_line_of_pairs() {
+    assertThat(new KeyValueLayout().doLayout(event(null)))
+        .isEqualTo(
+            "time=2026-12-03T10:00:00.000Z level=WARN event=store_lost kind=config"
+                + " result=\"no answer\"\n");
+  }
+
+  @Test
+  void should_write_a_failure_into_the_same_line() {
+    String line = new KeyValueLayout().doLayout(event(new IllegalStateException("bad\nstate")));
+
+    assertThat(line.lines()).hasSize(1);
+    assertThat(LogLine.parse(line).get().field("exception"))
+        .isEqualTo("java.lang.IllegalStateException: bad state");
+    assertThat(LogLine.parse(line).get().field("at")).contains("KeyValueLayoutTest");
+  }
+}
