Duty under lost answers: short timeouts that grow, the right kept and renewed ahead; time without a primary counted from ticks

Traces of failed requests showed unusable_millis=21312 where the primary had been gone for a second: the time was only counted while somebody asked, so UNKNOWN and ABANDONED were seen at once by every host in each change, and all of them called the store. Ruled out: a fence that was not answered (WAITING came 50 ms after FENCING).

--- a/core/src/main/java/org/sardinebay/internal/version/DutyClaim.java
+++ b/core/src/main/java/org/sardinebay/internal/version/DutyClaim.java
@@ -133,12 +133,20 @@
     heldUntil = OptionalLong.of(askedAt + RIGHT_MILLIS);
   }
 
-  /** Forgets the record: a write failed, and what it holds now is not known. */
+  /** Forgets the record and gives the right up: a write was refused, so somebody else wrote. */
   public void forget() {
     known = false;
     heldUntil = OptionalLong.empty();
   }
 
+  /**
+   * Notes that a write got no answer: the record has to be read again. A right from an earlier
+   * write lasts on: nobody else takes over before it has ended.
+   */
+  public void onUnanswered() {
+    known = false;
+  }
+
   /**
    * How long this host may still act.
    *
--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryChange.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryChange.java
@@ -150,6 +150,20 @@
     return phase;
   }
 
+  /**
+   * How long it takes until the order can be given.
+   *
+   * @param now the time
+   * @return milliseconds, 0 when it is due; more than the wait for leases before that has begun
+   */
+  public long orderDueInMillis(long now) {
+    return switch (phase) {
+      case DEMOTING, FENCING -> Long.MAX_VALUE;
+      case WAITING -> Math.max(0, phaseSince + leaseWaitMillis() - now);
+      default -> 0;
+    };
+  }
+
   /**
    * The member that is to lead.
    *
--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryChangeNeed.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryChangeNeed.java
@@ -26,6 +26,12 @@
   /** How long a service may be without a known primary, in milliseconds: above a start. */
   public static final long UNKNOWN_MILLIS = 2_500;
 
+  /**
+   * How long a service with fenced members may be without a primary to rely upon, in milliseconds:
+   * its driver may only be waiting for leases to run out.
+   */
+  public static final long ABANDONED_MILLIS = 1_000;
+
   /** Why another primary is needed. */
   public enum Cause {
     /** The primary says that it is about to leave. */
@@ -71,7 +77,8 @@
     if (failing >= SILENT_MILLIS) {
       return Optional.of(Cause.SILENT);
     }
-    boolean abandoned = view.fencedAbove(view.term()) && view.unusableMillis(now) >= UNKNOWN_MILLIS;
+    boolean abandoned =
+        view.fencedAbove(view.term()) && view.unusableMillis(now) >= ABANDONED_MILLIS;
     return abandoned ? Optional.of(Cause.ABANDONED) : Optional.empty();
   }
 
--- a/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
@@ -49,8 +49,7 @@
   private Optional<MemberId> primary = Optional.empty();
   private long term;
   private long newestTerm;
-  private long unusableSince;
-  private boolean unusable = true;
+  private OptionalLong unusableSince;
 
   /**
    * A service of which nothing is known.
@@ -60,7 +59,7 @@
    */
   public ServiceView(String service, long now) {
     this.service = service;
-    this.unusableSince = now;
+    this.unusableSince = OptionalLong.of(now);
     this.aloneSince = now;
   }
 
@@ -348,23 +347,27 @@
     return position.term() < term ? floor.first() : Optional.empty();
   }
 
+  /**
+   * Notes the time: since when no primary can be relied upon is counted from tick to tick.
+   *
+   * @param now the time
+   */
+  public void tick(long now) {
+    if (usablePrimary(now).filter(m -> !m.failing()).isPresent()) {
+      unusableSince = OptionalLong.empty();
+    } else if (unusableSince.isEmpty()) {
+      unusableSince = OptionalLong.of(now);
+    }
+  }
+
   /**
    * How long no primary could be relied upon.
    *
    * @param now the time
-   * @return milliseconds, 0 if one can
+   * @return milliseconds, 0 if one could at the last tick
    */
   public long unusableMillis(long now) {
-    boolean usable = usablePrimary(now).filter(m -> !m.failing()).isPresent();
-    if (usable) {
-      unusable = false;
-      return 0;
-    }
-    if (!unusable) {
-      unusable = true;
-      unusableSince = now;
-    }
-    return now - unusableSince;
+    return unusableSince.isPresent() ? now - unusableSince.getAsLong() : 0;
   }
 
   /**
--- a/core/src/test/java/org/sardinebay/internal/version/DutyClaimTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/DutyClaimTest.java
@@ -91,10 +91,32 @@
     @Test
     void should_need_a_new_reading_after_a_write_without_an_answer() {
       claim.onRecord(Optional.empty(), 0, 100);
-      claim.forget();
+      claim.onUnanswered();
 
       assertThat(claim.known()).isFalse();
       assertThat(claim.mayWrite(10_000)).isFalse();
     }
+
+    @Test
+    void should_keep_the_right_of_the_last_write_when_the_next_gets_no_answer() {
+      claim.onRecord(Optional.empty(), 0, 100);
+      claim.onWritten(claim.next(), 7, 200);
+      claim.onUnanswered();
+
+      assertThat(claim.rightMillis(300)).isEqualTo(DutyClaim.RIGHT_MILLIS - 100);
+    }
+
+    @Test
+    void should_give_the_right_up_when_somebody_else_wrote() {
+      claim.onRecord(Optional.empty(), 0, 100);
+      claim.onWritten(claim.next(), 7, 200);
+      claim.forget();
+      assertThat(claim.rightMillis(300)).isZero();
+
+      claim.onWritten(claim.next(), 9, 400);
+      claim.onUnanswered();
+      claim.onRecord(holding("host-2", 9), 10, 500);
+      assertThat(claim.rightMillis(500)).isZero();
+    }
   }
 }
--- a/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeNeedTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeNeedTest.java
@@ -69,11 +69,22 @@
     @Test
     void should_exist_when_nobody_finishes_a_change() {
       view.onStatus(NEAR, ServiceViewTest.replica(1, 5, 2), 100, 100);
-      view.unusableMillis(100);
+      view.tick(100);
 
-      assertThat(PrimaryChangeNeed.of(view, 100 + PrimaryChangeNeed.UNKNOWN_MILLIS))
+      assertThat(PrimaryChangeNeed.of(view, 100 + PrimaryChangeNeed.ABANDONED_MILLIS))
           .contains(PrimaryChangeNeed.Cause.ABANDONED);
     }
+
+    @Test
+    void should_not_exist_for_members_that_a_driver_has_just_fenced() {
+      view.onStatus(NEAR, ServiceViewTest.replica(1, 5, 0), LONG_AFTER, LONG_AFTER);
+      view.onStatus(FAR, ServiceViewTest.replica(1, 5, 0), LONG_AFTER, LONG_AFTER);
+      view.tick(LONG_AFTER);
+      view.onStatus(NEAR, ServiceViewTest.replica(1, 5, 2), LONG_AFTER + 100, LONG_AFTER + 100);
+      view.tick(LONG_AFTER + 100);
+
+      assertThat(PrimaryChangeNeed.of(view, LONG_AFTER + 200)).isEmpty();
+    }
   }
 
   @Nested
--- a/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeTest.java
@@ -147,6 +147,17 @@
           .containsExactly(new PrimaryChange.Step.Order(FAR));
     }
 
+    @Test
+    void should_say_how_long_the_order_has_to_wait() {
+      PrimaryChange change = new PrimaryChange(LEADER, false, false, 2, 100);
+      assertThat(change.orderDueInMillis(100)).isGreaterThan(LEASE_WAIT);
+
+      PrimaryChange waiting = fencedAt(100);
+      waiting.next(view, 100);
+      assertThat(waiting.orderDueInMillis(300)).isEqualTo(LEASE_WAIT - 200);
+      assertThat(waiting.orderDueInMillis(100 + LEASE_WAIT)).isZero();
+    }
+
     @Test
     void should_choose_the_next_member_if_the_most_advanced_is_not_running() {
       PrimaryChange change = fencedAt(100);
--- a/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
@@ -269,6 +269,20 @@
       assertThat(view.usablePrimary(201)).isEmpty();
     }
 
+    @Test
+    void should_count_as_unusable_from_the_tick_that_saw_no_lease() {
+      view.tick(0);
+      assertThat(view.unusableMillis(90)).isEqualTo(90);
+      view.onStatus(LEADER, primary(1, 5), 100, 100);
+      view.onStatus(NEAR, replica(1, 5, 0), 100, 100);
+      view.onStatus(FAR, replica(1, 5, 0), 100, 100);
+      view.tick(110);
+      assertThat(view.unusableMillis(5_000)).isZero();
+
+      view.tick(9_000);
+      assertThat(view.unusableMillis(9_040)).isEqualTo(40);
+    }
+
     @Test
     void should_not_be_trusted_for_an_answer_of_an_older_term() {
       view.onStatus(LEADER, primary(2, 5), 100, 100);
--- a/ctl/src/main/java/org/sardinebay/ctl/internal/request/CauseFinder.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/request/CauseFinder.java
@@ -59,7 +59,10 @@
   }
 
   private static String whyNoPrimary(RequestHistory history) {
-    Optional<LogLine> needed = history.around("primary_change_needed");
+    Optional<LogLine> needed =
+        history
+            .around("primary_change_needed", line -> !line.field("primary").equals("-"))
+            .or(() -> history.around("primary_change_needed"));
     if (needed.isPresent()) {
       return ": the primary was "
           + needed.get().field("primary")
--- a/ctl/src/main/java/org/sardinebay/ctl/internal/request/Failure.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/request/Failure.java
@@ -72,8 +72,9 @@
           List.of(
               "of " + lines + " lines read, none has it",
               "a request that succeeds at once is logged only as a sample",
-              "a request that no process received has no line"),
-          "name the logs of all hosts for the time in question");
+              "a request that no process received has no line",
+              "a host that was killed or lost power while it ran the request wrote none"),
+          "name the logs of all hosts for the time in question; look for event=started after it");
     }
   }
 
--- a/ctl/src/main/java/org/sardinebay/ctl/internal/request/RequestHistory.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/request/RequestHistory.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.sardinebay.net.log.LogLine;
 
 /**
@@ -75,18 +76,24 @@
 
   /** The last decision of an event. */
   Optional<LogLine> decision(String event) {
-    return last(decisions, event);
+    return last(decisions, event, line -> true);
   }
 
   /** The last line of an event around the request. */
   Optional<LogLine> around(String event) {
-    return last(surroundings, event);
+    return last(surroundings, event, line -> true);
   }
 
-  private static Optional<LogLine> last(List<SourcedLine> lines, String event) {
+  /** The last line of an event around the request that meets a condition. */
+  Optional<LogLine> around(String event, Predicate<LogLine> condition) {
+    return last(surroundings, event, condition);
+  }
+
+  private static Optional<LogLine> last(
+      List<SourcedLine> lines, String event, Predicate<LogLine> condition) {
     return lines.stream()
         .map(SourcedLine::line)
-        .filter(line -> line.event().equals(event))
+        .filter(line -> line.event().equals(event) && condition.test(line))
         .reduce((earlier, later) -> later);
   }
 }
--- a/ctl/src/test/java/org/sardinebay/ctl/internal/request/CauseFinderTest.java
+++ b/ctl/src/test/java/org/sardinebay/ctl/internal/request/CauseFinderTest.java
@@ -38,6 +38,19 @@
                   + " REFUSED");
     }
 
+    @Test
+    void should_name_the_primary_that_was_lost_where_a_later_line_knows_none() {
+      line(17, "host-1", "event=primary_change_needed service=s primary=m-1 cause=LEAVING");
+      line(18, "host-2", "event=primary_change_needed service=s primary=- cause=UNKNOWN");
+      line(
+          20,
+          "host-1",
+          "event=place_not_found request=r1 service=s needs=primary unusable_millis=1900");
+      line(20, "host-1", "event=statement_failed request=r1 service=s code=BUSY");
+
+      assertThat(cause().orElseThrow()).endsWith("the primary was m-1, replaced because LEAVING");
+    }
+
     @Test
     void should_take_no_other_services_trouble_for_the_cause() {
       line(18, "host-1", "event=primary_change_needed service=other primary=m-9 cause=REFUSED");
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/DutyRecord.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/DutyRecord.java
@@ -5,10 +5,12 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.sardinebay.Clock;
+import org.sardinebay.internal.version.CallPatience;
 import org.sardinebay.internal.version.DutyClaim;
 import org.sardinebay.net.http.Json;
 import org.sardinebay.platform.ObjectKey;
 import org.sardinebay.platform.PlatformClient;
+import org.sardinebay.platform.PlatformFailure;
 import org.sardinebay.platform.PlatformObject;
 import org.sardinebay.platform.PlatformResult;
 import org.slf4j.Logger;
@@ -25,19 +27,20 @@
   private static final Logger LOG = LoggerFactory.getLogger(DutyRecord.class);
   private static final ObjectKey KEY = new ObjectKey("sardinebay-duties", "promotion");
 
-  /** How long a call may take, in milliseconds: well above an answer of a slow store. */
-  private static final long CALL_TIMEOUT_MILLIS = 800;
-
   /** The pause between two readings of a record that another host holds, in milliseconds. */
   private static final long READ_INTERVAL_MILLIS = 600;
 
   /** The pause after a call that failed, in milliseconds. */
   private static final long RETRY_MILLIS = 200;
 
+  /** The pause after a call that got no answer, in milliseconds: its timeout was one already. */
+  private static final long UNANSWERED_RETRY_MILLIS = 20;
+
   private final PlatformClient store;
   private final DutyClaim claim;
   private final Eventloop loop;
   private final Clock clock;
+  private final CallPatience patience = new CallPatience();
   private boolean calling;
   private long nextCallAt = Long.MIN_VALUE;
 
@@ -72,14 +75,14 @@
     calling = true;
     CompletableFuture<Void> unused =
         store
-            .read(KEY, CALL_TIMEOUT_MILLIS)
+            .read(KEY, patience.timeoutMillis())
             .thenAccept(result -> loop.execute(() -> onRead(result)));
   }
 
   private void onRead(PlatformResult result) {
     long now = clock.millis();
     calling = false;
-    nextCallAt = now + RETRY_MILLIS;
+    nextCallAt = now + pauseAfter(result);
     if (result instanceof PlatformResult.Found found) {
       claim.onRecord(decode(found.object()), found.object().version(), now);
       nextCallAt = claim.mayWrite(now) ? now : now + READ_INTERVAL_MILLIS;
@@ -97,7 +100,7 @@
     long askedAt = clock.millis();
     CompletableFuture<Void> unused =
         store
-            .write(KEY, claim.version(), encode(next), CALL_TIMEOUT_MILLIS)
+            .write(KEY, claim.version(), encode(next), patience.timeoutMillis())
             .thenAccept(result -> loop.execute(() -> onWritten(next, askedAt, result)));
   }
 
@@ -105,6 +108,7 @@
     calling = false;
     nextCallAt = clock.millis();
     if (result instanceof PlatformResult.Found found) {
+      patience.answered();
       claim.onWritten(written, found.object().version(), askedAt);
       LOG.atInfo()
           .setMessage("duty_held")
@@ -114,11 +118,29 @@
           .log();
       return;
     }
-    claim.forget();
-    nextCallAt += RETRY_MILLIS;
+    if (unanswered(result)) {
+      claim.onUnanswered();
+    } else {
+      claim.forget();
+    }
+    nextCallAt += pauseAfter(result);
     log("duty_not_held", result);
   }
 
+  private long pauseAfter(PlatformResult result) {
+    if (unanswered(result)) {
+      patience.unanswered();
+      return UNANSWERED_RETRY_MILLIS;
+    }
+    patience.answered();
+    return RETRY_MILLIS;
+  }
+
+  private static boolean unanswered(PlatformResult result) {
+    return result instanceof PlatformResult.Failed failed
+        && failed.failure() == PlatformFailure.NO_ANSWER;
+  }
+
   private static void log(String event, PlatformResult result) {
     LOG.atInfo().setMessage(event).addKeyValue("result", result).log();
   }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionDuty.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionDuty.java
@@ -39,6 +39,12 @@
   /** What must be left of the right to order, in milliseconds, before an order is sent. */
   private static final long ORDER_RIGHT_MILLIS = 900;
 
+  /**
+   * How long before an order the right to it is renewed, in milliseconds: time for an answer that
+   * is lost, and another one.
+   */
+  private static final long RENEWAL_LEAD_MILLIS = 450;
+
   /** The order's connection is reset this long before the right ends, in milliseconds. */
   private static final long ORDER_MARGIN_MILLIS = 150;
 
@@ -194,8 +200,9 @@
       changes.remove(view.service());
       return;
     }
-    boolean right = record.ensureRight(CHANGE_RIGHT_MILLIS);
-    if (right) {
+    boolean orderNear = change.orderDueInMillis(now) <= RENEWAL_LEAD_MILLIS;
+    boolean longRight = record.ensureRight(orderNear ? ORDER_RIGHT_MILLIS : CHANGE_RIGHT_MILLIS);
+    if (longRight || record.claim().rightMillis(now) >= CHANGE_RIGHT_MILLIS) {
       perform(service, change, change.next(view, now));
     }
     logPhase(view, change);
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -350,6 +350,7 @@
    * @param now the time
    */
   public void tick(long now) {
+    view.tick(now);
     for (MemberPool pool : new ArrayList<>(pools.values())) {
       pool.allowance().hosts(sharers);
       pool.sweep(now);
