--- a/core/src/main/java/org/sardinebay/internal/connection/ConnectionAllowance.java
+++ b/core/src/main/java/org/sardinebay/internal/connection/ConnectionAllowance.java
@@ -9,7 +9,7 @@
  * whichever host needs them.
  *
  * <pre>{@code
- * allowance.reported(connectionsOfAll, ownAtThatTime);
+ * allowance.reported(connectionsOfAll);
  * boolean open = allowance.permits(own);
  * }</pre>
  */
--- a/core/src/main/java/org/sardinebay/internal/process/Topology.java
+++ b/core/src/main/java/org/sardinebay/internal/process/DomainDistances.java
@@ -7,12 +7,12 @@
  * How far failure domains are from each other.
  *
  * <pre>{@code
- * long millis = topology.distanceMillis(hereDomain, thereDomain);
+ * long millis = distances.distanceMillis(hereDomain, thereDomain);
  * }</pre>
  *
  * @param regions the region of each failure domain
  */
-public record Topology(Map<FailureDomain, String> regions) {
+public record DomainDistances(Map<FailureDomain, String> regions) {
   /** A round trip within a failure domain, in milliseconds, rounded up. */
   private static final long SAME_DOMAIN_MILLIS = 1;
 
@@ -23,7 +23,7 @@
   private static final long OTHER_REGION_MILLIS = 16;
 
   /** Copies the map. */
-  public Topology {
+  public DomainDistances {
     regions = Map.copyOf(regions);
   }
 
--- a/core/src/main/java/org/sardinebay/internal/request/ForwardPolicy.java
+++ b/core/src/main/java/org/sardinebay/internal/request/ForwardPolicy.java
@@ -1,7 +1,6 @@
 package org.sardinebay.internal.request;
 
 import java.util.Optional;
-import org.sardinebay.session.ErrorCode;
 
 /**
  * Decides what follows when a home of a service gave no answer to a statement: another home, or the
@@ -45,26 +44,18 @@
   public static Optional<RetryPolicy.Step.GiveUp> after(
       Attempt attempt, int attempts, long now, long deadlineAt) {
     if (attempt.sent() && attempt.commitsWrites()) {
-      return giveUp(ErrorCode.IN_DOUBT, "the commit was sent and its outcome is unknown");
+      return Optional.of(FinalAnswers.commitInDoubt());
     }
     if (attempt.openThere()) {
-      return giveUp(
-          ErrorCode.ABORTED, "rolled back: the connection to the transaction's host was lost");
+      return Optional.of(FinalAnswers.connectionToHostLost());
     }
     if (attempt.sent() && attempt.writes()) {
-      return attempt.inTransaction()
-          ? giveUp(ErrorCode.ABORTED, "rolled back: the transaction's host gave no answer")
-          : giveUp(ErrorCode.IN_DOUBT, "the write was sent and its outcome is unknown");
+      return Optional.of(
+          attempt.inTransaction() ? FinalAnswers.noAnswerOfHost() : FinalAnswers.writeInDoubt());
     }
     if (attempts < MAX_ATTEMPTS && now < deadlineAt) {
       return Optional.empty();
     }
-    return attempt.sent()
-        ? giveUp(ErrorCode.TIMEOUT, "no host with a connection to a member answered in time")
-        : giveUp(ErrorCode.BUSY, "not run: no host with a connection to a member; retry in 500 ms");
-  }
-
-  private static Optional<RetryPolicy.Step.GiveUp> giveUp(ErrorCode code, String text) {
-    return Optional.of(new RetryPolicy.Step.GiveUp(code, text));
+    return Optional.of(attempt.sent() ? FinalAnswers.noAnswerOfHome() : FinalAnswers.noHome());
   }
 }
--- a/core/src/main/java/org/sardinebay/internal/request/RetryPolicy.java
+++ b/core/src/main/java/org/sardinebay/internal/request/RetryPolicy.java
@@ -49,18 +49,48 @@
       return refused(refused, writes, again);
     }
     if (outcome instanceof AttemptOutcome.NotSent) {
-      return again ? new Step.Retry() : giveUp(ErrorCode.BUSY, "no member could be reached");
+      return again ? new Step.Retry() : FinalAnswers.noMemberReached();
     }
     if (writes) {
-      return giveUp(ErrorCode.IN_DOUBT, "the write was sent and its outcome is unknown");
+      return FinalAnswers.writeInDoubt();
     }
-    return again ? new Step.Retry() : giveUp(ErrorCode.TIMEOUT, "no member answered in time");
+    return again ? new Step.Retry() : FinalAnswers.noMemberAnswered();
+  }
+
+  /**
+   * Decides after an attempt in a transaction that has begun at a member: nothing of it is tried
+   * elsewhere.
+   *
+   * @param outcome what the attempt came to
+   * @param open whether the transaction is still open at the member
+   * @param commitsWrites whether the statement commits a transaction that wrote
+   * @param attempts attempts so far
+   * @param now the time
+   * @param deadlineAt when the statement's time is over
+   * @return what follows
+   */
+  public static Step inTransaction(
+      AttemptOutcome outcome,
+      boolean open,
+      boolean commitsWrites,
+      int attempts,
+      long now,
+      long deadlineAt) {
+    if (outcome instanceof AttemptOutcome.Refused refused) {
+      boolean again =
+          open && refused.code() == ErrorCode.BUSY && attempts < MAX_ATTEMPTS && now < deadlineAt;
+      return again ? new Step.Retry() : giveUp(refused.code(), refused.text());
+    }
+    boolean sent = !(outcome instanceof AttemptOutcome.NotSent);
+    return sent && commitsWrites
+        ? FinalAnswers.commitInDoubt()
+        : FinalAnswers.connectionToMemberLost();
   }
 
   private static Step refused(AttemptOutcome.Refused refused, boolean writes, boolean again) {
     return switch (refused.code()) {
       case BUSY, LAGGING, READ_ONLY, WRONG_MEMBER, TOO_MANY_CONNECTIONS, UNKNOWN_STATEMENT ->
-          again ? new Step.Retry() : giveUp(ErrorCode.BUSY, "no member had room in time");
+          again ? new Step.Retry() : FinalAnswers.noMemberHadRoom();
       case TIMEOUT, FAILED ->
           writes || !again ? giveUp(refused.code(), refused.text()) : new Step.Retry();
       default -> giveUp(refused.code(), refused.text());
--- a/core/src/test/java/org/sardinebay/internal/request/RetryPolicyTest.java
+++ b/core/src/test/java/org/sardinebay/internal/request/RetryPolicyTest.java
@@ -77,4 +77,37 @@
       assertThat(code(step)).isEqualTo(ErrorCode.BUSY);
     }
   }
+
+  @Nested
+  class InTransactions {
+    private RetryPolicy.Step after(AttemptOutcome outcome, boolean open, boolean commitsWrites) {
+      return RetryPolicy.inTransaction(outcome, open, commitsWrites, 1, 100, DEADLINE);
+    }
+
+    @Test
+    void should_try_a_busy_member_again_while_the_transaction_is_open() {
+      AttemptOutcome busy = new AttemptOutcome.Refused(ErrorCode.BUSY, "");
+
+      assertThat(after(busy, true, false)).isInstanceOf(RetryPolicy.Step.Retry.class);
+      assertThat(code(after(busy, false, false))).isEqualTo(ErrorCode.BUSY);
+    }
+
+    @Test
+    void should_leave_a_commit_of_writes_in_doubt_once_sent() {
+      assertThat(code(after(new AttemptOutcome.NoAnswer(), true, true)))
+          .isEqualTo(ErrorCode.IN_DOUBT);
+    }
+
+    @Test
+    void should_keep_nothing_when_the_commit_was_not_sent() {
+      assertThat(code(after(new AttemptOutcome.NotSent(), true, true)))
+          .isEqualTo(ErrorCode.ABORTED);
+    }
+
+    @Test
+    void should_keep_nothing_when_a_commit_without_writes_gets_no_answer() {
+      assertThat(code(after(new AttemptOutcome.NoAnswer(), true, false)))
+          .isEqualTo(ErrorCode.ABORTED);
+    }
+  }
 }
--- a/ctl/src/main/java/org/sardinebay/ctl/internal/request/CauseFinder.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/request/CauseFinder.java
@@ -43,9 +43,12 @@
               + " ms"
               + whyNoPrimary(history));
     }
-    if (Integer.parseInt(line.field("reachable_members")) == 0) {
+    if (line.field("reachable_members").equals("0")) {
       return Optional.of("no member of the service could be reached from this host");
     }
+    if (line.field("members").isEmpty()) {
+      return Optional.empty();
+    }
     return Optional.of(
         "all connections of this host to the members were in use ("
             + line.field("members")
--- a/ctl/src/main/java/org/sardinebay/ctl/internal/request/ExplainCommand.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/request/ExplainCommand.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.sardinebay.net.log.LogLine;
 
 /**
@@ -25,6 +26,9 @@
 public final class ExplainCommand implements Command {
   private static final String STANDARD_INPUT = "-";
 
+  /** Fields that stand elsewhere in the output, or tell nothing. */
+  private static final Set<String> NOT_PRINTED = Set.of("event", "level", "request");
+
   private final String request;
   private final List<String> files;
   private final InputStream in;
@@ -91,21 +95,18 @@
 
   private void print(List<SourcedLine> lines) {
     for (SourcedLine sourced : lines) {
-      StringBuilder text = new StringBuilder("  ");
-      text.append(Instant.ofEpochMilli(sourced.line().timeMillis()));
-      text.append(' ').append(sourced.source());
-      sourced.line().fields().forEach((key, value) -> append(text, key, value));
-      out.println(text);
-    }
-  }
-
-  private static void append(StringBuilder text, String key, String value) {
-    if (key.equals("event")) {
-      text.append(' ').append(value);
-    } else if (!key.equals("level") && !key.equals("request")) {
-      boolean spaced = value.isEmpty() || value.indexOf(' ') >= 0;
-      text.append(' ').append(key).append('=');
-      text.append(spaced ? '"' + value + '"' : value);
+      KeyValueLine text = KeyValueLine.of(sourced.line().event());
+      sourced
+          .line()
+          .fields()
+          .forEach(
+              (key, value) -> {
+                if (!NOT_PRINTED.contains(key)) {
+                  text.add(key, value);
+                }
+              });
+      Instant time = Instant.ofEpochMilli(sourced.line().timeMillis());
+      out.println("  " + time + ' ' + sourced.source() + ' ' + text);
     }
   }
 }
--- a/ctl/src/test/java/org/sardinebay/ctl/internal/request/CauseFinderTest.java
+++ b/ctl/src/test/java/org/sardinebay/ctl/internal/request/CauseFinderTest.java
@@ -63,6 +63,14 @@
       assertThat(cause()).contains("no primary could be relied upon for 1900 ms");
     }
 
+    @Test
+    void should_not_be_concluded_from_a_line_that_was_cut_off() {
+      line(20, "host-1", "event=place_not_found request=r1 service=s needs=any");
+      line(20, "host-1", "event=statement_failed request=r1 service=s code=BUSY");
+
+      assertThat(cause()).isEmpty();
+    }
+
     @Test
     void should_name_the_last_attempt_when_every_one_failed() {
       line(20, "host-1", "event=attempt_failed request=r1 member=m-2 outcome=Refused[LAGGING]");
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayBinary.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayBinary.java
@@ -2,12 +2,15 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
 import org.sardinebay.net.Binary;
 import org.sardinebay.net.RunningProcess;
 import org.sardinebay.record.FieldReader;
 
 /** The gateway as a program. */
 public final class GatewayBinary implements Binary<GatewaySettings> {
+  private Optional<GatewayProcess> process = Optional.empty();
+
   @Override
   public String name() {
     return "sardinebay-gateway";
@@ -25,7 +28,14 @@
 
   @Override
   public RunningProcess start(GatewaySettings settings) throws IOException {
-    return GatewayProcess.start(settings);
+    GatewayProcess started = GatewayProcess.start(settings);
+    process = Optional.of(started);
+    return started;
+  }
+
+  @Override
+  public void reload(GatewaySettings settings) {
+    process.ifPresent(running -> running.reload(settings));
   }
 
   @Override
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -75,7 +75,7 @@
 
   private static final int UNAVAILABLE = 503;
 
-  private final GatewaySettings settings;
+  private volatile GatewaySettings settings;
   private final Eventloop loop;
   private final Clock clock;
   private final Services services;
@@ -103,7 +103,7 @@
                     clock,
                     settings.host(),
                     settings.failureDomain(),
-                    settings.topology(),
+                    settings.distances(),
                     memberProtocol,
                     spec),
             clock);
@@ -119,6 +119,7 @@
     this.peers =
         new Peers(
             settings,
+            () -> this.settings.seeds(),
             feed,
             feeds::hosts,
             () -> new ForwardedStatements(forwardedParts),
@@ -128,7 +129,7 @@
         new Homes(
             settings.host(),
             settings.failureDomain(),
-            settings.topology(),
+            settings.distances(),
             feeds::hosts,
             host -> new HomeLink(host, peers::client, loop, clock));
     StatementRunner runner =
@@ -162,7 +163,6 @@
     } catch (ExecutionException e) {
       throw new IOException("could not start: " + e.getCause().getMessage(), e);
     }
-    HangupSignal.handle(() -> LOG.atInfo().setMessage("reload_requested").log());
     return process;
   }
 
@@ -197,6 +197,17 @@
     tick();
   }
 
+  /** Takes over what can change without a restart, and says what can't. */
+  void reload(GatewaySettings newer) {
+    GatewaySettings before = settings;
+    settings = before.reloaded(newer);
+    LOG.atInfo()
+        .setMessage("settings_reloaded")
+        .addKeyValue("changed", !settings.equals(before))
+        .addKeyValue("needs_restart", !settings.equals(newer))
+        .log();
+  }
+
   private void startPeers() {
     try {
       peers.start();
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewaySettings.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewaySettings.java
@@ -6,7 +6,7 @@
 import org.sardinebay.Address;
 import org.sardinebay.FailureDomain;
 import org.sardinebay.HostId;
-import org.sardinebay.internal.process.Topology;
+import org.sardinebay.internal.process.DomainDistances;
 import org.sardinebay.record.FieldReader;
 
 /**
@@ -14,7 +14,7 @@
  *
  * @param host this host's name
  * @param failureDomain where this host stands
- * @param topology which failure domains are in one region
+ * @param distances which failure domains are in one region
  * @param callers where callers connect
  * @param readiness where the balancer asks whether this host is ready
  * @param peers where other gateways call this one
@@ -29,7 +29,7 @@
 public record GatewaySettings(
     HostId host,
     FailureDomain failureDomain,
-    Topology topology,
+    DomainDistances distances,
     Address callers,
     Address readiness,
     Address peers,
@@ -53,7 +53,7 @@
     return new GatewaySettings(
         new HostId(reader.text("host")),
         new FailureDomain(reader.text("failureDomain")),
-        topology(reader),
+        distances(reader),
         reader.address("callers"),
         reader.address("readiness"),
         reader.address("peers"),
@@ -65,7 +65,7 @@
         reader.number("balancerNoticesMillis", 0, MAX_NOTICES_MILLIS, DEFAULT_NOTICES_MILLIS));
   }
 
-  private static Topology topology(FieldReader reader) {
+  private static DomainDistances distances(FieldReader reader) {
     Map<FailureDomain, String> regions = new HashMap<>();
     if (reader.has("regions")) {
       reader
@@ -75,7 +75,24 @@
           .forEachRemaining(
               field -> regions.put(new FailureDomain(field.getKey()), field.getValue().asText("")));
     }
-    return new Topology(regions);
+    return new DomainDistances(regions);
+  }
+
+  /** These settings with those of newer ones that take effect without a restart. */
+  GatewaySettings reloaded(GatewaySettings newer) {
+    return new GatewaySettings(
+        host,
+        failureDomain,
+        distances,
+        callers,
+        readiness,
+        peers,
+        newer.seeds,
+        metrics,
+        store,
+        promotions,
+        newer.shutdownMillis,
+        newer.balancerNoticesMillis);
   }
 
   static List<String> help() {
@@ -88,10 +105,11 @@
         "callers          IP:PORT where callers connect",
         "readiness        IP:PORT where the balancer asks whether this host is ready",
         "peers            IP:PORT where other gateways call this one",
-        "seeds            a list of IP:PORT where some other gateways may be found",
+        "seeds            a list of IP:PORT where some other gateways may be found *",
         "store            IP:PORT of the platform's metadata store",
         "promotions       IP:PORT where the platform takes promotion orders",
-        "shutdownSeconds  how long a shutdown may take",
-        "balancerNoticesMillis  how long a balancer may send callers then, 2500 if left out");
+        "shutdownSeconds  how long a shutdown may take *",
+        "balancerNoticesMillis  how long a balancer may send callers then, 2500 if left out *",
+        "* read again on SIGHUP; the others need a restart");
   }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
@@ -32,6 +32,7 @@
  */
 final class Peers {
   private final GatewaySettings settings;
+  private final Supplier<List<Address>> seeds;
   private final ConfigStoreFeed feed;
   private final Supplier<List<RegisteredHost>> registered;
   private final Supplier<ForwardedStatements> statements;
@@ -44,12 +45,14 @@
 
   Peers(
       GatewaySettings settings,
+      Supplier<List<Address>> seeds,
       ConfigStoreFeed feed,
       Supplier<List<RegisteredHost>> registered,
       Supplier<ForwardedStatements> statements,
       Clock clock,
       MeterRegistry registry) {
     this.settings = settings;
+    this.seeds = seeds;
     this.feed = feed;
     this.registered = registered;
     this.statements = statements;
@@ -94,7 +97,7 @@
   private List<Address> others(boolean reversed) {
     Set<Address> known = new LinkedHashSet<>();
     registered.get().forEach(host -> known.add(host.peers()));
-    known.addAll(settings.seeds());
+    known.addAll(seeds.get());
     known.remove(settings.peers());
     List<Address> list = new ArrayList<>(known);
     if (reversed) {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
@@ -15,10 +15,10 @@
 import org.sardinebay.gateway.internal.connection.Transaction;
 import org.sardinebay.gateway.internal.version.ServiceRuntime;
 import org.sardinebay.internal.request.AttemptOutcome;
+import org.sardinebay.internal.request.FinalAnswers;
 import org.sardinebay.internal.request.PlacementNeed;
 import org.sardinebay.internal.request.RetryPolicy;
 import org.sardinebay.session.DatabaseRoute;
-import org.sardinebay.session.ErrorCode;
 import org.sardinebay.session.MemberMessage;
 import org.sardinebay.session.RouteKind;
 import org.sardinebay.session.Statement;
@@ -146,9 +146,7 @@
     context
         .log()
         .placeNotFound(request, route, need(), service.placeFacts(context.clock().millis()));
-    finish(
-        new SessionReply.Failure(
-            ErrorCode.BUSY, "not run: no member could take the statement; retry in 500 ms"));
+    giveUp(FinalAnswers.noPlace());
   }
 
   @Override
@@ -291,7 +289,7 @@
     boolean sent = transaction.isEmpty() && request.writes();
     RetryPolicy.Step step = RetryPolicy.after(outcome, sent, attempts, now, deadlineAt());
     if (step instanceof RetryPolicy.Step.GiveUp giveUp) {
-      finish(new SessionReply.Failure(giveUp.code(), giveUp.text()));
+      giveUp(giveUp);
     } else if (outcome instanceof AttemptOutcome.Refused) {
       context.retryLater(this::place);
     } else {
@@ -301,28 +299,14 @@
 
   private void failedInTransaction(Attempt attempt, AttemptOutcome outcome) {
     boolean open = attempt.link.usable() && attempt.link.state() == TransactionState.OPEN;
-    if (outcome instanceof AttemptOutcome.Refused refused) {
-      boolean again =
-          open
-              && refused.code() == ErrorCode.BUSY
-              && attempts < RetryPolicy.MAX_ATTEMPTS
-              && context.clock().millis() < deadlineAt();
-      if (again) {
-        context.retryLater(this::start);
-        return;
-      }
-      finish(new SessionReply.Failure(refused.code(), refused.text()));
-      return;
-    }
-    boolean commitSent = request.commits() && !(outcome instanceof AttemptOutcome.NotSent);
-    if (commitSent && transaction.filter(Transaction::wrote).isPresent()) {
-      finish(
-          new SessionReply.Failure(
-              ErrorCode.IN_DOUBT, "the commit was sent and its outcome is unknown"));
+    boolean commitsWrites = request.commits() && transaction.filter(Transaction::wrote).isPresent();
+    long now = context.clock().millis();
+    RetryPolicy.Step step =
+        RetryPolicy.inTransaction(outcome, open, commitsWrites, attempts, now, deadlineAt());
+    if (step instanceof RetryPolicy.Step.GiveUp giveUp) {
+      giveUp(giveUp);
     } else {
-      finish(
-          new SessionReply.Failure(
-              ErrorCode.ABORTED, "rolled back: the connection to the member was lost"));
+      context.retryLater(this::start);
     }
   }
 
@@ -332,6 +316,10 @@
     }
   }
 
+  private void giveUp(RetryPolicy.Step.GiveUp answer) {
+    finish(new SessionReply.Failure(answer.code(), answer.text()));
+  }
+
   private void finish(SessionReply reply) {
     if (finished) {
       throw new IllegalStateException("request " + request.id() + " ended twice");
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/Homes.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/Homes.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,7 +13,7 @@
 import org.sardinebay.FailureDomain;
 import org.sardinebay.HostId;
 import org.sardinebay.gateway.internal.connection.HomeLink;
-import org.sardinebay.internal.process.Topology;
+import org.sardinebay.internal.process.DomainDistances;
 import org.sardinebay.internal.version.RendezvousOrder;
 import org.sardinebay.internal.version.ServiceHomes;
 import org.sardinebay.session.RegisteredHost;
@@ -28,36 +29,38 @@
 public final class Homes {
   private final HostId self;
   private final FailureDomain here;
-  private final Topology topology;
+  private final DomainDistances distances;
   private final Supplier<Collection<RegisteredHost>> hosts;
   private final Function<RegisteredHost, HomeLink> connector;
   private final Map<HostId, HomeLink> links = new HashMap<>();
   private final Map<String, Ranking> rankings = new HashMap<>();
+  private Collection<RegisteredHost> linkedHosts = List.of();
 
   /** The order of hosts for a service, and what it was worked out from. */
   private record Ranking(
       Collection<RegisteredHost> hosts,
       Set<FailureDomain> domains,
-      List<List<RegisteredHost>> order) {}
+      List<List<RegisteredHost>> order,
+      Map<HostId, Integer> preference) {}
 
   /**
    * No homes are known yet.
    *
    * @param self this host
    * @param here where it stands
-   * @param topology how far failure domains are from each other
+   * @param distances how far failure domains are from each other
    * @param hosts the registered hosts
    * @param connector makes the link to a host
    */
   public Homes(
       HostId self,
       FailureDomain here,
-      Topology topology,
+      DomainDistances distances,
       Supplier<Collection<RegisteredHost>> hosts,
       Function<RegisteredHost, HomeLink> connector) {
     this.self = self;
     this.here = here;
-    this.topology = topology;
+    this.distances = distances;
     this.hosts = hosts;
     this.connector = connector;
   }
@@ -80,19 +83,41 @@
   }
 
   private List<RegisteredHost> homes(ServiceRuntime service, Collection<RegisteredHost> all) {
-    String name = service.view().service();
-    Set<FailureDomain> domains = service.failureDomains();
-    Ranking ranking = rankings.get(name);
-    if (ranking == null || ranking.hosts() != all || !ranking.domains().equals(domains)) {
-      ranking = new Ranking(all, domains, ServiceHomes.ranked(name, domains, all));
-      rankings.put(name, ranking);
-    }
     return ServiceHomes.of(
-        ranking.order(),
+        ranking(service, all).order(),
         service.maxConnections(),
         host -> host.id().equals(self) || link(host).usable());
   }
 
+  private Ranking ranking(ServiceRuntime service, Collection<RegisteredHost> all) {
+    String name = service.view().service();
+    Set<FailureDomain> domains = service.failureDomains();
+    Ranking known = rankings.get(name);
+    if (known != null && known.hosts() == all && known.domains().equals(domains)) {
+      return known;
+    }
+    List<List<RegisteredHost>> order = ServiceHomes.ranked(name, domains, all);
+    Ranking ranking = new Ranking(all, domains, order, preference(order));
+    rankings.put(name, ranking);
+    return ranking;
+  }
+
+  /** The nearest host first; of equally near ones each host has its own order. */
+  private Map<HostId, Integer> preference(List<List<RegisteredHost>> order) {
+    List<RegisteredHost> candidates = order.stream().flatMap(List::stream).toList();
+    List<RegisteredHost> sorted =
+        RendezvousOrder.of(self.value(), candidates, host -> host.id().value()).stream()
+            .sorted(Comparator.comparingLong(this::distanceMillis))
+            .toList();
+    Map<HostId, Integer> places = new HashMap<>();
+    sorted.forEach(host -> places.put(host.id(), places.size()));
+    return places;
+  }
+
+  private long distanceMillis(RegisteredHost host) {
+    return distances.distanceMillis(here, host.failureDomain());
+  }
+
   private HomeLink link(RegisteredHost host) {
     HomeLink known = links.get(host.id());
     if (known == null || !known.host().equals(host)) {
@@ -111,28 +136,25 @@
    * @return the home, empty if none is known that answers
    */
   public Optional<HomeLink> choose(ServiceRuntime service, Set<HostId> excluded) {
-    List<RegisteredHost> candidates =
-        homes(service, hosts.get()).stream()
-            .filter(host -> !host.id().equals(self) && !excluded.contains(host.id()))
-            .toList();
-    RegisteredHost best = null;
-    long bestMillis = Long.MAX_VALUE;
-    for (RegisteredHost host : RendezvousOrder.of(self.value(), candidates, h -> h.id().value())) {
-      long millis = topology.distanceMillis(here, host.failureDomain());
-      if (millis < bestMillis) {
-        best = host;
-        bestMillis = millis;
-      }
-    }
-    return Optional.ofNullable(best).map(this::link);
+    Collection<RegisteredHost> all = hosts.get();
+    Map<HostId, Integer> preference = ranking(service, all).preference();
+    return homes(service, all).stream()
+        .filter(host -> !host.id().equals(self) && !excluded.contains(host.id()))
+        .min(Comparator.comparingInt(host -> preference.get(host.id())))
+        .map(this::link);
   }
 
   /**
-   * Probes hosts that are silent.
+   * Probes hosts that are silent, and forgets those that are not registered any more.
    *
    * @param now the time
    */
   public void tick(long now) {
+    Collection<RegisteredHost> all = hosts.get();
+    if (all != linkedHosts) {
+      linkedHosts = all;
+      links.values().removeIf(link -> !all.contains(link.host()));
+    }
     new ArrayList<>(links.values()).forEach(link -> link.tick(now));
   }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -16,12 +16,11 @@
 import org.sardinebay.HostId;
 import org.sardinebay.MemberId;
 import org.sardinebay.gateway.internal.connection.LossCause;
-import org.sardinebay.gateway.internal.connection.MemberAnswer;
 import org.sardinebay.gateway.internal.connection.MemberLink;
 import org.sardinebay.gateway.internal.connection.MemberPool;
 import org.sardinebay.gateway.internal.request.Placeable;
 import org.sardinebay.internal.connection.ConnectionAllowance;
-import org.sardinebay.internal.process.Topology;
+import org.sardinebay.internal.process.DomainDistances;
 import org.sardinebay.internal.request.Placement;
 import org.sardinebay.internal.request.PlacementCandidate;
 import org.sardinebay.internal.request.PlacementNeed;
@@ -47,18 +46,6 @@
 public final class ServiceRuntime implements MemberPool.Listener {
   private static final Logger LOG = LoggerFactory.getLogger(ServiceRuntime.class);
 
-  /** How often each member is asked for its status when all is well, in milliseconds. */
-  private static final long STATUS_INTERVAL_MILLIS = 8_000;
-
-  /** How often members are asked while something is amiss, in milliseconds. */
-  private static final long URGENT_STATUS_INTERVAL_MILLIS = 250;
-
-  /** A replica is asked to confirm the lease when less than this is left of it, in milliseconds. */
-  private static final long LEASE_RENEWAL_MILLIS = 550;
-
-  /** How long a status may take, in milliseconds: it waits for a slot behind other statements. */
-  private static final long STATUS_TIMEOUT_MILLIS = 700;
-
   /**
    * How long a host that another one has asked to run statements keeps its connections, in
    * milliseconds: that host holds it for a home.
@@ -69,13 +56,14 @@
   private final Clock clock;
   private final HostId self;
   private final FailureDomain here;
-  private final Topology topology;
+  private final DomainDistances distances;
   private final MemberProtocol protocol;
   private final ServiceView view;
   private final Map<MemberId, MemberPool> pools = new LinkedHashMap<>();
-  private final Map<MemberId, Long> statusAskedAt = new HashMap<>();
-  private final Map<MemberId, Integer> othersBusy = new HashMap<>();
+  private final StatusQuestions questions;
   private final WaitingLine<Placeable> waiting = new WaitingLine<>();
+  private final Map<MemberId, Long> lostAt = new HashMap<>();
+  private Set<FailureDomain> failureDomains = Set.of();
   private ServiceSpec spec;
   private boolean serving;
   private boolean home = true;
@@ -89,7 +77,7 @@
    * @param clock the clock
    * @param self this host
    * @param here this host's failure domain
-   * @param topology how far failure domains are from each other
+   * @param distances how far failure domains are from each other
    * @param protocol the members' protocol
    * @param spec the service's configuration
    */
@@ -98,17 +86,18 @@
       Clock clock,
       HostId self,
       FailureDomain here,
-      Topology topology,
+      DomainDistances distances,
       MemberProtocol protocol,
       ServiceSpec spec) {
     this.loop = loop;
     this.clock = clock;
     this.self = self;
     this.here = here;
-    this.topology = topology;
+    this.distances = distances;
     this.protocol = protocol;
     this.spec = spec;
     this.view = new ServiceView(spec.name(), clock.millis());
+    this.questions = new StatusQuestions(view, protocol, clock);
   }
 
   /**
@@ -185,9 +174,7 @@
    * @return their failure domains
    */
   public Set<FailureDomain> failureDomains() {
-    return view.members().stream()
-        .map(member -> member.entry().failureDomain())
-        .collect(Collectors.toSet());
+    return failureDomains;
   }
 
   /**
@@ -213,7 +200,7 @@
       MemberEntry newer = byId.get(pool.entry().id());
       if (newer == null || !newer.sameIncarnation(pool.entry())) {
         pools.remove(pool.entry().id());
-        statusAskedAt.remove(pool.entry().id());
+        questions.forget(pool.entry().id());
         gone.add(pool);
         logMember("member_gone", pool.entry());
       }
@@ -228,6 +215,8 @@
       }
     }
     view.setMembers(byId.values(), clock.millis());
+    failureDomains =
+        byId.values().stream().map(MemberEntry::failureDomain).collect(Collectors.toSet());
     // Closing a pool ends statements, which look for another place at once: only now that pools and
     // view agree.
     gone.forEach(MemberPool::close);
@@ -289,8 +278,8 @@
               member.id(),
               isUsablePrimary(member.id(), now),
               pool.hasIdle() || (!idleOnly && pool.mayOpen()),
-              topology.distanceMillis(here, member.entry().failureDomain()),
-              othersBusy.getOrDefault(member.id(), 0) + pool.lent(),
+              distances.distanceMillis(here, member.entry().failureDomain()),
+              questions.othersBusy(member.id()) + pool.lent(),
               member.entry().slots(),
               member.applied(),
               draining || member.failing() || statement.excluded().contains(member.id())));
@@ -304,9 +293,7 @@
 
   @Override
   public void onCapacity(MemberPool pool) {
-    if (statusDue(pool, clock.millis())) {
-      askStatus(pool);
-    }
+    askIfDue(pool, clock.millis());
     serveWaiting();
   }
 
@@ -335,6 +322,7 @@
     boolean first = view.member(id).filter(m -> !m.failing()).isPresent();
     view.onUnreachable(id, cause == LossCause.REFUSED, clock.millis());
     if (first) {
+      lostAt.put(id, clock.millis());
       LOG.atWarn()
           .setMessage("member_unreachable")
           .addKeyValue("service", spec.name())
@@ -351,6 +339,7 @@
    */
   public void tick(long now) {
     view.tick(now);
+    logRegained(now);
     for (MemberPool pool : new ArrayList<>(pools.values())) {
       pool.allowance().hosts(sharers);
       pool.sweep(now);
@@ -358,45 +347,32 @@
         pool.dropIdle(now);
       } else if (pool.size() == 0) {
         pool.open();
-      } else if (statusDue(pool, now)) {
-        askStatus(pool);
+      } else {
+        askIfDue(pool, now);
       }
     }
     waiting.expire(now).forEach(Placeable::onNoPlace);
     serveWaiting();
   }
 
-  private boolean statusDue(MemberPool pool, long now) {
-    if (!pool.hasIdle() || !home) {
-      return false;
+  private void logRegained(long now) {
+    lostAt.keySet().removeIf(id -> view.member(id).isEmpty());
+    for (MemberView member : view.members()) {
+      if (!member.failing() && lostAt.containsKey(member.id())) {
+        LOG.atInfo()
+            .setMessage("member_regained")
+            .addKeyValue("service", spec.name())
+            .addKeyValue("member", member.id().value())
+            .addKeyValue("away_millis", now - lostAt.remove(member.id()))
+            .log();
+      }
     }
-    long silent = now - statusAskedAt.getOrDefault(pool.entry().id(), Long.MIN_VALUE / 2);
-    boolean urgent =
-        view.primary().isEmpty()
-            || needsLook(pool)
-            || renewsLease(pool, now)
-            || needsRoom(pool, now);
-    return silent >= (urgent ? URGENT_STATUS_INTERVAL_MILLIS : STATUS_INTERVAL_MILLIS);
-  }
-
-  private boolean needsLook(MemberPool pool) {
-    return view.member(pool.entry().id())
-        .filter(m -> m.failing() || m.status().isEmpty())
-        .isPresent();
-  }
-
-  private boolean needsRoom(MemberPool pool, long now) {
-    return waiting.size() > 0 && pool.allowance().waitsForReport(pool.size(), now);
-  }
-
-  private boolean renewsLease(MemberPool pool, long now) {
-    boolean replica = view.primary().filter(m -> m.id().equals(pool.entry().id())).isEmpty();
-    return replica && view.leaseMillis(now) < LEASE_RENEWAL_MILLIS;
   }
 
-  private void askStatus(MemberPool pool) {
-    statusAskedAt.put(pool.entry().id(), clock.millis());
-    control(pool, protocol.statusText(), status -> {});
+  private void askIfDue(MemberPool pool, long now) {
+    if (home && questions.due(pool, waiting.size() > 0, now)) {
+      questions.ask(pool);
+    }
   }
 
   /**
@@ -407,54 +383,7 @@
    * @param done takes the status, empty if there was none
    */
   public void control(MemberPool pool, String text, Consumer<Optional<MemberStatus>> done) {
-    Optional<MemberLink> lent = pool.lend(Map.of());
-    if (lent.isEmpty()) {
-      done.accept(Optional.empty());
-      return;
-    }
-    MemberLink link = lent.get();
-    int own = pool.lent();
-    link.exchange(
-        protocol.query(MemberProtocol.OWN_ID, Optional.empty(), text),
-        STATUS_TIMEOUT_MILLIS,
-        answer -> {
-          Optional<MemberStatus> status = onControlAnswer(pool, own, answer);
-          pool.giveBack(link);
-          done.accept(status);
-        });
-  }
-
-  private Optional<MemberStatus> onControlAnswer(MemberPool pool, int own, MemberAnswer answer) {
-    if (answer instanceof MemberAnswer.Lost lost) {
-      pool.onLost(lost.cause());
-      return Optional.empty();
-    }
-    MemberAnswer.Whole whole = (MemberAnswer.Whole) answer;
-    Optional<MemberStatus> status = whole.rows().stream().findFirst().flatMap(protocol::status);
-    status.ifPresent(s -> onStatus(pool, own, s, whole.askedAt()));
-    whole
-        .ready()
-        .position()
-        .ifPresent(p -> view.onApplied(pool.entry().id(), p, whole.askedAt(), clock.millis()));
-    return status;
-  }
-
-  private void onStatus(MemberPool pool, int own, MemberStatus status, long askedAt) {
-    MemberId id = pool.entry().id();
-    pool.allowance().reported(status.connections());
-    othersBusy.put(id, Math.max(0, status.busySlots() - own));
-    boolean changed = view.onStatus(id, status, askedAt, clock.millis());
-    if (changed) {
-      LOG.atInfo()
-          .setMessage("primary_changed")
-          .addKeyValue("service", spec.name())
-          .addKeyValue("member", id.value())
-          .addKeyValue("role", status.role())
-          .addKeyValue("term", status.term())
-          .addKeyValue("received", status.received())
-          .addKeyValue("fence_term", status.fenceTerm())
-          .log();
-    }
+    questions.control(pool, text, done);
   }
 
   /**
--- /dev/null
+++ b/gateway/src/test/java/org/sardinebay/gateway/internal/process/GatewaySettingsTest.java
@@ -0,0 +1,58 @@
+package org.sardinebay.gateway.internal.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.Address;
+import org.sardinebay.net.http.Json;
+import org.sardinebay.record.FieldReader;
+
+class GatewaySettingsTest {
+  private static ObjectNode complete() {
+    ObjectNode settings =
+        Json.newObject()
+            .put("host", "host-1")
+            .put("failureDomain", "hall-1")
+            .put("ip", "10.0.0.1")
+            .put("metricsPort", 9464)
+            .put("callers", "10.0.0.1:7000")
+            .put("readiness", "10.0.0.1:7001")
+            .put("peers", "10.0.0.1:7002")
+            .put("store", "10.0.9.1:80")
+            .put("promotions", "10.0.9.2:80")
+            .put("shutdownSeconds", 12);
+    settings.putArray("seeds").add("10.0.0.2:7002");
+    return settings;
+  }
+
+  private static GatewaySettings read(ObjectNode tree) {
+    FieldReader reader = FieldReader.of(tree);
+    GatewaySettings settings = GatewaySettings.read(reader);
+    assertThat(reader.problems()).isEmpty();
+    return settings;
+  }
+
+  @Nested
+  class Reloaded {
+    @Test
+    void should_take_seeds_and_times_of_a_shutdown_over() {
+      ObjectNode changed = complete().put("shutdownSeconds", 20).put("balancerNoticesMillis", 900);
+      changed.putArray("seeds").add("10.0.0.3:7002");
+
+      GatewaySettings settings = read(complete()).reloaded(read(changed));
+
+      assertThat(settings).isEqualTo(read(changed));
+      assertThat(settings.seeds()).containsExactly(new Address("10.0.0.3", 7002));
+    }
+
+    @Test
+    void should_keep_what_needs_a_restart() {
+      GatewaySettings before = read(complete());
+
+      assertThat(before.reloaded(read(complete().put("callers", "10.0.0.1:9000"))))
+          .isEqualTo(before);
+    }
+  }
+}
--- a/net/src/main/java/org/sardinebay/net/Binary.java
+++ b/net/src/main/java/org/sardinebay/net/Binary.java
@@ -53,4 +53,12 @@
    * @return one line for each field
    */
   List<String> settingsHelp();
+
+  /**
+   * Takes over settings that were read again from the changed file, as far as that goes without a
+   * restart. By default nothing does.
+   *
+   * @param settings the checked settings
+   */
+  default void reload(S settings) {}
 }
--- a/net/src/main/java/org/sardinebay/net/BinaryMain.java
+++ b/net/src/main/java/org/sardinebay/net/BinaryMain.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Supplier;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
@@ -88,7 +89,7 @@
       out.println("settings ok");
       return EXIT_OK;
     }
-    return serve(binary, settings.get());
+    return serve(binary, settings.get(), () -> load(binary, Path.of(options.valueOf(file)), err));
   }
 
   private static <S> Optional<S> load(Binary<S> binary, Path file, PrintStream err) {
@@ -117,7 +118,7 @@
     return problems.isEmpty() ? Optional.of(settings) : Optional.empty();
   }
 
-  private static <S> int serve(Binary<S> binary, S settings) {
+  private static <S> int serve(Binary<S> binary, S settings, Supplier<Optional<S>> again) {
     RunningProcess process;
     try {
       process = binary.start(settings);
@@ -130,11 +131,22 @@
       return EXIT_FAILURE;
     }
     LOG.atInfo().setMessage("started").addKeyValue("program", binary.name()).log();
+    HangupSignal.handle(() -> reload(binary, again));
     Runtime.getRuntime().addShutdownHook(new Thread(process::shutdown, "shutdown"));
     awaitForever();
     return EXIT_OK;
   }
 
+  private static <S> void reload(Binary<S> binary, Supplier<Optional<S>> again) {
+    Optional<S> settings = again.get();
+    LOG.atInfo()
+        .setMessage("reload_requested")
+        .addKeyValue("program", binary.name())
+        .addKeyValue("settings", settings.isPresent() ? "read" : "refused, the old ones stay")
+        .log();
+    settings.ifPresent(binary::reload);
+  }
+
   private static void awaitForever() {
     try {
       new CountDownLatch(1).await();
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/HangupSignal.java
+++ b/net/src/main/java/org/sardinebay/net/HangupSignal.java
@@ -1,4 +1,4 @@
-package org.sardinebay.gateway.internal.process;
+package org.sardinebay.net;
 
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
