A killed driver's fences count as abandoned at once; its record is watched from the first suspicion

Change: a service without a known primary whose replicas are fenced above every term needs a change after 1 s (ABANDONED) instead of 2.5 s; hosts read the duty's record as soon as a service has been without a primary for 0.5 s, so the 2 s run meanwhile, and write it when these are over, not at the next reading. Tests: PrimaryChangeNeedTest (soon with a fence, not without one, suspected before).

Ruled out: a shorter time for a record whose holder has started again: its order may still lie in a socket. The lease wait stays.

--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryChangeNeed.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryChangeNeed.java
@@ -32,6 +32,12 @@
    */
   public static final long ABANDONED_MILLIS = 1_000;
 
+  /**
+   * How long a service is without a primary to rely upon before a change is expected, in
+   * milliseconds: above the first answers after a start.
+   */
+  public static final long SUSPECTED_MILLIS = 500;
+
   /** Why another primary is needed. */
   public enum Cause {
     /** The primary says that it is about to leave. */
@@ -61,9 +67,8 @@
       return Optional.empty();
     }
     if (primary.isEmpty()) {
-      boolean leaderless = view.members().stream().allMatch(m -> follows(m, now));
-      return leaderless && view.unusableMillis(now) >= UNKNOWN_MILLIS
-          ? Optional.of(Cause.UNKNOWN)
+      return view.members().stream().allMatch(m -> follows(m, now))
+          ? withoutLeader(view, now)
           : Optional.empty();
     }
     MemberView member = primary.get();
@@ -82,6 +87,27 @@
     return abandoned ? Optional.of(Cause.ABANDONED) : Optional.empty();
   }
 
+  private static Optional<Cause> withoutLeader(ServiceView view, long now) {
+    if (view.unusableMillis(now) >= UNKNOWN_MILLIS) {
+      return Optional.of(Cause.UNKNOWN);
+    }
+    return view.fencedAbove(view.newestTerm()) && view.unusableMillis(now) >= ABANDONED_MILLIS
+        ? Optional.of(Cause.ABANDONED)
+        : Optional.empty();
+  }
+
+  /**
+   * Whether a change may soon be needed: a service has been without a primary to rely upon for
+   * longer than a change or a start usually takes to show one.
+   *
+   * @param view what is known of the service
+   * @param now the time
+   * @return true from {@link #SUSPECTED_MILLIS} on
+   */
+  public static boolean suspected(ServiceView view, long now) {
+    return view.members().size() >= 2 && view.unusableMillis(now) >= SUSPECTED_MILLIS;
+  }
+
   /** A member that was never heard of may lead: this host may only lack a connection to it. */
   private static boolean follows(MemberView member, long now) {
     boolean says = member.status().filter(s -> s.role() == MemberRole.REPLICA).isPresent();
--- a/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeNeedTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeNeedTest.java
@@ -113,5 +113,29 @@
 
       assertThat(PrimaryChangeNeed.of(view, LONG_AFTER)).contains(PrimaryChangeNeed.Cause.UNKNOWN);
     }
+
+    @Test
+    void should_exist_soon_when_an_earlier_driver_left_a_fence() {
+      view.onUnreachable(LEADER, false, 10);
+      view.onStatus(NEAR, ServiceViewTest.replica(1, 5, 2), 100, 100);
+      view.onStatus(FAR, ServiceViewTest.replica(1, 5, 2), 100, 100);
+
+      long soon = 10 + PrimaryChangeNeed.SILENT_MILLIS;
+      assertThat(PrimaryChangeNeed.of(view, soon)).contains(PrimaryChangeNeed.Cause.ABANDONED);
+    }
+
+    @Test
+    void should_not_exist_soon_without_a_fence() {
+      view.onUnreachable(LEADER, false, 10);
+
+      assertThat(PrimaryChangeNeed.of(view, PrimaryChangeNeed.UNKNOWN_MILLIS - 1)).isEmpty();
+    }
+
+    @Test
+    void should_be_suspected_before_it_exists() {
+      assertThat(PrimaryChangeNeed.suspected(view, PrimaryChangeNeed.SUSPECTED_MILLIS)).isTrue();
+      assertThat(PrimaryChangeNeed.suspected(view, PrimaryChangeNeed.SUSPECTED_MILLIS - 1))
+          .isFalse();
+    }
   }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/DutyRecord.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/DutyRecord.java
@@ -42,7 +42,7 @@
   private final Clock clock;
   private final CallPatience patience = new CallPatience();
   private boolean calling;
-  private long nextCallAt = Long.MIN_VALUE;
+  private long nextReadAt = Long.MIN_VALUE;
 
   DutyRecord(PlatformClient store, DutyClaim claim, Eventloop loop, Clock clock) {
     this.store = store;
@@ -61,16 +61,28 @@
     if (claim.rightMillis(now) >= millisNeeded) {
       return true;
     }
-    if (!calling && now >= nextCallAt) {
-      if (claim.mayWrite(now)) {
-        write();
-      } else {
-        read();
-      }
+    if (calling) {
+      return false;
+    }
+    if (claim.mayWrite(now)) {
+      write();
+    } else if (now >= nextReadAt) {
+      read();
     }
     return false;
   }
 
+  /**
+   * Keeps an eye on the record without writing it: whether its holder still renews it is known only
+   * after some time.
+   */
+  void observe() {
+    long now = clock.millis();
+    if (!calling && now >= nextReadAt && claim.rightMillis(now) == 0) {
+      read();
+    }
+  }
+
   private void read() {
     calling = true;
     CompletableFuture<Void> unused =
@@ -82,13 +94,13 @@
   private void onRead(PlatformResult result) {
     long now = clock.millis();
     calling = false;
-    nextCallAt = now + pauseAfter(result);
+    nextReadAt = now + pauseAfter(result);
     if (result instanceof PlatformResult.Found found) {
       claim.onRecord(decode(found.object()), found.object().version(), now);
-      nextCallAt = claim.mayWrite(now) ? now : now + READ_INTERVAL_MILLIS;
+      nextReadAt = now + READ_INTERVAL_MILLIS;
     } else if (result instanceof PlatformResult.Absent) {
       claim.onRecord(Optional.empty(), 0, now);
-      nextCallAt = now;
+      nextReadAt = now + READ_INTERVAL_MILLIS;
     } else {
       log("duty_record_unread", result);
     }
@@ -106,7 +118,7 @@
 
   private void onWritten(DutyClaim.Holding written, long askedAt, PlatformResult result) {
     calling = false;
-    nextCallAt = clock.millis();
+    nextReadAt = clock.millis();
     if (result instanceof PlatformResult.Found found) {
       patience.answered();
       claim.onWritten(written, found.object().version(), askedAt);
@@ -123,7 +135,7 @@
     } else {
       claim.forget();
     }
-    nextCallAt += pauseAfter(result);
+    nextReadAt += pauseAfter(result);
     log("duty_not_held", result);
   }
 
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionDuty.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionDuty.java
@@ -148,6 +148,9 @@
     Optional<PrimaryChangeNeed.Cause> cause = PrimaryChangeNeed.of(view, now);
     if (cause.isEmpty()) {
       needs.remove(view.service());
+      if (PrimaryChangeNeed.suspected(view, now)) {
+        record.observe();
+      }
       return;
     }
     if (needs.put(view.service(), cause.get()) != cause.get()) {
