--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/HostClock.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/HostClock.java
@@ -16,6 +16,9 @@
   /** The number of the clock that counts suspensions, as the C library knows it. */
   private static final int CLOCK_BOOTTIME = 7;
 
+  /** By its full name: a short one is searched for on all paths of the system. */
+  private static final String C_LIBRARY = "libc.so.6";
+
   private static final long MILLIS_PER_SECOND = 1_000;
 
   /** Seconds and nanoseconds, each of eight bytes. */
@@ -38,7 +41,7 @@
    */
   static Clock create() {
     try {
-      HostClock clock = new HostClock(Function.getFunction("c", "clock_gettime"));
+      HostClock clock = new HostClock(Function.getFunction(C_LIBRARY, "clock_gettime"));
       if (clock.millis() > 0) {
         return clock;
       }
--- a/standins/src/main/java/org/sardinebay/standins/driver/Deployment.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/Deployment.java
@@ -14,6 +14,7 @@
 import java.util.function.BooleanSupplier;
 import org.sardinebay.Clock;
 import org.sardinebay.net.http.JsonHttpClient;
+import org.sardinebay.standins.platform.FreePorts;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -62,7 +63,7 @@
     for (int attempt = 1; ; attempt++) {
       Path attemptFolder = folder.resolve("attempt-" + attempt);
       Files.createDirectories(attemptFolder);
-      Topology topology = Topology.allocate(spec, new PortAllocator());
+      Topology topology = Topology.allocate(spec, FreePorts::next);
       Deployment deployment = new Deployment(spec, topology, attemptFolder);
       try {
         deployment.startAll(acknowledgement, mode);
--- a/standins/src/main/java/org/sardinebay/standins/driver/Topology.java
+++ b/standins/src/main/java/org/sardinebay/standins/driver/Topology.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 import org.sardinebay.Address;
 import org.sardinebay.standins.relay.LinkSettings;
 
@@ -17,16 +18,16 @@
   static final String CONTROLLER_SUFFIX = "-controller";
 
   private final DeploymentSpec spec;
-  private final PortAllocator ports;
+  private final Supplier<Address> ports;
   private final List<Node> nodes = new ArrayList<>();
   private final List<LinkSettings> links = new ArrayList<>();
 
-  private Topology(DeploymentSpec spec, PortAllocator ports) {
+  private Topology(DeploymentSpec spec, Supplier<Address> ports) {
     this.spec = spec;
     this.ports = ports;
   }
 
-  static Topology allocate(DeploymentSpec spec, PortAllocator ports) throws IOException {
+  static Topology allocate(DeploymentSpec spec, Supplier<Address> ports) throws IOException {
     Topology topology = new Topology(spec, ports);
     topology.addNodes();
     topology.addLinks();
@@ -80,9 +81,9 @@
 
   private void addNode(String name, ProcessKind kind, String group, String domain)
       throws IOException {
-    Address listen = ports.allocate();
+    Address listen = ports.get();
     boolean hasPeers = kind == ProcessKind.PROXY || kind == ProcessKind.CONTROLLER;
-    nodes.add(new Node(name, kind, group, domain, listen, hasPeers ? ports.allocate() : listen));
+    nodes.add(new Node(name, kind, group, domain, listen, hasPeers ? ports.get() : listen));
   }
 
   private void addLinks() throws IOException {
@@ -100,7 +101,7 @@
 
   private void addLink(String source, String target, Address forward, long delayMillis)
       throws IOException {
-    links.add(new LinkSettings(source, target, ports.allocate(), forward, delayMillis));
+    links.add(new LinkSettings(source, target, ports.get(), forward, delayMillis));
   }
 
   private static boolean connects(Node source, Node target) {
--- a/standins/src/test/java/org/sardinebay/standins/platform/FreePorts.java
+++ b/standins/src/main/java/org/sardinebay/standins/platform/FreePorts.java
@@ -18,6 +18,11 @@
 
   private FreePorts() {}
 
+  /**
+   * The next free address.
+   *
+   * @return a loopback address that nothing listened on a moment ago
+   */
   public static Address next() {
     for (int tried = 0; tried < PORTS; tried++) {
       int port = FIRST_PORT + Math.floorMod(NEXT.getAndIncrement(), PORTS);
--- a/standins/src/test/java/org/sardinebay/standins/driver/TopologyTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/driver/TopologyTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sardinebay.net.http.Json;
+import org.sardinebay.standins.platform.FreePorts;
 import org.sardinebay.standins.relay.LinkSettings;
 
 class TopologyTest {
@@ -25,7 +26,7 @@
   @BeforeEach
   void allocate() throws IOException {
     spec = DeploymentSpec.load(DEPLOYMENTS.resolve("brazos.json"));
-    topology = Topology.allocate(spec, new PortAllocator());
+    topology = Topology.allocate(spec, FreePorts::next);
   }
 
   @Nested
