One replica is asked to confirm the lease, the others only when it is in danger

Change: below 550 ms the nearest replica in reach is asked, below 400 ms all. Nothing changes in what a lease rests on. Ruled out: leases renewed only while a service has statements: the first statement after a rest, and the notice that a primary is dead, would wait.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -97,7 +97,7 @@
     this.protocol = protocol;
     this.spec = spec;
     this.view = new ServiceView(spec.name(), clock.millis());
-    this.questions = new StatusQuestions(view, protocol, clock);
+    this.questions = new StatusQuestions(view, protocol, this::distanceMillis, clock);
   }
 
   /**
@@ -278,7 +278,7 @@
               member.id(),
               isUsablePrimary(member.id(), now),
               pool.hasIdle() || (!idleOnly && pool.mayOpen()),
-              distances.distanceMillis(here, member.entry().failureDomain()),
+              distanceMillis(member),
               questions.othersBusy(member.id()) + pool.lent(),
               member.entry().slots(),
               member.applied(),
@@ -287,6 +287,10 @@
     return Placement.choose(need, candidates);
   }
 
+  private long distanceMillis(MemberView member) {
+    return distances.distanceMillis(here, member.entry().failureDomain());
+  }
+
   private boolean isUsablePrimary(MemberId member, long now) {
     return view.usablePrimary(now).filter(m -> m.id().equals(member)).isPresent();
   }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatusQuestions.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatusQuestions.java
@@ -1,14 +1,17 @@
 package org.sardinebay.gateway.internal.version;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.ToLongFunction;
 import org.sardinebay.Clock;
 import org.sardinebay.MemberId;
 import org.sardinebay.gateway.internal.connection.MemberAnswer;
 import org.sardinebay.gateway.internal.connection.MemberLink;
 import org.sardinebay.gateway.internal.connection.MemberPool;
+import org.sardinebay.internal.version.MemberView;
 import org.sardinebay.internal.version.ServiceView;
 import org.sardinebay.session.MemberProtocol;
 import org.sardinebay.session.MemberStatus;
@@ -32,20 +35,35 @@
   /** How often members are asked while something is amiss, in milliseconds. */
   private static final long URGENT_INTERVAL_MILLIS = 250;
 
-  /** A replica is asked to confirm the lease when less than this is left of it, in milliseconds. */
+  /**
+   * The nearest replica is asked to confirm the lease when less than this is left of it, in
+   * milliseconds.
+   */
   private static final long LEASE_RENEWAL_MILLIS = 550;
 
+  /**
+   * All replicas are asked when less than this is left, in milliseconds: an answer was lost or is
+   * late, and the interval of urgent questions still fits in.
+   */
+  private static final long LEASE_IN_DANGER_MILLIS = 400;
+
   /** How long a status may take, in milliseconds: it waits for a slot behind other statements. */
   private static final long TIMEOUT_MILLIS = 700;
 
   private final ServiceView view;
   private final MemberProtocol protocol;
+  private final ToLongFunction<MemberView> distanceMillis;
   private final Clock clock;
   private final Map<MemberId, Long> askedAt = new HashMap<>();
   private final Map<MemberId, Integer> othersBusy = new HashMap<>();
 
-  StatusQuestions(ServiceView view, MemberProtocol protocol, Clock clock) {
+  StatusQuestions(
+      ServiceView view,
+      MemberProtocol protocol,
+      ToLongFunction<MemberView> distanceMillis,
+      Clock clock) {
     this.view = view;
+    this.distanceMillis = distanceMillis;
     this.protocol = protocol;
     this.clock = clock;
   }
@@ -68,9 +86,22 @@
         .isPresent();
   }
 
+  /** One confirmation prolongs the lease, so a single replica is asked while there is time. */
   private boolean renewsLease(MemberPool pool, long now) {
-    boolean replica = view.primary().filter(m -> m.id().equals(pool.entry().id())).isEmpty();
-    return replica && view.leaseMillis(now) < LEASE_RENEWAL_MILLIS;
+    MemberId member = pool.entry().id();
+    if (view.primary().filter(m -> m.id().equals(member)).isPresent()) {
+      return false;
+    }
+    long left = view.leaseMillis(now);
+    return left < LEASE_IN_DANGER_MILLIS
+        || (left < LEASE_RENEWAL_MILLIS && nearestReplica().equals(Optional.of(member)));
+  }
+
+  private Optional<MemberId> nearestReplica() {
+    return view.members().stream()
+        .filter(m -> !m.failing() && !view.primary().equals(Optional.of(m)))
+        .min(Comparator.comparingLong(distanceMillis).thenComparing(m -> m.id().value()))
+        .map(MemberView::id);
   }
 
   void ask(MemberPool pool) {
