Statements that would wait are offered to a host with room

Besides, a host that is cut off from the primary had to refuse what its neighbours could run.

Change: OverflowPolicy (four waiting, or no primary here for 300 ms) and PeerRoom (one more offer after each that is taken, half and 100 ms of rest after one that is not) decide, without a network; Overflow chooses the nearest host with room, which runs the statement only if a connection is free at once (only_at_once); a refused offer waits here as before, with the time it has left: a forwarded statement now brings along how long it is under way, which the home ignored. Tests: PeerRoomTest (all callers at one host of three: more than twice as many served within a second), OverflowTest (two gateways; fails without the offers: every write is refused).

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
@@ -240,7 +240,8 @@
       }
       boolean writes = shape.access() == Statement.Access.WRITE;
       return Optional.of(
-          new StatementRequest(id, execute.arguments(), writes, false, Optional.of(shape), this));
+          new StatementRequest(
+              id, execute.arguments(), writes, false, Optional.of(shape), this, clock.millis()));
     }
     return Optional.of(
         new StatementRequest(
@@ -249,7 +250,8 @@
             statement instanceof Statement.Write,
             statement instanceof Statement.Commit,
             Optional.empty(),
-            this));
+            this,
+            clock.millis()));
   }
 
   private void onReply(StatementRequest request, SessionReply reply) {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -28,6 +28,7 @@
 import org.sardinebay.gateway.internal.version.CountedPlatformClient;
 import org.sardinebay.gateway.internal.version.Homes;
 import org.sardinebay.gateway.internal.version.ObjectWatch;
+import org.sardinebay.gateway.internal.version.Overflow;
 import org.sardinebay.gateway.internal.version.PromotionDuty;
 import org.sardinebay.gateway.internal.version.ServiceRuntime;
 import org.sardinebay.gateway.internal.version.Services;
@@ -83,6 +84,7 @@
   private final StoreFeeds feeds;
   private final Peers peers;
   private final Homes homes;
+  private final Overflow overflow;
   private final Set<ForwardedStatements> forwarded = new HashSet<>();
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
@@ -132,8 +134,9 @@
             settings.distances(),
             feeds::hosts,
             host -> new HomeLink(host, peers::client, loop, clock));
+    this.overflow = new Overflow(homes, clock);
     StatementRunner runner =
-        new ForwardingRunner(new ForwardingRunner.Parts(clock, log, homes, local));
+        new ForwardingRunner(new ForwardingRunner.Parts(clock, log, homes, overflow, local));
     this.sessions = new Sessions(services, runner, new LineCallerProtocol(), memberProtocol, clock);
   }
 
@@ -231,6 +234,7 @@
       guarded("service", () -> service.tick(now));
     }
     guarded("homes", () -> homes.tick(now));
+    guarded("overflow", () -> overflow.tick(now));
     guarded("forwarded", () -> tickForwarded(now));
     guarded("metrics", () -> metrics.tick(now));
     guarded("sessions", () -> sessions.tick(now));
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardedRun.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardedRun.java
@@ -10,6 +10,7 @@
 import org.sardinebay.gateway.internal.connection.SessionReply;
 import org.sardinebay.gateway.internal.connection.Transaction;
 import org.sardinebay.gateway.internal.version.Homes;
+import org.sardinebay.gateway.internal.version.Overflow;
 import org.sardinebay.gateway.internal.version.ServiceRuntime;
 import org.sardinebay.internal.request.ForwardPolicy;
 import org.sardinebay.net.peer.PeerResult;
@@ -18,8 +19,8 @@
 import org.sardinebay.session.DatabaseRoute;
 
 /**
- * Runs one statement by way of a home of its service. Without a home that answers, this host
- * connects to the members itself.
+ * Runs one statement by way of a home of its service. Without a home that answers, or where the one
+ * that it was offered to has no room, this host runs it itself.
  */
 final class ForwardedRun {
   /** What a home gets beyond the statement's time, in milliseconds: its own answer comes first. */
@@ -28,12 +29,14 @@
   private final Clock clock;
   private final StatementLog log;
   private final Homes homes;
+  private final Overflow overflow;
   private final StatementRunner local;
   private final StatementRequest request;
   private final Optional<Transaction> transaction;
   private final ServiceRuntime service;
   private final DatabaseRoute route;
   private final long number;
+  private final Optional<HomeLink> offeredTo;
   private final Consumer<SessionReply> done;
   private final long startedAt;
   private final Set<HostId> excluded = new HashSet<>();
@@ -46,10 +49,13 @@
       ServiceRuntime service,
       DatabaseRoute route,
       long number,
+      Optional<HomeLink> offeredTo,
       Consumer<SessionReply> done) {
     this.clock = parts.clock();
     this.log = parts.log();
     this.homes = parts.homes();
+    this.overflow = parts.overflow();
+    this.offeredTo = offeredTo;
     this.local = parts.local();
     this.request = request;
     this.transaction = transaction;
@@ -57,11 +63,11 @@
     this.route = route;
     this.number = number;
     this.done = done;
-    this.startedAt = clock.millis();
+    this.startedAt = request.arrivedAt();
   }
 
   void start() {
-    Optional<HomeLink> home = pinned().map(HomePin::home).or(() -> homes.choose(service, excluded));
+    Optional<HomeLink> home = pinned().map(HomePin::home).or(this::choose);
     if (home.isEmpty()) {
       service.serveAsHome(clock.millis());
       local.run(request, transaction, service, route, done);
@@ -70,6 +76,12 @@
     send(home.get());
   }
 
+  private Optional<HomeLink> choose() {
+    return offeredTo.isPresent()
+        ? offeredTo.filter(link -> attempts == 0)
+        : homes.choose(service, excluded);
+  }
+
   private Optional<HomePin> pinned() {
     return transaction.flatMap(Transaction::pin).map(HomePin.class::cast);
   }
@@ -78,6 +90,7 @@
     attempts++;
     long now = clock.millis();
     StatementCall.Builder call = StatementFrames.call(request, route, now - startedAt);
+    call.setOnlyAtOnce(offeredTo.isPresent());
     long handle = pinned().map(HomePin::number).orElse(number);
     transaction.ifPresent(t -> call.setTransaction(StatementFrames.transaction(t, handle, now)));
     if (request.writes()) {
@@ -96,14 +109,21 @@
   }
 
   private void answered(HomeLink home, long handle, PeerResult result) {
-    if (result instanceof PeerResult.Reply reply
-        && reply.frame().hasStatementReply()
-        && reply.frame().getStatementReply().getAccepted()) {
-      accepted(home, handle, reply.frame().getStatementReply());
+    boolean replied = result instanceof PeerResult.Reply reply && reply.frame().hasStatementReply();
+    Optional<StatementReply> accepted =
+        replied
+            ? Optional.of(((PeerResult.Reply) result).frame().getStatementReply())
+                .filter(StatementReply::getAccepted)
+            : Optional.empty();
+    offeredTo.ifPresent(link -> overflow.ended(service, link, accepted.isPresent()));
+    if (accepted.isPresent()) {
+      accepted(home, handle, accepted.get());
       return;
     }
     excluded.add(home.host().id());
-    log.forwardFailed(request, route, home.host().id(), attempts, result);
+    if (offeredTo.isEmpty() || !replied) {
+      log.forwardFailed(request, route, home.host().id(), attempts, result);
+    }
     ForwardPolicy.Attempt attempt =
         new ForwardPolicy.Attempt(
             result instanceof PeerResult.NoReply,
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardedStatements.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardedStatements.java
@@ -22,6 +22,7 @@
 import org.sardinebay.session.DatabaseRoute;
 import org.sardinebay.session.ErrorCode;
 import org.sardinebay.session.MemberProtocol;
+import org.sardinebay.session.RouteKind;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -138,7 +139,8 @@
     Optional<ServiceRuntime> service = parts.services().service(call.getRoute().getService());
     boolean continues = call.hasTransaction() && !call.getTransaction().getFirst();
     boolean unknown = continues && !transactions.containsKey(call.getTransaction().getNumber());
-    if (service.isEmpty() || disconnected || (!continues && parts.leaving().getAsBoolean())) {
+    boolean leaving = !continues && parts.leaving().getAsBoolean();
+    if (service.isEmpty() || disconnected || leaving || lacksRoom(call, service.get())) {
       done.accept(StatementReply.newBuilder());
     } else if (unknown) {
       done.accept(
@@ -150,6 +152,13 @@
     }
   }
 
+  private static boolean lacksRoom(StatementCall call, ServiceRuntime service) {
+    boolean writes =
+        call.hasTransaction() ? !call.getTransaction().getReadOnly() : call.getWrites();
+    boolean primaryOnly = writes || call.getRoute().getKind().equals(RouteKind.PRIMARY.name());
+    return call.getOnlyAtOnce() && !service.hasRoom(primaryOnly);
+  }
+
   private void run(
       StatementCall call, ServiceRuntime service, Consumer<StatementReply.Builder> done) {
     long now = parts.clock().millis();
@@ -166,7 +175,7 @@
     parts
         .runner()
         .run(
-            StatementFrames.request(call, facts),
+            StatementFrames.request(call, facts, now - call.getElapsedMillis()),
             open.map(o -> o.transaction),
             service,
             route,
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/LocalRunner.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/LocalRunner.java
@@ -27,7 +27,6 @@
       ServiceRuntime service,
       DatabaseRoute route,
       Consumer<SessionReply> done) {
-    long now = context.clock().millis();
-    new StatementRun(context, request, transaction, service, route, now, done).start();
+    new StatementRun(context, request, transaction, service, route, done).start();
   }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementFrames.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementFrames.java
@@ -78,11 +78,18 @@
         route.getPriority());
   }
 
-  static StatementRequest request(StatementCall call, StatementRequest.SessionFacts session) {
+  static StatementRequest request(
+      StatementCall call, StatementRequest.SessionFacts session, long arrivedAt) {
     Optional<PreparedShape> shape =
         call.hasPrepared() ? Optional.of(shape(call.getPrepared())) : Optional.empty();
     return new StatementRequest(
-        call.getRequestId(), call.getText(), call.getWrites(), call.getCommits(), shape, session);
+        call.getRequestId(),
+        call.getText(),
+        call.getWrites(),
+        call.getCommits(),
+        shape,
+        session,
+        arrivedAt);
   }
 
   private static PreparedShape shape(PreparedStatement prepared) {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRequest.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRequest.java
@@ -14,6 +14,7 @@
  * @param commits whether it ends a transaction
  * @param shape the prepared statement that it runs, if it runs one
  * @param session the session that it belongs to
+ * @param arrivedAt when it arrived at the caller's host, by this host's clock
  */
 public record StatementRequest(
     String id,
@@ -21,7 +22,8 @@
     boolean writes,
     boolean commits,
     Optional<PreparedShape> shape,
-    SessionFacts session) {
+    SessionFacts session,
+    long arrivedAt) {
 
   /** What a statement needs to know of its session. */
   public interface SessionFacts {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
@@ -58,7 +58,6 @@
    * @param transaction the transaction that it belongs to, if any
    * @param service the service
    * @param route the route
-   * @param startedAt when the statement arrived
    * @param done takes the outcome; called once
    */
   public StatementRun(
@@ -67,7 +66,6 @@
       Optional<Transaction> transaction,
       ServiceRuntime service,
       DatabaseRoute route,
-      long startedAt,
       Consumer<SessionReply> done) {
     this.context = context;
     this.request = request;
@@ -75,7 +73,7 @@
     this.service = service;
     this.route = route;
     this.done = done;
-    this.startedAt = startedAt;
+    this.startedAt = request.arrivedAt();
   }
 
   /** Starts the run. */
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/Homes.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/Homes.java
@@ -144,6 +144,26 @@
         .map(this::link);
   }
 
+  /**
+   * The other hosts that hold connections to a service's members and answer.
+   *
+   * @param service the service
+   * @return links to them, the nearest first
+   */
+  public List<HomeLink> others(ServiceRuntime service) {
+    Collection<RegisteredHost> all = hosts.get();
+    Ranking ranking = ranking(service, all);
+    boolean everyHost = ServiceHomes.everyHost(service.maxConnections(), all.size());
+    List<RegisteredHost> holders =
+        everyHost ? ranking.order().stream().flatMap(List::stream).toList() : homes(service, all);
+    return holders.stream()
+        .filter(host -> !host.id().equals(self))
+        .sorted(Comparator.comparingInt(host -> ranking.preference().get(host.id())))
+        .map(this::link)
+        .filter(HomeLink::usable)
+        .toList();
+  }
+
   /**
    * Probes hosts that are silent, and forgets those that are not registered any more.
    *
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -421,6 +421,21 @@
     return waiting.size();
   }
 
+  /**
+   * Whether a statement of another host could be placed at once.
+   *
+   * @param primaryOnly whether only the primary can run it
+   * @return true if nothing waits here and a link is idle
+   */
+  public boolean hasRoom(boolean primaryOnly) {
+    long now = clock.millis();
+    return waiting.size() == 0
+        && view.members().stream()
+            .filter(member -> !member.failing())
+            .filter(member -> !primaryOnly || isUsablePrimary(member.id(), now))
+            .anyMatch(member -> pools.get(member.id()).hasIdle());
+  }
+
   /** Gives all links up: the service is not configured any more. */
   public void close() {
     pools.values().forEach(MemberPool::close);
