No change of primary while most hosts reach it

Since statements can go by way of other hosts, such a host needs no other primary.

Change: a host that finds the primary silent asks the others from 500 ms on whether they reach it (ReachCall; they look at what they heard within 200 ms, or ask the member). Only SILENT is held back; a refused connection, a leaving primary and an abandoned change go on as before, so a dead primary costs no more time. Event primary_change_held.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/HomeLink.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/HomeLink.java
@@ -11,6 +11,7 @@
 import org.sardinebay.net.peer.PeerClient;
 import org.sardinebay.net.peer.PeerResult;
 import org.sardinebay.net.peer.generated.Frame;
+import org.sardinebay.net.peer.generated.ReachCall;
 import org.sardinebay.net.peer.generated.StatementCall;
 import org.sardinebay.net.peer.generated.StatementReply;
 import org.sardinebay.session.RegisteredHost;
@@ -107,8 +108,28 @@
     send(call, timeoutMillis, result -> answered(number, result));
   }
 
+  /**
+   * Asks the host whether it reaches a member.
+   *
+   * @param call the member
+   * @param timeoutMillis how long the answer may take
+   * @param done takes the answer on the loop's thread, false if there is none; called once
+   */
+  public void ask(ReachCall call, long timeoutMillis, Consumer<Boolean> done) {
+    send(
+        Frame.newBuilder().setReachCall(call).build(),
+        timeoutMillis,
+        result ->
+            done.accept(
+                result instanceof PeerResult.Reply reply
+                    && reply.frame().getReachReply().getReached()));
+  }
+
   private void send(StatementCall call, long timeoutMillis, Consumer<PeerResult> done) {
-    Frame frame = Frame.newBuilder().setStatementCall(call).build();
+    send(Frame.newBuilder().setStatementCall(call).build(), timeoutMillis, done);
+  }
+
+  private void send(Frame frame, long timeoutMillis, Consumer<PeerResult> done) {
     CompletableFuture<Void> unused =
         client
             .get()
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
@@ -213,6 +213,16 @@
     return all.size();
   }
 
+  /**
+   * How long ago the member sent a line.
+   *
+   * @param now the time
+   * @return milliseconds
+   */
+  public long heardMillis(long now) {
+    return now - heardAt;
+  }
+
   /** Opens a connection if allowed; the listener hears of it. */
   public void open() {
     if (mayOpen()) {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -29,6 +29,7 @@
 import org.sardinebay.gateway.internal.version.Homes;
 import org.sardinebay.gateway.internal.version.ObjectWatch;
 import org.sardinebay.gateway.internal.version.Overflow;
+import org.sardinebay.gateway.internal.version.PeerEvidence;
 import org.sardinebay.gateway.internal.version.PromotionDuty;
 import org.sardinebay.gateway.internal.version.ServiceRuntime;
 import org.sardinebay.gateway.internal.version.Services;
@@ -47,6 +48,8 @@
 import org.sardinebay.net.http.JsonHttpServer;
 import org.sardinebay.net.http.Route;
 import org.sardinebay.net.peer.ConfigStoreFeed;
+import org.sardinebay.net.peer.generated.Frame;
+import org.sardinebay.net.peer.generated.ReachCall;
 import org.sardinebay.platform.PlatformClient;
 import org.sardinebay.session.MemberProtocol;
 import org.slf4j.Logger;
@@ -85,6 +88,7 @@
   private final Peers peers;
   private final Homes homes;
   private final Overflow overflow;
+  private final PeerEvidence evidence;
   private final Set<ForwardedStatements> forwarded = new HashSet<>();
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
@@ -125,6 +129,7 @@
             feed,
             feeds::hosts,
             () -> new ForwardedStatements(forwardedParts),
+            this::answerReach,
             clock,
             registry);
     this.homes =
@@ -135,11 +140,16 @@
             feeds::hosts,
             host -> new HomeLink(host, peers::client, loop, clock));
     this.overflow = new Overflow(homes, clock);
+    this.evidence = new PeerEvidence(services, homes, memberProtocol, loop, clock);
     StatementRunner runner =
         new ForwardingRunner(new ForwardingRunner.Parts(clock, log, homes, overflow, local));
     this.sessions = new Sessions(services, runner, new LineCallerProtocol(), memberProtocol, clock);
   }
 
+  private CompletableFuture<Frame> answerReach(ReachCall call) {
+    return evidence.answer(call);
+  }
+
   private StatementRunContext runContext(MemberProtocol protocol, StatementLog log) {
     PreparedNames names = new PreparedNames();
     return new StatementRunContext(
@@ -181,6 +191,7 @@
     duty =
         new PromotionDuty(
             services,
+            evidence,
             store,
             new HttpPromotionCall(http, settings.promotions()),
             new LineMemberProtocol(),
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.sardinebay.Address;
 import org.sardinebay.Clock;
@@ -23,6 +24,7 @@
 import org.sardinebay.net.peer.PeerHandler;
 import org.sardinebay.net.peer.PeerServer;
 import org.sardinebay.net.peer.generated.Frame;
+import org.sardinebay.net.peer.generated.ReachCall;
 import org.sardinebay.session.RegisteredHost;
 
 /**
@@ -36,6 +38,7 @@
   private final ConfigStoreFeed feed;
   private final Supplier<List<RegisteredHost>> registered;
   private final Supplier<ForwardedStatements> statements;
+  private final Function<ReachCall, CompletableFuture<Frame>> reach;
   private final Clock clock;
   private final MeterRegistry registry;
   private final ScheduledExecutorService timer =
@@ -49,6 +52,7 @@
       ConfigStoreFeed feed,
       Supplier<List<RegisteredHost>> registered,
       Supplier<ForwardedStatements> statements,
+      Function<ReachCall, CompletableFuture<Frame>> reach,
       Clock clock,
       MeterRegistry registry) {
     this.settings = settings;
@@ -56,6 +60,7 @@
     this.feed = feed;
     this.registered = registered;
     this.statements = statements;
+    this.reach = reach;
     this.clock = clock;
     this.registry = registry;
   }
@@ -63,7 +68,8 @@
   void start() throws IOException {
     ConfigFeedServer answers = new ConfigFeedServer(feed, timer);
     server =
-        Optional.of(PeerServer.start(settings.peers(), () -> new Connection(answers, statements)));
+        Optional.of(
+            PeerServer.start(settings.peers(), () -> new Connection(answers, statements, reach)));
     PeerClient calls = client();
     Supplier<List<Address>> forward = () -> others(false);
     Supplier<List<Address>> backward = () -> others(true);
@@ -110,11 +116,16 @@
   private static final class Connection implements PeerHandler {
     private final ConfigFeedServer configuration;
     private final Supplier<ForwardedStatements> statements;
+    private final Function<ReachCall, CompletableFuture<Frame>> reach;
     private Optional<ForwardedStatements> forwarded = Optional.empty();
 
-    private Connection(ConfigFeedServer configuration, Supplier<ForwardedStatements> statements) {
+    private Connection(
+        ConfigFeedServer configuration,
+        Supplier<ForwardedStatements> statements,
+        Function<ReachCall, CompletableFuture<Frame>> reach) {
       this.configuration = configuration;
       this.statements = statements;
+      this.reach = reach;
     }
 
     @Override
@@ -122,6 +133,9 @@
       if (call.hasConfigCall()) {
         return configuration.handle(call.getConfigCall());
       }
+      if (call.hasReachCall()) {
+        return reach.apply(call.getReachCall());
+      }
       if (!call.hasStatementCall()) {
         return CompletableFuture.failedFuture(
             new IllegalArgumentException("a gateway can't answer " + call.getBodyCase()));
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionDuty.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionDuty.java
@@ -3,9 +3,11 @@
 import io.activej.eventloop.Eventloop;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
 import org.sardinebay.Clock;
@@ -61,6 +63,7 @@
   private static final long DEMOTE_REPEAT_MILLIS = 1_000;
 
   private final Services services;
+  private final PeerEvidence evidence;
   private final DutyRecord record;
   private final PromotionCall orders;
   private final MemberProtocol protocol;
@@ -73,11 +76,13 @@
   private final Map<String, PrimaryChange.Phase> loggedPhases = new HashMap<>();
   private final Map<String, Long> handedOverUntil = new HashMap<>();
   private final Map<MemberId, Long> demotedAt = new HashMap<>();
+  private final Set<String> held = new HashSet<>();
 
   /**
    * A duty that nobody holds yet.
    *
    * @param services the services
+   * @param evidence what other hosts say of primaries that this one can't reach
    * @param store the store that keeps the record of the holder
    * @param orders the platform's call
    * @param protocol the members' protocol
@@ -89,6 +94,7 @@
    */
   public PromotionDuty(
       Services services,
+      PeerEvidence evidence,
       PlatformClient store,
       PromotionCall orders,
       MemberProtocol protocol,
@@ -98,6 +104,7 @@
       Clock clock,
       MeterRegistry registry) {
     this.services = services;
+    this.evidence = evidence;
     this.orders = orders;
     this.protocol = protocol;
     this.self = self;
@@ -117,6 +124,7 @@
       PrimaryChange change = changes.get(service.view().service());
       if (change == null && service.home()) {
         demoteFormer(service, now);
+        evidence.collect(service, now);
         considerChange(service, now);
       } else if (change != null) {
         drive(service, change, now);
@@ -148,6 +156,7 @@
     Optional<PrimaryChangeNeed.Cause> cause = PrimaryChangeNeed.of(view, now);
     if (cause.isEmpty()) {
       needs.remove(view.service());
+      held.remove(view.service());
       if (PrimaryChangeNeed.suspected(view, now)) {
         record.observe();
       }
@@ -161,6 +170,9 @@
           .addKeyValue("statuses", statuses(view))
           .log();
     }
+    if (cause.get() == PrimaryChangeNeed.Cause.SILENT && othersReachPrimary(service, now)) {
+      return;
+    }
     if (now < handedOverUntil.getOrDefault(view.service(), Long.MIN_VALUE)
         || !record.ensureRight(CHANGE_RIGHT_MILLIS)) {
       return;
@@ -180,6 +192,19 @@
         .log();
   }
 
+  private boolean othersReachPrimary(ServiceRuntime service, long now) {
+    boolean reached = evidence.speaksForPrimary(service, now);
+    ServiceView view = service.view();
+    if (reached && held.add(view.service())) {
+      log("primary_change_held", view)
+          .addKeyValue("primary", view.primary().map(m -> m.id().value()).orElse("-"))
+          .log();
+    } else if (!reached) {
+      held.remove(view.service());
+    }
+    return reached;
+  }
+
   private static String statuses(ServiceView view) {
     return view.members().stream()
         .map(m -> m.id().value() + ":" + m.status().map(Object::toString).orElse("-"))
