--- a/net/src/main/java/org/sardinebay/net/log/KeyValueLayout.java
+++ b/net/src/main/java/org/sardinebay/net/log/KeyValueLayout.java
@@ -4,15 +4,18 @@
 import ch.qos.logback.classic.spi.IThrowableProxy;
 import ch.qos.logback.classic.spi.StackTraceElementProxy;
 import ch.qos.logback.core.LayoutBase;
-import java.time.Instant;
-import java.time.ZoneOffset;
-import java.time.format.DateTimeFormatter;
+import java.time.LocalDate;
 import org.slf4j.event.KeyValuePair;
 
 /** Writes each event as one line of key=value pairs, a failure with its first frames included. */
 public final class KeyValueLayout extends LayoutBase<ILoggingEvent> {
-  private static final DateTimeFormatter TIME =
-      DateTimeFormatter.ofPattern("yyyy-MM-dd'T'HH:mm:ss.SSS'Z'").withZone(ZoneOffset.UTC);
+  private static final long MILLIS_PER_SECOND = 1_000;
+  private static final long SECONDS_PER_MINUTE = 60;
+  private static final long SECONDS_PER_HOUR = 3_600;
+  private static final long SECONDS_PER_DAY = 86_400;
+  private static final int TWO_DIGITS = 2;
+  private static final int THREE_DIGITS = 3;
+  private static final int BASE = 10;
 
   /** Frames of a stack trace: enough to find the place, in a line that stays readable. */
   private static final int FRAMES = 6;
@@ -22,7 +25,7 @@
   @Override
   public String doLayout(ILoggingEvent event) {
     StringBuilder line = new StringBuilder(USUAL_LENGTH);
-    line.append("time=").append(TIME.format(Instant.ofEpochMilli(event.getTimeStamp())));
+    appendTime(line.append("time="), event.getTimeStamp());
     LogLine.append(line, "level", event.getLevel().toString());
     LogLine.append(line, "event", event.getFormattedMessage());
     if (event.getKeyValuePairs() != null) {
@@ -36,6 +39,29 @@
     return line.append('\n').toString();
   }
 
+  /** Without a formatter: one would load the locale data of the JVM at the first line. */
+  private static void appendTime(StringBuilder line, long epochMillis) {
+    long seconds = Math.floorDiv(epochMillis, MILLIS_PER_SECOND);
+    long ofDay = Math.floorMod(seconds, SECONDS_PER_DAY);
+    line.append(LocalDate.ofEpochDay(Math.floorDiv(seconds, SECONDS_PER_DAY))).append('T');
+    appendPadded(line, ofDay / SECONDS_PER_HOUR, TWO_DIGITS);
+    appendPadded(line.append(':'), ofDay % SECONDS_PER_HOUR / SECONDS_PER_MINUTE, TWO_DIGITS);
+    appendPadded(line.append(':'), ofDay % SECONDS_PER_MINUTE, TWO_DIGITS);
+    appendPadded(line.append('.'), Math.floorMod(epochMillis, MILLIS_PER_SECOND), THREE_DIGITS);
+    line.append('Z');
+  }
+
+  private static void appendPadded(StringBuilder line, long value, int digits) {
+    int least = 1;
+    for (int i = 1; i < digits; i++) {
+      least *= BASE;
+      if (value < least) {
+        line.append('0');
+      }
+    }
+    line.append(value);
+  }
+
   private static void appendFailure(StringBuilder line, IThrowableProxy failure) {
     LogLine.append(line, "exception", failure.getClassName() + ": " + failure.getMessage());
     StringBuilder frames = new StringBuilder();
--- a/net/src/test/java/org/sardinebay/net/log/KeyValueLayoutTest.java
+++ b/net/src/test/java/org/sardinebay/net/log/KeyValueLayoutTest.java
@@ -29,6 +29,14 @@
                 + " result=\"no answer\"\n");
   }
 
+  @Test
+  void should_fill_the_time_up_with_zeros() {
+    LoggingEvent event = event(null);
+    event.setInstant(Instant.parse("2026-01-02T03:04:05.006Z"));
+
+    assertThat(new KeyValueLayout().doLayout(event)).startsWith("time=2026-01-02T03:04:05.006Z ");
+  }
+
   @Test
   void should_write_a_failure_into_the_same_line() {
     String line = new KeyValueLayout().doLayout(event(new IllegalStateException("bad\nstate")));
