--- a/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
@@ -81,7 +81,9 @@
   public void setMembers(Collection<MemberEntry> entries, long now) {
     Set<MemberId> ids = entries.stream().map(MemberEntry::id).collect(Collectors.toSet());
     for (MemberView known : members.values()) {
-      if (!ids.contains(known.id()) && !known.entry().draining()) {
+      boolean replaced =
+          entries.stream().anyMatch(entry -> entry.address().equals(known.entry().address()));
+      if (!ids.contains(known.id()) && !known.entry().draining() && !replaced) {
         vanishedAt.put(known.id(), now);
       }
     }
@@ -250,10 +252,20 @@
     return members.values().stream()
         .filter(m -> !primary.equals(Optional.of(m.id())))
         .filter(m -> !(m.entry().draining() && m.failing()))
+        .filter(m -> !superseded(m))
         .map(MemberView::id)
         .toList();
   }
 
+  /** A member that started again under another id: that one answers at its address since. */
+  private boolean superseded(MemberView member) {
+    long heard = member.statusAskedAt().orElse(Long.MIN_VALUE);
+    return members.values().stream()
+        .filter(other -> !other.id().equals(member.id()) && !other.failing())
+        .filter(other -> other.entry().address().equals(member.entry().address()))
+        .anyMatch(other -> other.statusAskedAt().orElse(Long.MIN_VALUE) > heard);
+  }
+
   private void noteTerm(long seen) {
     if (seen > newestTerm) {
       newestTerm = seen;
--- a/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
@@ -24,11 +24,15 @@
   private final ServiceView view = new ServiceView("orders", 0);
 
   static MemberEntry entry(MemberId id, boolean draining) {
+    return entry(id, draining, 9_000 + id.value().charAt(id.value().length() - 1));
+  }
+
+  private static MemberEntry entry(MemberId id, boolean draining, int port) {
     return new MemberEntry(
         id,
         OptionalLong.empty(),
         "orders",
-        new Address("127.0.0.1", 9_000),
+        new Address("127.0.0.1", port),
         new FailureDomain("hall"),
         3,
         draining,
@@ -78,6 +82,39 @@
       assertThat(view.usablePrimary(210)).isEmpty();
     }
 
+    @Test
+    void should_begin_on_a_primary_that_started_again_under_another_id() {
+      MemberId again = new MemberId("m-9");
+      int port = entry(LEADER, false).address().port();
+      view.onStatus(LEADER, primary(1, 5), 100, 100);
+      view.setMembers(
+          List.of(
+              entry(LEADER, false),
+              entry(again, false, port),
+              entry(NEAR, false),
+              entry(FAR, false)),
+          5_000);
+      view.onStatus(again, primary(1, 5), 5_010, 5_011);
+      view.onStatus(NEAR, replica(1, 5, 0), 5_010, 5_012);
+      view.onStatus(FAR, replica(1, 5, 0), 5_010, 5_013);
+
+      assertThat(view.usablePrimary(5_020).map(MemberView::id)).contains(again);
+    }
+
+    @Test
+    void should_not_wait_for_a_member_whose_address_another_one_has_taken_over() {
+      MemberId again = new MemberId("m-9");
+      int port = entry(LEADER, false).address().port();
+      view.onStatus(LEADER, primary(1, 5), 100, 100);
+      view.setMembers(
+          List.of(entry(again, false, port), entry(NEAR, false), entry(FAR, false)), 5_000);
+      view.onStatus(again, primary(1, 5), 5_010, 5_011);
+      view.onStatus(NEAR, replica(1, 5, 0), 5_010, 5_012);
+      view.onStatus(FAR, replica(1, 5, 0), 5_010, 5_013);
+
+      assertThat(view.usablePrimary(5_020).map(MemberView::id)).contains(again);
+    }
+
     @Test
     void should_be_prolonged_by_one_replica_while_it_lasts() {
       begin(100);
