The stand-in's member waits for its listener to end before it starts again

LineMemberTest, 300 crashes and starts, failed at once on the old stand-in.

Change: close() waits for that thread. Ruled out: another user of the port (the failure comes without any).

Result: LineMemberTest passes.

--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
@@ -10,14 +10,20 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.sardinebay.Address;
 
 /** A member that serves the line protocol, one thread a connection. */
 public final class LineMember implements AutoCloseable {
+  private static final long END_SECONDS = 5;
+
   private final String id;
   private final String service;
   private final Address address;
@@ -26,6 +32,7 @@
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final AtomicInteger answersToLose = new AtomicInteger();
   private ServerSocket listener;
+  private Future<?> acceptLoop;
   private ExecutorService threads;
 
   LineMember(String id, String service, Address address, MemberGroup group, int maxConnections) {
@@ -52,7 +59,7 @@
     group.running(id, true);
     ServerSocket accepting = listener;
     ExecutorService serving = threads;
-    serving.execute(() -> accept(accepting, serving));
+    acceptLoop = serving.submit(() -> accept(accepting, serving));
   }
 
   private void accept(ServerSocket accepting, ExecutorService serving) {
@@ -139,5 +146,17 @@
       socket.close();
     }
     threads.shutdownNow();
+    awaitAcceptEnd();
+  }
+
+  /** The address is taken until the thread that accepts has noticed that its socket is closed. */
+  private void awaitAcceptEnd() throws IOException {
+    try {
+      acceptLoop.get(END_SECONDS, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException | TimeoutException e) {
+      throw new IOException("member " + id + " goes on listening at " + address, e);
+    }
   }
 }
