Relay stand-in answers once a change of links is in force

Cause: RelayProcess answered POST /links before the link's event loop had run the change, so bytes sent after the answer to 'none' could still be dropped (KNOWN-RED: RelayProcessTest.should_keep_a_connection_that_lost_nothing).

Ruled out: the test itself; it sends only after the answer.

Change: Link.change completes when the change is in force and the answer waits for it. The known-red tag is gone, the test is as it was.

--- a/standins/src/main/java/org/sardinebay/standins/relay/Link.java
+++ b/standins/src/main/java/org/sardinebay/standins/relay/Link.java
@@ -12,6 +12,7 @@
 import java.util.HashSet;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.LongAdder;
 import org.sardinebay.net.http.Json;
 import org.sardinebay.record.FieldReader;
@@ -74,13 +75,15 @@
     return delayMillis;
   }
 
-  void change(Cut newCut, OptionalLong newDelayMillis) {
-    loop.execute(
+  /** Changes the link; the result completes once the change is in force. */
+  CompletableFuture<Void> change(Cut newCut, OptionalLong newDelayMillis) {
+    return CompletableFuture.runAsync(
         () -> {
           cut = newCut;
           newDelayMillis.ifPresent(millis -> delayMillis = millis);
           Set.copyOf(connections).forEach(RelayedConnection::linkChanged);
-        });
+        },
+        loop);
   }
 
   JsonNode dump() {
--- a/standins/src/main/java/org/sardinebay/standins/relay/RelayProcess.java
+++ b/standins/src/main/java/org/sardinebay/standins/relay/RelayProcess.java
@@ -56,14 +56,14 @@
       links.add(Link.open(link, loops.next()));
     }
     List<Route> routes = new ArrayList<>();
-    routes.add(Route.post("/links", request -> CompletableFuture.completedFuture(change(request))));
+    routes.add(Route.post("/links", this::change));
     routes.addAll(AdminRoutes.of(this, new PrometheusMeterRegistry(PrometheusConfig.DEFAULT)));
     server = JsonHttpServer.start(settings.listen(), 1, routes);
   }
 
-  private HttpServerResponse change(HttpServerRequest request) {
+  private CompletableFuture<HttpServerResponse> change(HttpServerRequest request) {
     if (request.body().isEmpty()) {
-      return HttpServerResponse.plain(BAD_REQUEST, "the body must be JSON\n");
+      return badRequest("the body must be JSON");
     }
     FieldReader reader = FieldReader.of(request.body().get());
     List<String> sources = names(reader, "sources");
@@ -74,23 +74,27 @@
             ? OptionalLong.of(reader.number("delayMillis", 0, LinkSettings.MAX_DELAY_MILLIS))
             : OptionalLong.empty();
     if (!reader.problems().isEmpty()) {
-      return HttpServerResponse.plain(BAD_REQUEST, reader.problems().get(0) + "\n");
-    }
-    int changed = 0;
-    for (Link link : links) {
-      if (matches(sources, link.source()) && matches(targets, link.target())) {
-        link.change(cut, delayMillis);
-        changed++;
-      }
+      return badRequest(reader.problems().get(0).toString());
     }
+    List<CompletableFuture<Void>> changes =
+        links.stream()
+            .filter(link -> matches(sources, link.source()) && matches(targets, link.target()))
+            .map(link -> link.change(cut, delayMillis))
+            .toList();
     LOG.atInfo()
         .setMessage("links_changed")
         .addKeyValue("sources", sources)
         .addKeyValue("targets", targets)
         .addKeyValue("cut", cut)
-        .addKeyValue("links", changed)
+        .addKeyValue("links", changes.size())
         .log();
-    return HttpServerResponse.json(HttpServerResponse.OK, Json.newObject().put("changed", changed));
+    JsonNode answer = Json.newObject().put("changed", changes.size());
+    return CompletableFuture.allOf(changes.toArray(CompletableFuture[]::new))
+        .thenApply(unused -> HttpServerResponse.json(HttpServerResponse.OK, answer));
+  }
+
+  private static CompletableFuture<HttpServerResponse> badRequest(String problem) {
+    return CompletableFuture.completedFuture(HttpServerResponse.plain(BAD_REQUEST, problem + "\n"));
   }
 
   private static List<String> names(FieldReader reader, String field) {
--- a/standins/src/test/java/org/sardinebay/standins/relay/RelayProcessTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/relay/RelayProcessTest.java
@@ -16,7 +16,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.sardinebay.Address;
 import org.sardinebay.net.http.HttpCallResult;
@@ -27,6 +26,7 @@
 class RelayProcessTest {
   private static final int SILENCE_MILLIS = 200;
   private static final int TIMEOUT_MILLIS = 5_000;
+  private static final int CHANGE_ROUNDS = 500;
 
   private final JsonHttpClient http = JsonHttpClient.start("relay-test", 1);
   private ServerSocket target;
@@ -116,7 +116,16 @@
     }
 
     @Test
-    @Tag("known-red")
+    void should_answer_once_the_change_is_in_force() {
+      for (int round = 0; round < CHANGE_ROUNDS; round++) {
+        String cut = round % 2 == 0 ? "both" : "none";
+        change(cut);
+
+        assertThat(relay.dump().at("/links/0/cut").asText()).as("round " + round).isEqualTo(cut);
+      }
+    }
+
+    @Test
     void should_keep_a_connection_that_lost_nothing() throws IOException {
       try (Socket source = connect();
           Socket accepted = accept()) {
