Stand-in member closes connections that it has just accepted

Cause: LineMember.crash closed the sockets that their threads had registered; one accepted a moment before stayed open (part of KNOWN-RED: GatewayTest.Shutdown).

Change: the accepting thread registers the socket, and closing waits for that thread first. New test should_close_a_connection_that_was_just_accepted_when_it_crashes, seen failing on the old code (read timed out).

--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
@@ -66,6 +66,7 @@
     while (true) {
       try {
         Socket socket = accepting.accept();
+        sockets.add(socket);
         serving.execute(() -> serve(socket));
       } catch (IOException | RejectedExecutionException e) {
         return;
@@ -74,7 +75,6 @@
   }
 
   private void serve(Socket socket) {
-    sockets.add(socket);
     try (socket) {
       socket.setTcpNoDelay(true);
       BufferedReader in =
@@ -143,11 +143,11 @@
   @Override
   public void close() throws IOException {
     listener.close();
+    awaitAcceptEnd();
     for (Socket socket : sockets) {
       socket.close();
     }
     threads.shutdownNow();
-    awaitAcceptEnd();
   }
 
   /**
