Gateway shutdown closes channels that are still connecting

Cause: closing a channel whose connect is pending only marks it; its socket is closed by the next selection, and the event loop was ended without one.

Ruled out: other channels; a connected one is shut down by close itself.

Change: LoopChannels.closeAll closes all and selects once.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -6,7 +6,6 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
-import java.nio.channels.SelectionKey;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -325,12 +324,10 @@
 
   /** Closes all sockets and listeners, and stops the event loop. */
   private void closeChannels() {
-    for (SelectionKey key : List.copyOf(loop.ensureSelector().keys())) {
-      try {
-        key.channel().close();
-      } catch (IOException e) {
-        LOG.atWarn().setMessage("close_failed").addKeyValue("cause", e.getMessage()).log();
-      }
+    try {
+      LoopChannels.closeAll(loop.ensureSelector());
+    } catch (IOException e) {
+      LOG.atWarn().setMessage("close_failed").addKeyValue("cause", e.getMessage()).log();
     }
     loop.breakEventloop();
   }
