--- a/core/src/main/java/org/sardinebay/internal/version/ConfigStore.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ConfigStore.java
@@ -2,8 +2,6 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +9,7 @@
 import java.util.TreeMap;
 import org.sardinebay.DatabaseId;
 import org.sardinebay.HostId;
+import org.sardinebay.internal.process.Sha256;
 import org.sardinebay.platform.HostEntry;
 import org.sardinebay.platform.ObjectKey;
 import org.sardinebay.record.DatabaseRecord;
@@ -188,14 +187,6 @@
     byte[] name = record.key().name().getBytes(StandardCharsets.UTF_8);
     ByteBuffer input = ByteBuffer.allocate(Integer.BYTES + kind.length + name.length + Long.BYTES);
     input.putInt(kind.length).put(kind).put(name).putLong(record.version());
-    return ByteBuffer.wrap(sha256().digest(input.array())).getLong();
-  }
-
-  private static MessageDigest sha256() {
-    try {
-      return MessageDigest.getInstance("SHA-256");
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("Java runtime lacks SHA-256", e);
-    }
+    return ByteBuffer.wrap(Sha256.create().digest(input.array())).getLong();
   }
 }
--- a/core/src/main/java/org/sardinebay/internal/version/RendezvousOrder.java
+++ b/core/src/main/java/org/sardinebay/internal/version/RendezvousOrder.java
@@ -3,11 +3,11 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.Function;
+import org.sardinebay.internal.process.Sha256;
 
 /**
  * Orders candidates for a key by rendezvous hashing. Every process with the same candidates
@@ -45,13 +45,9 @@
   }
 
   private static long hash(String key, String candidate) {
-    try {
-      MessageDigest sha = MessageDigest.getInstance("SHA-256");
-      sha.update(key.getBytes(StandardCharsets.UTF_8));
-      sha.update((byte) 0);
-      return ByteBuffer.wrap(sha.digest(candidate.getBytes(StandardCharsets.UTF_8))).getLong();
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("Java runtime lacks SHA-256", e);
-    }
+    MessageDigest sha = Sha256.create();
+    sha.update(key.getBytes(StandardCharsets.UTF_8));
+    sha.update((byte) 0);
+    return ByteBuffer.wrap(sha.digest(candidate.getBytes(StandardCharsets.UTF_8))).getLong();
   }
 }
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/process/RequestRunner.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/process/RequestRunner.java
@@ -1,13 +1,11 @@
 package org.sardinebay.proxy.internal.process;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import java.util.zip.CRC32C;
 import org.sardinebay.Answer;
 import org.sardinebay.CallerRequest;
 import org.sardinebay.Failure;
@@ -165,20 +163,11 @@
         request.caller(),
         kind,
         request.statement(),
-        callerKey.map(key -> scopedKey(request, key)),
+        callerKey.map(key -> IdempotencyKey.of(request, key)),
         callerKey,
         new RequestDeadline(runtime.clock().millis() + request.timeoutMillis()));
   }
 
-  private static IdempotencyKey scopedKey(CallerRequest request, String key) {
-    CRC32C hash = new CRC32C();
-    hash.update(request.kind().name().getBytes(StandardCharsets.UTF_8));
-    hash.update(request.statement().getBytes(StandardCharsets.UTF_8));
-    return new IdempotencyKey(
-        request.caller().value().length() + ":" + request.caller() + ":" + key,
-        Long.toHexString(hash.getValue()));
-  }
-
   private OptionalLong allowedAge(CallerRequest request) {
     if (request.maxAgeMillis().isEmpty()) {
       return request.maxAgeMillis();
