--- a/core/src/main/java/org/sardinebay/record/FieldReader.java
+++ b/core/src/main/java/org/sardinebay/record/FieldReader.java
@@ -28,6 +28,8 @@
  * values are meaningful only if {@link #problems()} stays empty.
  */
 public final class FieldReader {
+  private static final String ADDRESS_LIST = "a list of addresses such as 127.0.0.1:7000";
+
   private static final String ABSENT = "absent";
   private static final int MAX_SHOWN_VALUE_LENGTH = 80;
   private static final Address PLACEHOLDER_ADDRESS = new Address("0.0.0.0", 1);
@@ -202,11 +204,13 @@
   public List<Address> addresses(String field) {
     JsonNode value = has(field) ? value(field) : optionalValue(field);
     List<Address> addresses = new ArrayList<>();
+    if (has(field) && !value.isArray()) {
+      report(field, value, ADDRESS_LIST);
+    }
     for (JsonNode element : value) {
       Optional<Address> address =
           element.isTextual() ? Address.parse(element.textValue()) : Optional.empty();
-      address.ifPresentOrElse(
-          addresses::add, () -> report(field, value, "a list of addresses such as 127.0.0.1:7000"));
+      address.ifPresentOrElse(addresses::add, () -> report(field, value, ADDRESS_LIST));
     }
     return addresses;
   }
