Gateway forgets ended changes of primary, overflow periods and aborts

Cause, from reading: PromotionCoordinator.advance returned early without forgetting the logged phase, and kept changes of services that are no longer configured; an offer that ended after its overflow period began a new one, so overflow_ended came without overflow_started; ROLLBACK and COMMIT left abortUnreported set, so the next failed transaction was reported as idle too long.

Change: each is forgotten where it ends. No test of their own: the first two only concern log lines and memory, the third the text and code of one error; GatewayTest and OverflowTest cover the paths.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
@@ -327,6 +327,7 @@
     rollBackAtMember(rollbackId);
     transaction = Optional.empty();
     state = TransactionState.IDLE;
+    abortUnreported = false;
   }
 
   private void rollBackAtMember(String id) {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/Overflow.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/Overflow.java
@@ -40,6 +40,14 @@
     private int accepted;
     private int refused;
     private long lastAt;
+
+    private void ended(boolean wasAccepted) {
+      if (wasAccepted) {
+        accepted++;
+      } else {
+        refused++;
+      }
+    }
   }
 
   /**
@@ -108,15 +116,13 @@
    */
   public void onOfferEnded(ServiceRuntime service, HomeClient client, boolean accepted) {
     PeerConcurrencyLimit concurrencyLimit = concurrencyLimit(service, client);
-    OverflowPeriod period =
-        periods.computeIfAbsent(service.view().service(), name -> new OverflowPeriod());
     if (accepted) {
       concurrencyLimit.accepted();
-      period.accepted++;
     } else {
       concurrencyLimit.refused(clock.millis());
-      period.refused++;
     }
+    Optional.ofNullable(periods.get(service.view().service()))
+        .ifPresent(period -> period.ended(accepted));
   }
 
   /**
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionCoordinator.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionCoordinator.java
@@ -127,6 +127,8 @@
    * @param now the current time by this host's clock, in milliseconds
    */
   public void tick(long now) {
+    changes.keySet().removeIf(name -> services.service(name).isEmpty());
+    loggedPhases.keySet().retainAll(changes.keySet());
     for (ServiceRuntime service : services.all()) {
       PrimaryChange change = changes.get(service.view().service());
       if (change == null && service.home()) {
@@ -248,7 +250,6 @@
     if (change.phase() == PrimaryChange.Phase.DONE
         || change.phase() == PrimaryChange.Phase.GIVEN_UP) {
       changes.remove(view.service());
-      loggedPhases.remove(view.service());
     }
   }
 
