--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.function.LongSupplier;
 import org.sardinebay.Clock;
 import org.sardinebay.gateway.internal.connection.ConnectionPreparation;
 import org.sardinebay.gateway.internal.connection.HomeClient;
@@ -29,7 +28,6 @@
 import org.sardinebay.gateway.internal.request.StatementRunner;
 import org.sardinebay.gateway.internal.version.CountedPlatformClient;
 import org.sardinebay.gateway.internal.version.Homes;
-import org.sardinebay.gateway.internal.version.ObjectWatch;
 import org.sardinebay.gateway.internal.version.Overflow;
 import org.sardinebay.gateway.internal.version.PeerReachability;
 import org.sardinebay.gateway.internal.version.PromotionCoordinator;
@@ -42,7 +40,6 @@
 import org.sardinebay.impeller.MetadataStoreClient;
 import org.sardinebay.impeller.PlatformKeys;
 import org.sardinebay.internal.process.LoopLag;
-import org.sardinebay.internal.process.StoreWatchers;
 import org.sardinebay.internal.request.AdmissionControl;
 import org.sardinebay.internal.version.ConfigStore;
 import org.sardinebay.net.AdminRoutes;
@@ -57,7 +54,6 @@
 import org.sardinebay.net.peer.generated.ReachCall;
 import org.sardinebay.platform.PlatformClient;
 import org.sardinebay.session.MemberProtocol;
-import org.sardinebay.session.RegisteredHost;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -71,27 +67,6 @@
   /** How long a connection to the store may receive nothing. */
   private static final Duration STORE_SILENCE = Duration.ofSeconds(6);
 
-  /**
-   * How long a watch waits for a change on hosts that notice a lost watch soon, in milliseconds:
-   * shorter than the time within which a configuration must be applied.
-   */
-  private static final long CLOSE_WATCH_MILLIS = 4_000;
-
-  /** How long a watch waits on the other hosts, which also poll those, in milliseconds. */
-  private static final long WATCH_MILLIS = 20_000;
-
-  /** How long a connection that carries watches may receive nothing: longer than they wait. */
-  private static final Duration WATCH_SILENCE = Duration.ofMillis(WATCH_MILLIS + 2_000);
-
-  /**
-   * Delay between a change of the members and the next watch on hosts that watch closely, in
-   * milliseconds.
-   */
-  private static final long CLOSE_MEMBERS_PAUSE_MILLIS = 400;
-
-  /** The same delay on the other hosts, which the former tell of the change. */
-  private static final long MEMBERS_PAUSE_MILLIS = 2_500;
-
   /**
    * During a shutdown, how long the last callers sent by the balancer have for their first
    * statement before idle sessions are closed, in milliseconds.
@@ -103,9 +78,6 @@
    */
   private static final long SHUTDOWN_RESERVE_MILLIS = 1_500;
 
-  /** Interval at which lost and regained hosts may change the homes, in milliseconds. */
-  private static final long HOMES_INTERVAL_MILLIS = 200;
-
   /** When the event loop has not ticked for this long, in milliseconds, it is considered stuck. */
   private static final long UNRESPONSIVE_MILLIS = 1_500;
 
@@ -131,9 +103,6 @@
   private GatewayMetrics metrics;
   private final LoopLag lag;
   private final AdmissionControl admission = new AdmissionControl();
-  private List<RegisteredHost> assignedHosts = List.of();
-  private long assignedVersion;
-  private long homesAssignedAt;
   private volatile long tickedAt;
   private volatile boolean stopping;
 
@@ -234,12 +203,8 @@
   private void serve() throws IOException {
     JsonHttpClient http = JsonHttpClient.onEventLoop(loop, STORE_SILENCE);
     PlatformClient store = storeClient(http);
-    PlatformClient watched = storeClient(JsonHttpClient.onEventLoop(loop, WATCH_SILENCE));
-    LongSupplier wait = () -> watchesClosely() ? CLOSE_WATCH_MILLIS : WATCH_MILLIS;
-    LongSupplier membersPause =
-        () -> watchesClosely() ? CLOSE_MEMBERS_PAUSE_MILLIS : MEMBERS_PAUSE_MILLIS;
-    watch(watched, PlatformKeys.CONFIGURATION.kind(), new ObjectWatch.Timing(wait, () -> 0));
-    watch(watched, PlatformKeys.MEMBER_KIND, new ObjectWatch.Timing(wait, membersPause));
+    PlatformClient watched = storeClient(JsonHttpClient.onEventLoop(loop, StoreWatches.SILENCE));
+    new StoreWatches(settings.host(), feeds, watched, loop, clock).start();
     new HostRegistration(settings, store, feeds.listener(StoreFeeds.HOSTS), loop).start();
     startPeersInBackground();
     promotions =
@@ -269,14 +234,6 @@
     return new CountedPlatformClient(new MetadataStoreClient(http, settings.store()), registry);
   }
 
-  private void watch(PlatformClient store, String kind, ObjectWatch.Timing timing) {
-    new ObjectWatch(store, kind, timing, feeds.listener(kind), loop, clock).start();
-  }
-
-  private boolean watchesClosely() {
-    return StoreWatchers.watchesClosely(settings.host(), feeds.hosts());
-  }
-
   /**
    * Applies the settings that can change without a restart, and logs whether others changed as
    * well.
@@ -321,7 +278,7 @@
     admission.onTick(lag.onTick(now));
     tickedAt = now;
     runGuarded("members", () -> feeds.tick(now));
-    runGuarded("homes", () -> assignHomes(now));
+    runGuarded("homes", () -> homes.assignAll(services, now));
     for (ServiceRuntime service : List.copyOf(services.all())) {
       runGuarded("service", () -> service.tick(now));
     }
@@ -333,18 +290,6 @@
     runGuarded("promotions", () -> promotions.tick(now));
   }
 
-  private void assignHomes(long now) {
-    boolean changed =
-        feeds.hosts() != assignedHosts || services.table().version() != assignedVersion;
-    if (!changed && now - homesAssignedAt < HOMES_INTERVAL_MILLIS) {
-      return;
-    }
-    homesAssignedAt = now;
-    assignedHosts = feeds.hosts();
-    assignedVersion = services.table().version();
-    services.all().forEach(service -> homes.assign(service, now));
-  }
-
   private boolean responsive() {
     return clock.millis() - tickedAt < UNRESPONSIVE_MILLIS;
   }
--- /dev/null
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/StoreWatches.java
@@ -0,0 +1,75 @@
+package org.sardinebay.gateway.internal.process;
+
+import io.activej.eventloop.Eventloop;
+import java.time.Duration;
+import org.sardinebay.Clock;
+import org.sardinebay.HostId;
+import org.sardinebay.gateway.internal.version.ObjectWatch;
+import org.sardinebay.gateway.internal.version.StoreFeeds;
+import org.sardinebay.impeller.PlatformKeys;
+import org.sardinebay.internal.process.StoreWatchers;
+import org.sardinebay.platform.PlatformClient;
+
+/**
+ * Watches the configuration and the members in the store. In a large fleet, only the hosts that
+ * {@link StoreWatchers} selects notice a lost watch within seconds; the others poll these.
+ */
+final class StoreWatches {
+  /**
+   * How long a watch waits for a change on hosts that watch closely, in milliseconds: shorter than
+   * the time within which a configuration must be applied.
+   */
+  private static final long CLOSE_WAIT_MILLIS = 4_000;
+
+  /** How long a watch waits for a change on the other hosts, in milliseconds. */
+  private static final long WAIT_MILLIS = 20_000;
+
+  /** How long a connection that carries watches may receive nothing: longer than they wait. */
+  static final Duration SILENCE = Duration.ofMillis(WAIT_MILLIS + 2_000);
+
+  /**
+   * Delay between a change of the members and the next watch on hosts that watch closely, in
+   * milliseconds.
+   */
+  private static final long CLOSE_MEMBERS_PAUSE_MILLIS = 400;
+
+  /** The same delay on the other hosts, which the former tell of the change. */
+  private static final long MEMBERS_PAUSE_MILLIS = 2_500;
+
+  private final HostId self;
+  private final StoreFeeds feeds;
+  private final PlatformClient store;
+  private final Eventloop loop;
+  private final Clock clock;
+
+  StoreWatches(HostId self, StoreFeeds feeds, PlatformClient store, Eventloop loop, Clock clock) {
+    this.self = self;
+    this.feeds = feeds;
+    this.store = store;
+    this.loop = loop;
+    this.clock = clock;
+  }
+
+  void start() {
+    watch(PlatformKeys.CONFIGURATION.kind(), new ObjectWatch.Timing(this::waitMillis, () -> 0));
+    watch(
+        PlatformKeys.MEMBER_KIND,
+        new ObjectWatch.Timing(this::waitMillis, this::membersPauseMillis));
+  }
+
+  private void watch(String kind, ObjectWatch.Timing timing) {
+    new ObjectWatch(store, kind, timing, feeds.listener(kind), loop, clock).start();
+  }
+
+  private long waitMillis() {
+    return watchesClosely() ? CLOSE_WAIT_MILLIS : WAIT_MILLIS;
+  }
+
+  private long membersPauseMillis() {
+    return watchesClosely() ? CLOSE_MEMBERS_PAUSE_MILLIS : MEMBERS_PAUSE_MILLIS;
+  }
+
+  private boolean watchesClosely() {
+    return StoreWatchers.watchesClosely(self, feeds.hosts());
+  }
+}
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/Homes.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/Homes.java
@@ -24,7 +24,7 @@
  * The homes of each service as this host sees them: the hosts that hold connections to its members.
  *
  * <pre>{@code
- * homes.assign(service, now);
+ * homes.assignAll(services, now);
  * Optional<HomeClient> home = homes.choose(service, excluded, now);
  * }</pre>
  */
@@ -36,6 +36,9 @@
    */
   private static final long UNKNOWN_FLEET_MILLIS = 1_500;
 
+  /** Interval at which lost and regained hosts may change the homes, in milliseconds. */
+  private static final long ASSIGN_INTERVAL_MILLIS = 200;
+
   private final HostId self;
   private final FailureDomain ownDomain;
   private final DomainDistances distances;
@@ -46,6 +49,9 @@
   private final PrimaryAbsence primaryAbsence = new PrimaryAbsence();
   private Collection<RegisteredHost> knownHosts = List.of();
   private OptionalLong firstAssignedAt = OptionalLong.empty();
+  private Collection<RegisteredHost> assignedHosts = List.of();
+  private long assignedVersion;
+  private long assignedAt;
 
   /**
    * The ranking of hosts for a service, and the inputs that it was computed from. The preference is
@@ -80,12 +86,24 @@
   }
 
   /**
-   * Updates whether this host is a home of a service, and the number of its homes.
+   * Updates whether this host is a home of each service, if hosts or services have changed or the
+   * last update was long enough ago.
    *
-   * @param service the service
+   * @param services the services
    * @param now the current time by this host's clock, in milliseconds
    */
-  public void assign(ServiceRuntime service, long now) {
+  public void assignAll(Services services, long now) {
+    boolean changed = hosts.get() != assignedHosts || services.table().version() != assignedVersion;
+    if (!changed && now - assignedAt < ASSIGN_INTERVAL_MILLIS) {
+      return;
+    }
+    assignedAt = now;
+    assignedHosts = hosts.get();
+    assignedVersion = services.table().version();
+    services.all().forEach(service -> assign(service, now));
+  }
+
+  private void assign(ServiceRuntime service, long now) {
     Collection<RegisteredHost> all = hosts.get();
     if (!knowsFleet(all, now)) {
       service.updateHome(false, 1, now);
