--- a/core/src/main/java/org/sardinebay/internal/request/AdmissionControl.java
+++ b/core/src/main/java/org/sardinebay/internal/request/AdmissionControl.java
@@ -14,8 +14,11 @@
  * <p>Not thread-safe: use it only from the event loop that it measures.
  */
 public final class AdmissionControl {
-  /** The lateness up to which all statements are admitted, in milliseconds. */
-  private static final long TARGET_MILLIS = 100;
+  /**
+   * The lateness up to which all statements are admitted, in milliseconds: a statement can still be
+   * answered within the usual objectives.
+   */
+  private static final long TARGET_MILLIS = 250;
 
   /** The smallest share, so that the host keeps trying what it can carry. */
   private static final double MIN_SHARE = 0.1;
