--- a/core/src/main/java/org/sardinebay/internal/version/ConfigStore.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ConfigStore.java
@@ -87,6 +87,19 @@
     }
   }
 
+  /**
+   * Returns the stored version of one record.
+   *
+   * @param key the record's key
+   * @return the version of the record or its tombstone, 0 if there is none
+   */
+  public long version(ObjectKey key) {
+    synchronized (records) {
+      VersionedRecord stored = records.get(key);
+      return stored == null ? 0 : stored.version();
+    }
+  }
+
   /**
    * Returns the records that another process is missing.
    *
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayDump.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayDump.java
@@ -6,6 +6,7 @@
 import org.sardinebay.Clock;
 import org.sardinebay.gateway.internal.version.ServiceRuntime;
 import org.sardinebay.gateway.internal.version.Services;
+import org.sardinebay.internal.process.StoreEra;
 import org.sardinebay.internal.version.MemberView;
 import org.sardinebay.internal.version.ServiceView;
 import org.sardinebay.net.http.Json;
@@ -14,10 +15,12 @@
 final class GatewayDump {
   private GatewayDump() {}
 
-  static JsonNode write(Services services, Sessions sessions, int hosts, Clock clock) {
+  static JsonNode write(
+      Services services, Sessions sessions, StoreEra storeEra, int hosts, Clock clock) {
     long now = clock.millis();
     ObjectNode dump = Json.newObject();
     dump.put("configuration", services.table().version());
+    dump.put("storeEra", storeEra.current());
     dump.put("hosts", hosts);
     dump.put("sessions", sessions.size());
     dump.put("transactions", sessions.openTransactions());
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayMetrics.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayMetrics.java
@@ -11,6 +11,7 @@
 import org.sardinebay.gateway.internal.connection.MemberPool;
 import org.sardinebay.gateway.internal.version.ServiceRuntime;
 import org.sardinebay.gateway.internal.version.Services;
+import org.sardinebay.internal.process.StoreEra;
 import org.sardinebay.internal.version.MemberView;
 
 /**
@@ -30,7 +31,12 @@
   private final MultiGauge lag;
   private long refreshedAt = Long.MIN_VALUE / 2;
 
-  GatewayMetrics(Services services, Sessions sessions, Clock clock, MeterRegistry registry) {
+  GatewayMetrics(
+      Services services,
+      Sessions sessions,
+      StoreEra storeEra,
+      Clock clock,
+      MeterRegistry registry) {
     this.services = services;
     this.clock = clock;
     this.waiting = MultiGauge.builder("sardinebay_statements_waiting").register(registry);
@@ -38,6 +44,7 @@
     this.term = MultiGauge.builder("sardinebay_service_term").register(registry);
     this.lease = MultiGauge.builder("sardinebay_service_lease_seconds").register(registry);
     this.lag = MultiGauge.builder("sardinebay_replica_lag_seconds").register(registry);
+    registry.gauge("sardinebay_store_era", storeEra, StoreEra::current);
     registry.gauge("sardinebay_sessions", sessions, Sessions::size);
     registry.gauge("sardinebay_configuration_version", services, s -> s.table().version());
     registry.gauge(
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -40,6 +40,7 @@
 import org.sardinebay.impeller.MetadataStoreClient;
 import org.sardinebay.impeller.PlatformKeys;
 import org.sardinebay.internal.process.LoopLag;
+import org.sardinebay.internal.process.StoreEra;
 import org.sardinebay.internal.request.AdmissionControl;
 import org.sardinebay.internal.version.ConfigStore;
 import org.sardinebay.net.AdminRoutes;
@@ -102,6 +103,7 @@
   private PromotionCoordinator promotions;
   private GatewayMetrics metrics;
   private final LoopLag lag;
+  private final StoreEra storeEra = new StoreEra();
   private final AdmissionControl admission = new AdmissionControl();
   private volatile long tickedAt;
   private volatile boolean stopping;
@@ -204,7 +206,7 @@
     JsonHttpClient http = JsonHttpClient.onEventLoop(loop, STORE_SILENCE);
     PlatformClient store = storeClient(http);
     PlatformClient watched = storeClient(JsonHttpClient.onEventLoop(loop, StoreWatches.SILENCE));
-    new StoreWatches(settings.host(), feeds, watched, loop, clock).start();
+    new StoreWatches(settings.host(), feeds, watched, loop, clock, registry).start();
     new HostRegistration(settings, store, feeds.listener(StoreFeeds.HOSTS), loop).start();
     startPeersInBackground();
     promotions =
@@ -226,12 +228,25 @@
         List.of(new Route(HttpMethod.GET, PlatformKeys.READY_PATH, call -> readiness())));
     List<Route> admin = new ArrayList<>(AdminRoutes.of(this, registry));
     JsonHttpServer.serveOn(loop, settings.metrics(), admin);
-    metrics = new GatewayMetrics(services, sessions, clock, registry);
+    metrics = new GatewayMetrics(services, sessions, storeEra, clock, registry);
     tick();
   }
 
   private PlatformClient storeClient(JsonHttpClient http) {
-    return new CountedPlatformClient(new MetadataStoreClient(http, settings.store()), registry);
+    return new CountedPlatformClient(
+        new MetadataStoreClient(http, settings.store(), this::onStoreEra), registry);
+  }
+
+  private void onStoreEra(long responseEra) {
+    long previous = storeEra.current();
+    storeEra.onResponse(responseEra, clock.millis());
+    if (storeEra.current() != previous) {
+      LOG.atInfo()
+          .setMessage("store_era_changed")
+          .addKeyValue("era", storeEra.current())
+          .addKeyValue("previous", previous)
+          .log();
+    }
   }
 
   /**
@@ -327,7 +342,7 @@
   }
 
   private JsonNode writeDump() {
-    return GatewayDump.write(services, sessions, feeds.hosts().size(), clock);
+    return GatewayDump.write(services, sessions, storeEra, feeds.hosts().size(), clock);
   }
 
   @Override
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/StoreWatches.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/StoreWatches.java
@@ -1,7 +1,10 @@
 package org.sardinebay.gateway.internal.process;
 
 import io.activej.eventloop.Eventloop;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.TimeGauge;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import org.sardinebay.Clock;
 import org.sardinebay.HostId;
 import org.sardinebay.gateway.internal.version.ObjectWatch;
@@ -41,13 +44,21 @@
   private final PlatformClient store;
   private final Eventloop loop;
   private final Clock clock;
+  private final MeterRegistry registry;
 
-  StoreWatches(HostId self, StoreFeeds feeds, PlatformClient store, Eventloop loop, Clock clock) {
+  StoreWatches(
+      HostId self,
+      StoreFeeds feeds,
+      PlatformClient store,
+      Eventloop loop,
+      Clock clock,
+      MeterRegistry registry) {
     this.self = self;
     this.feeds = feeds;
     this.store = store;
     this.loop = loop;
     this.clock = clock;
+    this.registry = registry;
   }
 
   void start() {
@@ -58,7 +69,15 @@
   }
 
   private void watch(String kind, ObjectWatch.Timing timing) {
-    new ObjectWatch(store, kind, timing, feeds.listener(kind), loop, clock).start();
+    ObjectWatch watch = new ObjectWatch(store, kind, timing, feeds.listener(kind), loop, clock);
+    TimeGauge.builder(
+            "sardinebay_store_watch_silence",
+            watch,
+            TimeUnit.MILLISECONDS,
+            ObjectWatch::silenceMillis)
+        .tag("kind", kind)
+        .register(registry);
+    watch.start();
   }
 
   private long waitMillis() {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
@@ -61,6 +61,7 @@
   private final Eventloop loop;
   private final Clock clock;
   private long revision;
+  private long answeredAt;
   private boolean lost;
   private long lostAt;
 
@@ -87,6 +88,12 @@
     this.listener = listener;
     this.loop = loop;
     this.clock = clock;
+    this.answeredAt = clock.millis();
+  }
+
+  /** Returns how long ago the store last answered, in milliseconds. */
+  public long silenceMillis() {
+    return clock.millis() - answeredAt;
   }
 
   /** Starts the watch, which runs until the process ends. */
@@ -100,6 +107,7 @@
 
   private void onResult(boolean listing, PlatformResult result) {
     if (result instanceof PlatformResult.Listing page) {
+      answeredAt = clock.millis();
       markRecovered();
       revision = page.revision();
       if (listing) {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/Services.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/Services.java
@@ -53,6 +53,11 @@
    */
   public void configure(RouteTable newer) {
     if (newer.version() <= table.version()) {
+      LOG.atInfo()
+          .setMessage("configuration_not_newer")
+          .addKeyValue("version", newer.version())
+          .addKeyValue("in_force", table.version())
+          .log();
       return;
     }
     LOG.atInfo()
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
@@ -79,17 +79,35 @@
       public void onListing(long revision, List<PlatformObject> objects) {
         List<PlatformObject> all = new ArrayList<>(objects);
         all.addAll(tombstonesForMissing(kind, revision, objects));
-        storeAdapter.mergeAll(all);
+        merge(kind, all);
       }
 
       @Override
       public void onChanges(List<PlatformObject> objects) {
-        objects.forEach(
-            object -> storeAdapter.mergeAll(versionTombstone(object).stream().toList()));
+        objects.forEach(object -> merge(kind, versionTombstone(object).stream().toList()));
       }
     };
   }
 
+  private void merge(String kind, List<PlatformObject> objects) {
+    storeAdapter.mergeAll(objects);
+    List<PlatformObject> older =
+        objects.stream()
+            .filter(object -> object.version() < records.version(object.key()))
+            .toList();
+    if (!older.isEmpty()) {
+      PlatformObject first = older.get(0);
+      LOG.atWarn()
+          .setMessage("older_records_ignored")
+          .addKeyValue("kind", kind)
+          .addKeyValue("records", older.size())
+          .addKeyValue("first", first.key())
+          .addKeyValue("revision", first.version())
+          .addKeyValue("held", records.version(first.key()))
+          .log();
+    }
+  }
+
   /**
    * Gives a deletion a version above the one held, so that it replaces the record, but below that
    * of any later creation under the same name, which may follow at once. A deletion of an object
@@ -99,8 +117,8 @@
     if (!object.deleted()) {
       return Optional.of(object);
     }
-    Long held = records.versions().get(object.key());
-    return held == null || object.version() < held
+    long held = records.version(object.key());
+    return held == 0 || object.version() < held
         ? Optional.empty()
         : Optional.of(tombstone(object.key(), Math.max(held + 1, object.version())));
   }
--- a/net/src/main/java/org/sardinebay/net/http/HttpServerResponse.java
+++ b/net/src/main/java/org/sardinebay/net/http/HttpServerResponse.java
@@ -1,6 +1,8 @@
 package org.sardinebay.net.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.activej.http.HttpHeader;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -11,9 +13,14 @@
  * @param body the JSON body
  * @param text plain text to send instead of the JSON body
  * @param retryAfterMillis when the client may retry; sent in whole seconds, rounded up
+ * @param headers additional headers
  */
 public record HttpServerResponse(
-    int status, JsonNode body, Optional<String> text, OptionalLong retryAfterMillis) {
+    int status,
+    JsonNode body,
+    Optional<String> text,
+    OptionalLong retryAfterMillis,
+    Map<HttpHeader, String> headers) {
 
   /** The HTTP status of a success. */
   public static final int OK = 200;
@@ -26,7 +33,7 @@
    * @return the response
    */
   public static HttpServerResponse json(int status, JsonNode body) {
-    return new HttpServerResponse(status, body, Optional.empty(), OptionalLong.empty());
+    return new HttpServerResponse(status, body, Optional.empty(), OptionalLong.empty(), Map.of());
   }
 
   /**
@@ -38,6 +45,17 @@
    */
   public static HttpServerResponse plain(int status, String text) {
     return new HttpServerResponse(
-        status, Json.newObject(), Optional.of(text), OptionalLong.empty());
+        status, Json.newObject(), Optional.of(text), OptionalLong.empty(), Map.of());
+  }
+
+  /**
+   * Returns this response with one additional header instead of any others.
+   *
+   * @param header the header
+   * @param value its value
+   * @return the response
+   */
+  public HttpServerResponse withHeader(HttpHeader header, String value) {
+    return new HttpServerResponse(status, body, text, retryAfterMillis, Map.of(header, value));
   }
 }
--- a/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
+++ b/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
@@ -19,6 +19,7 @@
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -43,11 +44,14 @@
 
   private final List<Eventloop> loops;
   private final List<HttpClient> clients;
+  private final List<HttpHeader> readHeaders;
   private final AtomicInteger next = new AtomicInteger();
 
-  private JsonHttpClient(List<Eventloop> loops, List<HttpClient> clients) {
+  private JsonHttpClient(
+      List<Eventloop> loops, List<HttpClient> clients, List<HttpHeader> readHeaders) {
     this.loops = loops;
     this.clients = clients;
+    this.readHeaders = readHeaders;
   }
 
   /**
@@ -71,7 +75,7 @@
               .withMaxBodySize(MAX_BODY_BYTES)
               .build());
     }
-    return new JsonHttpClient(loops, clients);
+    return new JsonHttpClient(loops, clients, List.of());
   }
 
   /**
@@ -91,7 +95,17 @@
             .withKeepAliveTimeout(KEEP_ALIVE)
             .withMaxBodySize(MAX_BODY_BYTES)
             .build();
-    return new JsonHttpClient(List.of(loop), List.of(client));
+    return new JsonHttpClient(List.of(loop), List.of(client), List.of());
+  }
+
+  /**
+   * Returns a client that uses the same connections and also reads headers of the responses.
+   *
+   * @param headers the headers to read
+   * @return the client
+   */
+  public JsonHttpClient readingHeaders(HttpHeader... headers) {
+    return new JsonHttpClient(loops, clients, List.of(headers));
   }
 
   /**
@@ -206,18 +220,31 @@
     return builder.build();
   }
 
-  private static Promise<HttpCallResult> exchange(HttpClient client, HttpRequest request) {
-    return client.request(request).then(JsonHttpClient::readResponse);
+  private Promise<HttpCallResult> exchange(HttpClient client, HttpRequest request) {
+    return client.request(request).then(this::readResponse);
   }
 
-  private static Promise<HttpCallResult> readResponse(HttpResponse response) {
+  private Promise<HttpCallResult> readResponse(HttpResponse response) {
     int status = response.getCode();
-    return response.loadBody(MAX_BODY_BYTES).map(body -> toResponse(status, body));
+    Map<HttpHeader, String> headers = readHeaders(response);
+    return response.loadBody(MAX_BODY_BYTES).map(body -> toResponse(status, body, headers));
+  }
+
+  private Map<HttpHeader, String> readHeaders(HttpResponse response) {
+    Map<HttpHeader, String> headers = new HashMap<>();
+    for (HttpHeader header : readHeaders) {
+      String value = response.getHeader(header);
+      if (value != null) {
+        headers.put(header, value);
+      }
+    }
+    return headers;
   }
 
-  private static HttpCallResult toResponse(int status, ByteBuf body) {
+  private static HttpCallResult toResponse(
+      int status, ByteBuf body, Map<HttpHeader, String> headers) {
     JsonNode tree = Json.parse(body.getArray()).orElse(MissingNode.getInstance());
-    return new HttpCallResult.Response(status, tree);
+    return new HttpCallResult.Response(status, tree, headers);
   }
 
   private static HttpCallResult failure(Exception e) {
--- a/net/src/main/java/org/sardinebay/net/http/JsonHttpServer.java
+++ b/net/src/main/java/org/sardinebay/net/http/JsonHttpServer.java
@@ -186,6 +186,7 @@
 
   private static HttpResponse response(HttpServerResponse response) {
     HttpResponse.Builder builder = HttpResponse.ofCode(response.status());
+    response.headers().forEach(builder::withHeader);
     response
         .retryAfterMillis()
         .ifPresent(
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/request/AnswerWriter.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/request/AnswerWriter.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.sardinebay.Answer;
@@ -97,7 +98,7 @@
         json.has("retryAfterMillis")
             ? OptionalLong.of(json.path("retryAfterMillis").asLong())
             : OptionalLong.empty();
-    return new HttpServerResponse(status, json, Optional.empty(), retryAfter);
+    return new HttpServerResponse(status, json, Optional.empty(), retryAfter, Map.of());
   }
 
   private static int status(String outcome, String code) {
--- a/standins/src/test/java/org/sardinebay/standins/impeller/MetadataStoreClientTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/MetadataStoreClientTest.java
@@ -28,7 +28,7 @@
   @BeforeEach
   void startPlatform() throws Exception {
     platform = LineProtocolPlatform.start(FreePorts::next, Clock.system());
-    store = new MetadataStoreClient(http, platform.address());
+    store = new MetadataStoreClient(http, platform.address(), era -> {});
     for (int i = 0; i < MORE_THAN_A_PAGE; i++) {
       ObjectKey key = new ObjectKey("hosts", "host-" + i);
       store.write(key, 0, Json.newObject().put("number", i), TIMEOUT_MILLIS).join();
