--- a/net/src/main/java/org/sardinebay/net/http/JsonHttpServer.java
+++ b/net/src/main/java/org/sardinebay/net/http/JsonHttpServer.java
@@ -17,6 +17,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -175,7 +176,10 @@
       HttpHandler handler, HttpRequest request, ByteBuf body) {
     HttpServerRequest serverRequest =
         new HttpServerRequest(
-            request.getRelativePath(), request.getQueryParameters(), Json.parse(body.getArray()));
+            request.getRelativePath(),
+            request.getQueryParameters(),
+            Json.parse(body.getArray()),
+            header -> Optional.ofNullable(request.getHeader(header)));
     CompletableFuture<HttpServerResponse> response = handler.handle(serverRequest);
     return Promise.ofCompletionStage(response).map(JsonHttpServer::response);
   }
--- a/standins/src/main/java/org/sardinebay/standins/impeller/MetadataStore.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/MetadataStore.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.sardinebay.Address;
+import org.sardinebay.net.http.HttpHandler;
 import org.sardinebay.net.http.HttpServerRequest;
 import org.sardinebay.net.http.HttpServerResponse;
 import org.sardinebay.net.http.Json;
@@ -26,15 +29,37 @@
   private static final int UNAVAILABLE = 503;
   private static final int PAGE_SIZE = 2;
 
+  private static final HttpHeader ERA = HttpHeaders.of("Store-Era");
+  private static final HttpHeader LEASE_HOLDER = HttpHeaders.of("X-Lease-Holder");
+  private static final HttpHeader FENCING_TOKEN = HttpHeaders.of("X-Fencing-Token");
+
   private record Change(String kind, long revision, boolean deleted, ObjectNode object) {}
 
+  /**
+   * The objects at one moment, from which the store can be restored.
+   *
+   * @param revision the store's revision at that moment
+   * @param objects the objects by kind and name
+   */
+  record Copy(long revision, Map<String, ObjectNode> objects) {}
+
+  /**
+   * An order to promote a member.
+   *
+   * @param member the member
+   * @param holder the host that gave the order
+   * @param token its fencing token
+   */
+  record Promotion(String member, String holder, long token) {}
+
   private final MemberGroup group;
   private final Map<String, ObjectNode> objects = new TreeMap<>();
   private final List<Change> changes = new ArrayList<>();
-  private final List<String> promotions = new ArrayList<>();
+  private final List<Promotion> promotions = new ArrayList<>();
   private CompletableFuture<Void> nextChange = new CompletableFuture<>();
   private long revision = 1;
   private long oldestWatchRevision = 1;
+  private long era = 1;
   private boolean down;
   private boolean loseWriteAnswers;
 
@@ -48,9 +73,9 @@
         address,
         1,
         List.of(
-            Route.get("/v1/objects/*", store::onGet),
-            Route.post("/v1/objects/*", store::onCreate),
-            Route.put("/v1/objects/*", store::onReplace),
+            Route.get("/v1/objects/*", store.namingEra(store::onGet)),
+            Route.post("/v1/objects/*", store.namingEra(store::onCreate)),
+            Route.put("/v1/objects/*", store.namingEra(store::onReplace)),
             Route.post("/promote", store::onPromote)));
     return store;
   }
@@ -91,10 +116,50 @@
     oldestWatchRevision = revision;
   }
 
-  synchronized List<String> promotions() {
+  /** Returns a copy of all objects. */
+  synchronized Copy copy() {
+    return new Copy(revision, deepCopy(objects));
+  }
+
+  /**
+   * Replaces all objects by an earlier copy. Later writes are lost, their revisions are assigned
+   * again, and pending watches are refused.
+   */
+  synchronized void restore(Copy copy) {
+    era++;
+    objects.clear();
+    objects.putAll(deepCopy(copy.objects()));
+    revision = copy.revision();
+    changes.removeIf(change -> change.revision > revision);
+    wakeWatchers();
+  }
+
+  private static Map<String, ObjectNode> deepCopy(Map<String, ObjectNode> objects) {
+    Map<String, ObjectNode> copy = new TreeMap<>();
+    objects.forEach((key, object) -> copy.put(key, object.deepCopy()));
+    return copy;
+  }
+
+  synchronized List<Promotion> promotions() {
     return List.copyOf(promotions);
   }
 
+  /** Returns whether there is an object of a kind with a name. */
+  synchronized boolean contains(String kind, String name) {
+    return objects.containsKey(kind + "/" + name);
+  }
+
+  private HttpHandler namingEra(HttpHandler handler) {
+    return request ->
+        handler
+            .handle(request)
+            .thenApply(response -> response.withHeader(ERA, Long.toString(currentEra())));
+  }
+
+  private synchronized long currentEra() {
+    return era;
+  }
+
   private ObjectNode store(String kind, String name, JsonNode spec) {
     revision++;
     ObjectNode object = Json.newObject();
@@ -107,6 +172,10 @@
 
   private void notifyWatchers(Change change) {
     changes.add(change);
+    wakeWatchers();
+  }
+
+  private void wakeWatchers() {
     CompletableFuture<Void> waiting = nextChange;
     nextChange = new CompletableFuture<>();
     waiting.completeAsync(() -> null);
@@ -147,22 +216,23 @@
 
   private CompletableFuture<HttpServerResponse> onWatch(HttpServerRequest request) {
     long after = Long.parseLong(request.query().get("watch"));
-    if (after < oldestWatchRevision) {
+    if (after < oldestWatchRevision || after > revision) {
       return response(GONE, Json.newObject());
     }
     ObjectNode page = eventsAfter(request.path(), after);
     if (!page.path("events").isEmpty()) {
       return response(HttpServerResponse.OK, page);
     }
+    long watchedEra = era;
     long waitMillis = Long.parseLong(request.query().getOrDefault("waitMs", "0"));
     return nextChange
         .copy()
         .completeOnTimeout(null, waitMillis, TimeUnit.MILLISECONDS)
-        .thenApply(any -> lateEvents(request.path(), after));
+        .thenApply(any -> lateEvents(request.path(), after, watchedEra));
   }
 
-  private synchronized HttpServerResponse lateEvents(String kind, long after) {
-    return down
+  private synchronized HttpServerResponse lateEvents(String kind, long after, long watchedEra) {
+    return down || era != watchedEra
         ? HttpServerResponse.json(UNAVAILABLE, Json.newObject())
         : HttpServerResponse.json(HttpServerResponse.OK, eventsAfter(kind, after));
   }
@@ -217,7 +287,11 @@
 
   private synchronized CompletableFuture<HttpServerResponse> onPromote(HttpServerRequest request) {
     String member = request.body().orElseThrow().path("id").asText();
-    promotions.add(member);
+    promotions.add(
+        new Promotion(
+            member,
+            request.header().apply(LEASE_HOLDER).orElseThrow(),
+            Long.parseLong(request.header().apply(FENCING_TOKEN).orElseThrow())));
     return response(group.promote(member) ? HttpServerResponse.OK : CONFLICT, Json.newObject());
   }
 
--- a/standins/src/main/java/org/sardinebay/standins/relay/Link.java
+++ b/standins/src/main/java/org/sardinebay/standins/relay/Link.java
@@ -86,6 +86,15 @@
         loop);
   }
 
+  /**
+   * Drops all later bytes of the connections that are open now; the result completes once this is
+   * in force.
+   */
+  CompletableFuture<Void> silenceOpenConnections() {
+    return CompletableFuture.runAsync(
+        () -> Set.copyOf(connections).forEach(RelayedConnection::silence), loop);
+  }
+
   JsonNode dump() {
     return Json.newObject()
         .put("source", settings.source())
--- a/standins/src/main/java/org/sardinebay/standins/relay/RelayProcess.java
+++ b/standins/src/main/java/org/sardinebay/standins/relay/RelayProcess.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import org.sardinebay.net.AdminRoutes;
 import org.sardinebay.net.RunningProcess;
 import org.sardinebay.net.http.HttpServerRequest;
@@ -57,6 +58,7 @@
     }
     List<Route> routes = new ArrayList<>();
     routes.add(Route.post("/links", this::change));
+    routes.add(Route.post("/silence", this::silence));
     routes.addAll(AdminRoutes.of(this, new PrometheusMeterRegistry(PrometheusConfig.DEFAULT)));
     server = JsonHttpServer.start(settings.listen(), 1, routes);
   }
@@ -66,26 +68,39 @@
       return badRequest("the body must be JSON");
     }
     FieldReader reader = FieldReader.of(request.body().get());
-    List<String> sources = names(reader, "sources");
-    List<String> targets = names(reader, "targets");
     Cut cut = reader.enumConstant("cut", Cut.NONE);
     OptionalLong delayMillis =
         reader.has("delayMillis")
             ? OptionalLong.of(reader.number("delayMillis", 0, LinkSettings.MAX_DELAY_MILLIS))
             : OptionalLong.empty();
+    return forEachLink(reader, "cut_" + cut, link -> link.change(cut, delayMillis));
+  }
+
+  private CompletableFuture<HttpServerResponse> silence(HttpServerRequest request) {
+    if (request.body().isEmpty()) {
+      return badRequest("the body must be JSON");
+    }
+    FieldReader reader = FieldReader.of(request.body().get());
+    return forEachLink(reader, "silence", Link::silenceOpenConnections);
+  }
+
+  private CompletableFuture<HttpServerResponse> forEachLink(
+      FieldReader reader, String change, Function<Link, CompletableFuture<Void>> action) {
+    List<String> sources = names(reader, "sources");
+    List<String> targets = names(reader, "targets");
     if (!reader.problems().isEmpty()) {
       return badRequest(reader.problems().get(0).toString());
     }
     List<CompletableFuture<Void>> changes =
         links.stream()
             .filter(link -> matches(sources, link.source()) && matches(targets, link.target()))
-            .map(link -> link.change(cut, delayMillis))
+            .map(action)
             .toList();
     LOG.atInfo()
         .setMessage("links_changed")
         .addKeyValue("sources", sources)
         .addKeyValue("targets", targets)
-        .addKeyValue("cut", cut)
+        .addKeyValue("change", change)
         .addKeyValue("links", changes.size())
         .log();
     JsonNode answer = Json.newObject().put("changed", changes.size());
--- a/standins/src/main/java/org/sardinebay/standins/relay/RelayedConnection.java
+++ b/standins/src/main/java/org/sardinebay/standins/relay/RelayedConnection.java
@@ -67,6 +67,11 @@
     toSource.dropIfCut();
   }
 
+  void silence() {
+    toTarget.drop();
+    toSource.drop();
+  }
+
   private void connected(Channel channel, Throwable failure) {
     targetChannel = channel;
     if (failure != null || closed) {
@@ -174,11 +179,15 @@
 
     void dropIfCut() {
       if (link.cut().drops(flow) && !chunks.isEmpty()) {
-        lost = true;
-        clear();
+        drop();
       }
     }
 
+    void drop() {
+      lost = true;
+      clear();
+    }
+
     void clear() {
       chunks.forEach(chunk -> chunk.bytes().release());
       chunks.clear();
--- a/standins/src/test/java/org/sardinebay/standins/relay/RelayProcessTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/relay/RelayProcessTest.java
@@ -164,6 +164,33 @@
     }
   }
 
+  @Nested
+  class SilencedConnections {
+    @Test
+    void should_forward_nothing_more_while_new_ones_work() throws IOException {
+      try (Socket silenced = connect();
+          Socket accepted = accept()) {
+        send(silenced, "ping");
+        receive(accepted);
+
+        ObjectNode body = Json.newObject();
+        body.putArray("sources").add("*");
+        body.putArray("targets").add("*");
+        http.call(HttpMethod.POST, commands, "/silence", Optional.of(body), TIMEOUT_MILLIS).join();
+        send(silenced, "lost");
+        send(accepted, "lost");
+
+        assertSilent(accepted);
+        assertSilent(silenced);
+        try (Socket later = connect();
+            Socket acceptedLater = accept()) {
+          send(later, "next");
+          assertThat(receive(acceptedLater)).isEqualTo("next");
+        }
+      }
+    }
+  }
+
   @Nested
   class Commands {
     @Test
