Timers of event loops don't run by the time of day

Cause: ActiveJ's event loop takes the time of day unless told otherwise, so a step back of N seconds holds up the timers that were set before it: the periodic work, timeouts, retries.

Change: the gateway's loop runs by a clock that takes the JVM's monotonic clock and adds suspensions as the periodic work notices them; the HTTP server's loops run by the monotonic clock.

Ruled out: reading the clock that includes suspensions in each iteration, a call to the C library each.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -90,6 +90,7 @@
 
   private volatile GatewaySettings settings;
   private final Eventloop loop;
+  private final LoopClock loopClock;
   private final Clock clock;
   private final Services services;
   private final Sessions sessions;
@@ -109,9 +110,11 @@
   private volatile long tickedAt;
   private volatile boolean stopping;
 
-  private GatewayProcess(GatewaySettings settings, Eventloop loop, Clock clock) {
+  private GatewayProcess(
+      GatewaySettings settings, Eventloop loop, LoopClock loopClock, Clock clock) {
     this.settings = settings;
     this.loop = loop;
+    this.loopClock = loopClock;
     this.clock = clock;
     this.lag = new LoopLag(TICK_MILLIS, clock.millis());
     this.storeEra = new StoreEra(clock);
@@ -185,15 +188,21 @@
         loop, clock, protocol, names, new ConnectionPreparation(protocol, names), log);
   }
 
+  /** Creates the event loop, whose timers would otherwise run by the time of day. */
+  static Eventloop loop(LoopClock loopClock) {
+    return Eventloop.builder()
+        .withThreadName("gateway")
+        .withIdleInterval(Duration.ofSeconds(1))
+        .withTimeProvider(loopClock::millis)
+        .build();
+  }
+
   static GatewayProcess start(GatewaySettings settings) throws IOException {
     Clock clock = HostClock.create();
-    Eventloop loop =
-        Eventloop.builder()
-            .withThreadName("gateway")
-            .withIdleInterval(Duration.ofSeconds(1))
-            .build();
+    LoopClock loopClock = new LoopClock(Clock.system(), clock);
+    Eventloop loop = loop(loopClock);
     loop.keepAlive(true);
-    GatewayProcess process = new GatewayProcess(settings, loop, clock);
+    GatewayProcess process = new GatewayProcess(settings, loop, loopClock, clock);
     Thread thread = new Thread(loop, "gateway");
     thread.setDaemon(true);
     thread.start();
@@ -291,6 +300,7 @@
   }
 
   private void tick() {
+    loopClock.refresh();
     loop.delay(TICK_MILLIS, this::tick);
     long now = clock.millis();
     admission.onTick(lag.onTick(now));
--- a/net/src/main/java/org/sardinebay/net/http/JsonHttpServer.java
+++ b/net/src/main/java/org/sardinebay/net/http/JsonHttpServer.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.sardinebay.Address;
+import org.sardinebay.Clock;
 
 /**
  * Serves JSON over HTTP/1.1 on several event loops.
@@ -109,6 +110,7 @@
         Eventloop.builder()
             .withThreadName(name)
             .withIdleInterval(Duration.ofMillis(MILLIS_PER_SECOND))
+            .withTimeProvider(Clock.system()::millis)
             .build();
     loop.keepAlive(true);
     Thread thread = new Thread(loop, name);
