The configuration is ordered by the operator's number, not by revisions

Callers would see: a host that starts right after the store came back from an older copy takes the older configuration, also from its peers, until the operator has written the newest again.

Cause: the older copy has a later era, so it replaced the newest configuration among the records that hosts send each other.

Change: the configuration is a record of our own whose version is the operator's number, which survives a restore. An older one from the store is ignored and logged (older_records_ignored); hosts that start get the newest from their peers.

Hosts of older builds don't take the configuration from this feed, nor do new ones from theirs; both read the store.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -38,6 +39,12 @@
   /** The kind of the objects under which gateways register. */
   public static final String HOSTS = "sardinebay-hosts";
 
+  /**
+   * The key of the operator's configuration among this host's records. Their version of it is the
+   * operator's number, which a restored store doesn't assign again, as it does with revisions.
+   */
+  private static final ObjectKey CONFIGURATION = new ObjectKey("sardinebay-configuration", "main");
+
   private static final Logger LOG = LoggerFactory.getLogger(StoreFeeds.class);
 
   private final ConfigStore records;
@@ -78,18 +85,36 @@
     return new ObjectWatch.Listener() {
       @Override
       public void onListing(long revision, List<PlatformObject> objects) {
-        List<PlatformObject> all = new ArrayList<>(objects);
+        List<PlatformObject> all = new ArrayList<>();
+        objects.forEach(object -> toRecord(object).ifPresent(all::add));
         all.addAll(tombstonesForMissing(kind, revision, objects));
         merge(kind, all);
       }
 
       @Override
       public void onChanges(List<PlatformObject> objects) {
-        objects.forEach(object -> merge(kind, versionTombstone(object).stream().toList()));
+        objects.forEach(
+            object ->
+                merge(
+                    kind,
+                    versionTombstone(object).flatMap(StoreFeeds.this::toRecord).stream().toList()));
       }
     };
   }
 
+  private Optional<PlatformObject> toRecord(PlatformObject object) {
+    if (!object.key().equals(PlatformKeys.CONFIGURATION)) {
+      return Optional.of(object);
+    }
+    OptionalLong version = configurations.version(object.body());
+    if (object.deleted() || version.isEmpty()) {
+      logUnreadable("configuration_unreadable", object.key(), object.version());
+      return Optional.empty();
+    }
+    return Optional.of(
+        new PlatformObject(CONFIGURATION, version.getAsLong(), false, object.body()));
+  }
+
   private void merge(String kind, List<PlatformObject> objects) {
     storeAdapter.mergeAll(objects);
     List<PlatformObject> older =
@@ -188,28 +213,24 @@
   }
 
   private void onConfiguration(VersionedRecord record, boolean changed) {
-    if (!changed || !record.key().equals(PlatformKeys.CONFIGURATION)) {
-      return;
+    if (changed && record.key().equals(CONFIGURATION)) {
+      configurations.read(record.body()).ifPresent(services::configure);
     }
-    configurations
-        .read(record.body())
-        .ifPresentOrElse(
-            services::configure, () -> logUnreadable("configuration_unreadable", record));
   }
 
   private Optional<MemberEntry> entry(VersionedRecord record, boolean changed) {
     Optional<MemberEntry> entry = entries.read(record.key().name(), record.body());
     if (entry.isEmpty() && changed) {
-      logUnreadable("member_entry_unreadable", record);
+      logUnreadable("member_entry_unreadable", record.key(), record.version());
     }
     return entry;
   }
 
-  private static void logUnreadable(String event, VersionedRecord record) {
+  private static void logUnreadable(String event, ObjectKey key, long version) {
     LOG.atWarn()
         .setMessage(event)
-        .addKeyValue("object", record.key())
-        .addKeyValue("revision", ObjectVersion.text(record.version()))
+        .addKeyValue("object", key)
+        .addKeyValue("revision", ObjectVersion.text(version))
         .log();
   }
 
--- a/standins/src/test/java/org/sardinebay/standins/impeller/StoreRestoreTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/StoreRestoreTest.java
@@ -61,6 +61,20 @@
 
       awaitVersion(gateway, 21);
     }
+
+    @Test
+    void should_reach_a_host_that_starts_before_the_operator_writes_it_again() throws Exception {
+      MetadataStore.Copy copy = platform.store().copy();
+      platform.configure("strict", "extra");
+      awaitVersion(gateway, 6);
+
+      platform.store().restore(copy);
+      await(() -> gateway.dump().path("storeEra").asInt() == 2);
+      RunningProcess second = fleet.start(FreePorts.next(), "host-2", "hall-m-1");
+
+      awaitVersion(second, 6);
+      second.shutdown();
+    }
   }
 
   @Nested
