The promotion lease and its tokens survive a restore of the store

Callers would see: two hosts promote at once, or with a fencing token that was used before (ONE), after the store came back from an older copy and had forgotten the lease.

Cause: the lease trusted the record alone: an absent one was acquired at once, the next token was the record's plus one, and a renewal whose expected revision was assigned again counted as held.

Change: in a new era nobody acquires the lease until the era has been seen for as long as a takeover takes, so all earlier leases have ended; tokens are taken from versions, which rise across eras; a write that was answered by a later era grants nothing; a record read in an earlier era allows no write.

The test with processes passes; it was not run on the code before.

--- a/core/src/main/java/org/sardinebay/internal/version/PromotionLeaseClaim.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PromotionLeaseClaim.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.sardinebay.internal.process.StoreEra;
+import org.sardinebay.platform.ObjectVersion;
 
 /**
  * Lease on the right to order promotions, kept as a record in the platform's store. The holder may
@@ -14,6 +16,10 @@
  * claim.onWritten(written, newVersion, sentAt);
  * if (claim.remainingMillis(now) > 0) { order }
  * }</pre>
+ *
+ * <p>The store may come back from an older copy and has then forgotten leases. So in a new era no
+ * host acquires the lease until all leases of earlier eras have expired, and fencing tokens are
+ * taken from versions, which rise across eras, and not from the record alone.
  */
 public final class PromotionLeaseClaim {
   /** How long the holder may act after it sent the renewal, in milliseconds. */
@@ -38,8 +44,10 @@
   private final String self;
   private final String incarnation;
   private Optional<LeaseRecord> lastRecord = Optional.empty();
+  private final StoreEra era;
   private boolean known;
   private long version;
+  private long readEra;
   private long unchangedSince;
   private OptionalLong leaseUntil = OptionalLong.empty();
 
@@ -48,10 +56,12 @@
    *
    * @param self this host
    * @param incarnation identifies the run of this process
+   * @param era the store's era
    */
-  public PromotionLeaseClaim(String self, String incarnation) {
+  public PromotionLeaseClaim(String self, String incarnation, StoreEra era) {
     this.self = self;
     this.incarnation = incarnation;
+    this.era = era;
   }
 
   /**
@@ -62,10 +72,11 @@
    * @param now the current time in milliseconds
    */
   public void onRecord(Optional<LeaseRecord> leaseRecord, long readVersion, long now) {
-    if (!known || readVersion != version) {
+    if (!known || readVersion != version || readEra != era.current()) {
       unchangedSince = now;
     }
     known = true;
+    readEra = era.current();
     lastRecord = leaseRecord;
     version = readVersion;
     if (!heldBySelf()) {
@@ -90,13 +101,16 @@
 
   /**
    * Returns whether this host may write the record now: this host holds it, nobody does, or the
-   * holder has not renewed it for {@link #TAKEOVER_MILLIS}.
+   * holder has not renewed it for {@link #TAKEOVER_MILLIS}. Not before the store's era has been
+   * seen for as long, as the store may have forgotten a lease of the era before.
    *
    * @param now the current time in milliseconds
    * @return true if the host may write
    */
   public boolean mayAcquire(long now) {
     return known
+        && readEra == era.current()
+        && era.seenFor(TAKEOVER_MILLIS, now)
         && (heldBySelf() || lastRecord.isEmpty() || now - unchangedSince >= TAKEOVER_MILLIS);
   }
 
@@ -106,7 +120,10 @@
    * @return the next record
    */
   public LeaseRecord next() {
-    long token = lastRecord.map(LeaseRecord::token).orElse(0L) + (heldBySelf() ? 0 : 1);
+    long lastToken = token();
+    long lowest = Math.max(version, ObjectVersion.of(era.current(), 0)) + 1;
+    boolean keepsToken = heldBySelf() && ObjectVersion.era(lastToken) == era.current();
+    long token = keepsToken ? lastToken : Math.max(lastToken + 1, lowest);
     long renewals = lastRecord.map(LeaseRecord::renewals).orElse(0L) + 1;
     return new LeaseRecord(self, incarnation, token, renewals);
   }
@@ -126,13 +143,20 @@
    * @param written the record
    * @param newVersion its version
    * @param sentAt when the write was sent, in milliseconds
+   * @return whether this host holds the lease. It does not if the store came back from an older
+   *     copy in the meantime, where the expected version may be that of another record
    */
-  public void onWritten(LeaseRecord written, long newVersion, long sentAt) {
+  public boolean onWritten(LeaseRecord written, long newVersion, long sentAt) {
+    if (ObjectVersion.era(newVersion) != readEra) {
+      invalidate();
+      return false;
+    }
     known = true;
     lastRecord = Optional.of(written);
     version = newVersion;
     unchangedSince = sentAt;
     leaseUntil = OptionalLong.of(sentAt + LEASE_MILLIS);
+    return true;
   }
 
   /**
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -230,6 +230,7 @@
             services,
             reachability,
             store,
+            storeEra,
             new HttpPromotionClient(http, settings.promotions()),
             new LineMemberProtocol(),
             settings.host(),
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionCoordinator.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionCoordinator.java
@@ -14,6 +14,7 @@
 import org.sardinebay.HostId;
 import org.sardinebay.MemberId;
 import org.sardinebay.gateway.internal.connection.MemberPool;
+import org.sardinebay.internal.process.StoreEra;
 import org.sardinebay.internal.version.MemberView;
 import org.sardinebay.internal.version.PrimaryChange;
 import org.sardinebay.internal.version.PrimaryChangeNeed;
@@ -90,6 +91,7 @@
    * @param services the services
    * @param reachability what other hosts report of primaries that this host can't reach
    * @param store the store that holds the lease record
+   * @param storeEra the store's era
    * @param orders sends promotion orders to the platform
    * @param protocol the members' protocol
    * @param self this host
@@ -102,6 +104,7 @@
       Services services,
       PeerReachability reachability,
       PlatformClient store,
+      StoreEra storeEra,
       PromotionClient orders,
       MemberProtocol protocol,
       HostId self,
@@ -118,7 +121,8 @@
     this.clock = clock;
     this.registry = registry;
     this.lease =
-        new PromotionLease(store, new PromotionLeaseClaim(self.value(), incarnation), loop, clock);
+        new PromotionLease(
+            store, new PromotionLeaseClaim(self.value(), incarnation, storeEra), loop, clock);
   }
 
   /**
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionLease.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionLease.java
@@ -130,7 +130,10 @@
     nextReadAt = clock.millis();
     if (result instanceof PlatformResult.Found found) {
       callTimeout.onReply();
-      claim.onWritten(written, found.object().version(), sentAt);
+      if (!claim.onWritten(written, found.object().version(), sentAt)) {
+        log("duty_not_held", result);
+        return;
+      }
       LOG.atInfo()
           .setMessage("duty_held")
           .addKeyValue("token", written.token())
--- a/standins/src/test/java/org/sardinebay/standins/impeller/StoreRestoreTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/StoreRestoreTest.java
@@ -1,5 +1,7 @@
 package org.sardinebay.standins.impeller;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -77,6 +79,30 @@
     }
   }
 
+  @Nested
+  class Promotions {
+    @Test
+    void should_have_a_higher_token_after_the_lease_record_was_lost() throws Exception {
+      MetadataStore.Copy copy = platform.store().copy();
+      platform.member(0).crash();
+      await(() -> platform.store().promotions().size() == 1);
+      int promoted = platform.group().isPrimary("m-2") ? 1 : 2;
+      await(() -> gateway.dump().at("/services/0/leaseMillis").asLong() > 0);
+      platform.member(0).start();
+
+      platform.store().restore(copy);
+      for (int i = 0; i < 3; i++) {
+        platform.register(i, "ready");
+      }
+      platform.member(promoted).crash();
+      await(() -> platform.store().promotions().size() > 1);
+
+      List<Long> tokens =
+          platform.store().promotions().stream().map(MetadataStore.Promotion::token).toList();
+      assertThat(tokens.get(1)).isGreaterThan(tokens.get(0));
+    }
+  }
+
   @Nested
   class Members {
     @Test
