Hosts register again after the store came back from an older copy

Callers would see: hosts that start later don't know the others and choose other homes, so connections to members run short.

Cause: a host registers once; the restore forgets the entry and nobody writes it again.

Change: a later era makes each host write its entry again within 2 s, at a moment of its own, so that the store's rate of writes is kept.

StoreRestoreTest$Hosts failed before (20 s without the entry), passes after in 1.7 s.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -223,7 +223,7 @@
     PlatformClient store = storeClient(http);
     PlatformClient watched = storeClient(JsonHttpClient.onEventLoop(loop, StoreWatches.SILENCE));
     new StoreWatches(settings.host(), feeds, watched, loop, clock, registry).start();
-    new HostRegistration(settings, store, feeds.listener(StoreFeeds.HOSTS), loop).start();
+    new HostRegistration(settings, store, storeEra, feeds.listener(StoreFeeds.HOSTS), loop).start();
     startPeersInBackground();
     promotions =
         new PromotionCoordinator(
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/HostRegistration.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/HostRegistration.java
@@ -3,10 +3,12 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.activej.eventloop.Eventloop;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.sardinebay.gateway.internal.version.ObjectWatch;
 import org.sardinebay.gateway.internal.version.StoreFeeds;
+import org.sardinebay.internal.process.StoreEra;
 import org.sardinebay.net.http.Json;
 import org.sardinebay.platform.ObjectKey;
 import org.sardinebay.platform.PlatformClient;
@@ -32,8 +34,15 @@
   /** Largest delay between two listings, in milliseconds. */
   private static final long MAX_LIST_INTERVAL_MILLIS = 20_000;
 
+  /**
+   * Within this time, in milliseconds, all hosts register again after the store came back from an
+   * older copy. Each has its own moment, so that the store's rate of writes is kept.
+   */
+  private static final long REGISTER_AGAIN_MILLIS = 2_000;
+
   private final GatewaySettings settings;
   private final PlatformClient store;
+  private final StoreEra storeEra;
   private final ObjectWatch.Listener listener;
   private final Eventloop loop;
   private long listIntervalMillis = MIN_LIST_INTERVAL_MILLIS;
@@ -41,19 +50,29 @@
   HostRegistration(
       GatewaySettings settings,
       PlatformClient store,
+      StoreEra storeEra,
       ObjectWatch.Listener listener,
       Eventloop loop) {
     this.settings = settings;
     this.store = store;
+    this.storeEra = storeEra;
     this.listener = listener;
     this.loop = loop;
   }
 
   /** Lists the hosts before this one registers, so that a first start shows: it isn't listed. */
   void start() {
+    storeEra.onChange((previous, current) -> registerAgain(previous));
     listAll();
   }
 
+  private void registerAgain(OptionalLong previousEra) {
+    if (previousEra.isPresent()) {
+      long delay = Math.floorMod(settings.host().value().hashCode(), REGISTER_AGAIN_MILLIS);
+      loop.execute(() -> loop.delay(delay, () -> register(0)));
+    }
+  }
+
   private void register(long expectedVersion) {
     ObjectKey key = new ObjectKey(StoreFeeds.HOSTS, settings.host().value());
     ObjectNode body =
--- a/standins/src/test/java/org/sardinebay/standins/impeller/StoreRestoreTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/StoreRestoreTest.java
@@ -103,6 +103,20 @@
     }
   }
 
+  @Nested
+  class Hosts {
+    @Test
+    void should_register_again_if_the_store_lost_their_entries() throws Exception {
+      await(() -> platform.store().contains("sardinebay-hosts", "host-1"));
+      platform.store().delete("sardinebay-hosts", "host-1");
+      MetadataStore.Copy copy = platform.store().copy();
+
+      platform.store().restore(copy);
+
+      await(() -> platform.store().contains("sardinebay-hosts", "host-1"));
+    }
+  }
+
   @Nested
   class Members {
     @Test
