A watch goes on after its listener failed

Callers would see: a configuration that is never applied by one host (CONFIG), until it restarts.

Cause: the next call of a watch was made after its listener returned, so any exception in it ended the watch of that kind for good.

Change: the failure is logged (objects_not_applied), and the objects are listed again after 2 s. ObjectWatchTest failed before (no second listing within 10 s), passes after in 2.3 s.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
@@ -27,6 +27,9 @@
   /** Delay after a failed call, in milliseconds. */
   private static final long RETRY_MILLIS = 250;
 
+  /** Delay before objects that could not be applied are listed again, in milliseconds. */
+  private static final long APPLY_AGAIN_MILLIS = 2_000;
+
   /**
    * How a kind of objects is watched.
    *
@@ -110,15 +113,7 @@
     if (result instanceof PlatformResult.Listing page) {
       answeredAt = clock.millis();
       markRecovered();
-      revision = page.revision();
-      if (listing) {
-        listener.onListing(page.revision(), page.objects());
-      } else if (!page.objects().isEmpty()) {
-        listener.onChanges(page.objects());
-        loop.delay(timing.pauseMillis().getAsLong(), this::start);
-        return;
-      }
-      start();
+      onPage(listing, page);
       return;
     }
     boolean historyGone =
@@ -138,6 +133,28 @@
     loop.delay(RETRY_MILLIS, this::start);
   }
 
+  private void onPage(boolean listing, PlatformResult.Listing page) {
+    boolean changed = !listing && !page.objects().isEmpty();
+    try {
+      if (listing) {
+        listener.onListing(page.revision(), page.objects());
+      } else if (changed) {
+        listener.onChanges(page.objects());
+      }
+    } catch (RuntimeException e) {
+      LOG.atError().setMessage("objects_not_applied").addKeyValue("kind", kind).setCause(e).log();
+      revision = 0;
+      loop.delay(APPLY_AGAIN_MILLIS, this::start);
+      return;
+    }
+    revision = page.revision();
+    if (changed) {
+      loop.delay(timing.pauseMillis().getAsLong(), this::start);
+    } else {
+      start();
+    }
+  }
+
   private void markLost(PlatformResult result) {
     if (!lost) {
       lost = true;
--- /dev/null
+++ b/gateway/src/test/java/org/sardinebay/gateway/internal/version/ObjectWatchTest.java
@@ -0,0 +1,110 @@
+package org.sardinebay.gateway.internal.version;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.activej.eventloop.Eventloop;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.Clock;
+import org.sardinebay.platform.ObjectKey;
+import org.sardinebay.platform.PlatformClient;
+import org.sardinebay.platform.PlatformObject;
+import org.sardinebay.platform.PlatformResult;
+
+class ObjectWatchTest {
+  private static final int TIMEOUT_SECONDS = 10;
+
+  private final Eventloop loop = Eventloop.builder().withThreadName("watch-test").build();
+  private final RecordedStore store = new RecordedStore();
+  private final FailingOnceListener listener = new FailingOnceListener();
+
+  @BeforeEach
+  void startLoop() {
+    loop.keepAlive(true);
+    Thread thread = new Thread(loop, "watch-test");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  @AfterEach
+  void stopLoop() {
+    loop.breakEventloop();
+  }
+
+  @Test
+  void should_list_again_after_its_listener_failed() {
+    ObjectWatch.Timing timing = new ObjectWatch.Timing(() -> 1_000, () -> 0);
+    ObjectWatch watch = new ObjectWatch(store, "config", timing, listener, loop, Clock.system());
+
+    loop.execute(watch::start);
+
+    assertThat(listener.applied.orTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS))
+        .succeedsWithin(Duration.ofSeconds(TIMEOUT_SECONDS));
+    assertThat(store.revisions).startsWith(0L, 0L);
+  }
+
+  private static final class FailingOnceListener implements ObjectWatch.Listener {
+    private final CompletableFuture<Void> applied = new CompletableFuture<>();
+    private boolean failed;
+
+    @Override
+    public void onListing(long revision, List<PlatformObject> objects) {
+      if (!failed) {
+        failed = true;
+        throw new IllegalStateException("a record that can't be applied");
+      }
+      applied.complete(null);
+    }
+
+    @Override
+    public void onChanges(List<PlatformObject> objects) {}
+  }
+
+  /** Answers listings, and leaves watches unanswered. */
+  private static final class RecordedStore implements PlatformClient {
+    private final List<Long> revisions = new ArrayList<>();
+
+    @Override
+    public CompletableFuture<PlatformResult> watch(
+        List<String> kinds, long afterRevision, long waitMillis) {
+      revisions.add(afterRevision);
+      return afterRevision == 0
+          ? CompletableFuture.completedFuture(new PlatformResult.Listing(7, List.of()))
+          : new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<PlatformResult> read(ObjectKey key, long timeoutMillis) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<PlatformResult> write(
+        ObjectKey key, long expectedVersion, ObjectNode body, long timeoutMillis) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<PlatformResult> delete(
+        ObjectKey key, long expectedVersion, long timeoutMillis) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<PlatformResult> listStale(String kind) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<PlatformResult> hosts(long timeoutMillis) {
+      throw new UnsupportedOperationException();
+    }
+  }
+}
