A record without a version from another host is unreadable

Callers would see: a host that no longer learns of changes from other hosts, if one of them sent such a record.

Cause: a version of 0 was decoded, the merge refused it with an exception, and the next poll was never scheduled.

Change: the codec reports it as unreadable, which is logged (config_record_unreadable) and skipped.

--- a/net/src/main/java/org/sardinebay/net/peer/FeedCodec.java
+++ b/net/src/main/java/org/sardinebay/net/peer/FeedCodec.java
@@ -60,6 +60,7 @@
     Optional<JsonNode> body = Json.parse(message.getBody().toByteArray());
     if (body.isEmpty()
         || !(body.get() instanceof ObjectNode object)
+        || message.getVersion() == 0
         || !ObjectVersion.valid(message.getEra(), message.getVersion())) {
       return Optional.empty();
     }
