A store without history is listed four times a second, not in a tight loop

Callers would see: hosts that are busy listing, and the store's rate of reads used up, while the store answers each watch that its history is gone.

Cause: a watch listed again at once, without a delay.

Change: the delay of a failed call. Two lines of PromotionLeaseClaim and ObjectVersion read better; no decision differs.

--- a/core/src/main/java/org/sardinebay/internal/version/PromotionLeaseClaim.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PromotionLeaseClaim.java
@@ -43,8 +43,8 @@
 
   private final String self;
   private final String incarnation;
-  private Optional<LeaseRecord> lastRecord = Optional.empty();
   private final StoreEra era;
+  private Optional<LeaseRecord> lastRecord = Optional.empty();
   private boolean known;
   private long version;
   private long readEra;
@@ -121,9 +121,9 @@
    */
   public LeaseRecord next() {
     long lastToken = token();
-    long lowest = Math.max(version, ObjectVersion.of(era.current(), 0)) + 1;
     boolean keepsToken = heldBySelf() && ObjectVersion.era(lastToken) == era.current();
-    long token = keepsToken ? lastToken : Math.max(lastToken + 1, lowest);
+    long aboveVersions = Math.max(version, ObjectVersion.of(era.current(), 0)) + 1;
+    long token = keepsToken ? lastToken : Math.max(lastToken + 1, aboveVersions);
     long renewals = lastRecord.map(LeaseRecord::renewals).orElse(0L) + 1;
     return new LeaseRecord(self, incarnation, token, renewals);
   }
--- a/core/src/main/java/org/sardinebay/platform/ObjectVersion.java
+++ b/core/src/main/java/org/sardinebay/platform/ObjectVersion.java
@@ -28,7 +28,7 @@
    * @throws IllegalArgumentException if a number is out of range
    */
   public static long of(long era, long revision) {
-    if (era < 0 || era > MAX_ERA || revision < 0 || revision > MAX_REVISION) {
+    if (!valid(era, revision)) {
       throw new IllegalArgumentException("no version of era " + era + ", revision " + revision);
     }
     return era << REVISION_BITS | revision;
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
@@ -25,7 +25,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(ObjectWatch.class);
 
   /** Delay after a failed call, in milliseconds. */
-  private static final long RETRY_MILLIS = 250;
+  static final long RETRY_MILLIS = 250;
 
   /** Delay before objects that could not be applied are listed again, in milliseconds. */
   private static final long APPLY_AGAIN_MILLIS = 2_000;
@@ -126,7 +126,7 @@
           .addKeyValue("revision", ObjectVersion.text(revision))
           .log();
       revision = 0;
-      start();
+      loop.delay(RETRY_MILLIS, this::start);
       return;
     }
     markLost(result);
--- a/gateway/src/test/java/org/sardinebay/gateway/internal/version/ObjectWatchTest.java
+++ b/gateway/src/test/java/org/sardinebay/gateway/internal/version/ObjectWatchTest.java
@@ -5,9 +5,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.activej.eventloop.Eventloop;
 import java.time.Duration;
-import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -15,6 +16,7 @@
 import org.sardinebay.Clock;
 import org.sardinebay.platform.ObjectKey;
 import org.sardinebay.platform.PlatformClient;
+import org.sardinebay.platform.PlatformFailure;
 import org.sardinebay.platform.PlatformObject;
 import org.sardinebay.platform.PlatformResult;
 
@@ -50,6 +52,31 @@
     assertThat(store.revisions).startsWith(0L, 0L);
   }
 
+  @Test
+  void should_not_list_in_a_tight_loop_while_no_history_is_kept() throws Exception {
+    store.watchResult =
+        CompletableFuture.completedFuture(new PlatformResult.Failed(PlatformFailure.HISTORY_GONE));
+    ObjectWatch.Timing timing = new ObjectWatch.Timing(() -> 1_000, () -> 0);
+    ObjectWatch watch =
+        new ObjectWatch(store, "config", timing, new QuietListener(), loop, Clock.system());
+
+    long startedAt = Clock.system().millis();
+    loop.execute(watch::start);
+    Thread.sleep(1_000);
+    int listings = Collections.frequency(store.revisions, 0L);
+    long elapsed = Clock.system().millis() - startedAt;
+
+    assertThat(listings).isBetween(2, 1 + (int) (elapsed / ObjectWatch.RETRY_MILLIS));
+  }
+
+  private static final class QuietListener implements ObjectWatch.Listener {
+    @Override
+    public void onListing(long revision, List<PlatformObject> objects) {}
+
+    @Override
+    public void onChanges(List<PlatformObject> objects) {}
+  }
+
   private static final class FailingOnceListener implements ObjectWatch.Listener {
     private final CompletableFuture<Void> applied = new CompletableFuture<>();
     private boolean failed;
@@ -67,9 +94,10 @@
     public void onChanges(List<PlatformObject> objects) {}
   }
 
-  /** Answers listings, and leaves watches unanswered. */
+  /** Answers listings, and leaves watches unanswered unless they have a result. */
   private static final class RecordedStore implements PlatformClient {
-    private final List<Long> revisions = new ArrayList<>();
+    private final List<Long> revisions = new CopyOnWriteArrayList<>();
+    private volatile CompletableFuture<PlatformResult> watchResult = new CompletableFuture<>();
 
     @Override
     public CompletableFuture<PlatformResult> watch(
@@ -77,7 +105,7 @@
       revisions.add(afterRevision);
       return afterRevision == 0
           ? CompletableFuture.completedFuture(new PlatformResult.Listing(7, List.of()))
-          : new CompletableFuture<>();
+          : watchResult;
     }
 
     @Override
