--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
@@ -40,8 +40,9 @@
   public static final String HOSTS = "sardinebay-hosts";
 
   /**
-   * The key of the operator's configuration among this host's records. Their version of it is the
-   * operator's number, which a restored store doesn't assign again, as it does with revisions.
+   * The key of the operator's configuration among the records that hosts send each other. The
+   * record's version is the operator's version number, because a restored store assigns revisions
+   * again.
    */
   private static final ObjectKey CONFIGURATION = new ObjectKey("sardinebay-configuration", "main");
 
