--- a/core/src/main/java/org/sardinebay/session/CallerMessage.java
+++ b/core/src/main/java/org/sardinebay/session/CallerMessage.java
@@ -1,13 +1,16 @@
 package org.sardinebay.session;
 
+import java.util.Optional;
+
 /** A message from a caller. */
 public sealed interface CallerMessage {
   /**
    * Opens the session.
    *
    * @param database the database's name
+   * @param key the caller's key, if it sent one
    */
-  record Start(String database) implements CallerMessage {}
+  record Start(String database, Optional<KeyDigest> key) implements CallerMessage {}
 
   /**
    * Requests the execution of a statement.
--- a/core/src/main/java/org/sardinebay/session/DatabaseRoute.java
+++ b/core/src/main/java/org/sardinebay/session/DatabaseRoute.java
@@ -11,6 +11,7 @@
  * @param timeoutMillis how long one statement may take, in milliseconds
  * @param targetMillis the target latency of an operation, in milliseconds
  * @param priority the priority; 0 is the highest
+ * @param open whether callers need no key
  */
 public record DatabaseRoute(
     String database,
@@ -19,4 +20,5 @@
     long maxStalenessMillis,
     long timeoutMillis,
     long targetMillis,
-    int priority) {}
+    int priority,
+    boolean open) {}
--- a/core/src/main/java/org/sardinebay/session/ErrorCode.java
+++ b/core/src/main/java/org/sardinebay/session/ErrorCode.java
@@ -20,6 +20,8 @@
   FAILED,
   /** The statement ran or may have run, and exceeded its timeout. */
   TIMEOUT,
+  /** The caller's key is missing, unknown or withdrawn. */
+  NOT_AUTHORIZED,
   /** No route is configured for the database's name. */
   NO_DATABASE,
   /** A message is longer than allowed. */
--- a/core/src/main/java/org/sardinebay/session/RouteTable.java
+++ b/core/src/main/java/org/sardinebay/session/RouteTable.java
@@ -10,15 +10,18 @@
  * @param routes the routes by database
  * @param services the services by name
  * @param limits the limits on sessions
+ * @param workspaces the workspaces and their keys; empty if the configuration asks callers for no
+ *     keys
  */
 public record RouteTable(
     long version,
     Map<String, DatabaseRoute> routes,
     Map<String, ServiceSpec> services,
-    SessionLimits limits) {
+    SessionLimits limits,
+    Optional<Workspaces> workspaces) {
   /** The table before any configuration was received. */
   public static final RouteTable EMPTY =
-      new RouteTable(0, Map.of(), Map.of(), SessionLimits.DEFAULT);
+      new RouteTable(0, Map.of(), Map.of(), SessionLimits.DEFAULT, Optional.empty());
 
   /** Copies the maps. */
   public RouteTable {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
@@ -6,16 +6,20 @@
 import java.util.function.Consumer;
 import org.sardinebay.Clock;
 import org.sardinebay.Position;
+import org.sardinebay.WorkspaceId;
 import org.sardinebay.gateway.internal.request.StatementRequest;
 import org.sardinebay.gateway.internal.request.StatementRunner;
 import org.sardinebay.gateway.internal.version.ServiceRuntime;
 import org.sardinebay.gateway.internal.version.Services;
+import org.sardinebay.internal.connection.CallerAccess;
 import org.sardinebay.session.CallerMessage;
 import org.sardinebay.session.CallerProtocol;
 import org.sardinebay.session.DatabaseRoute;
 import org.sardinebay.session.ErrorCode;
+import org.sardinebay.session.KeyDigest;
 import org.sardinebay.session.MemberProtocol;
 import org.sardinebay.session.PreparedShape;
+import org.sardinebay.session.RouteTable;
 import org.sardinebay.session.Statement;
 import org.sardinebay.session.TransactionState;
 import org.slf4j.Logger;
@@ -47,6 +51,7 @@
   private final long openedAt;
   private LineChannel channel;
   private Optional<String> database = Optional.empty();
+  private Optional<KeyDigest> key = Optional.empty();
   private final Map<String, String> values = new HashMap<>();
   private final Map<String, PreparedShape> prepared = new HashMap<>();
   private Optional<Transaction> transaction = Optional.empty();
@@ -56,8 +61,8 @@
   /** Whether the transaction was rolled back for being idle and the caller has not been told. */
   private boolean abortUnreported;
 
-  /** The database that the caller requested before a configuration was received. */
-  private Optional<String> pendingDatabase = Optional.empty();
+  /** The start message that the caller sent before a configuration was received. */
+  private Optional<CallerMessage.Start> pendingStart = Optional.empty();
 
   private boolean answering;
   private boolean closing;
@@ -111,7 +116,7 @@
     if (message instanceof CallerMessage.Query query && database.isPresent()) {
       onQuery(query);
     } else if (message instanceof CallerMessage.Start start && database.isEmpty()) {
-      onStart(start.database());
+      onStart(start);
     } else if (message instanceof CallerMessage.Bye) {
       end();
     } else if (message instanceof CallerMessage.Malformed malformed && database.isPresent()) {
@@ -131,17 +136,24 @@
     end();
   }
 
-  private void onStart(String name) {
-    if (services.table().version() == 0) {
-      pendingDatabase = Optional.of(name);
+  private void onStart(CallerMessage.Start start) {
+    RouteTable table = services.table();
+    if (table.version() == 0) {
+      pendingStart = Optional.of(start);
       answering = true;
       return;
     }
-    if (services.table().route(name).isEmpty()) {
-      refuseAndEnd(ErrorCode.NO_DATABASE, "no route has the name " + name);
+    Optional<DatabaseRoute> route = table.route(start.database());
+    if (route.isEmpty()) {
+      refuseAndEnd(ErrorCode.NO_DATABASE, "no route has the name " + start.database());
       return;
     }
-    database = Optional.of(name);
+    if (!CallerAccess.of(table, route.get(), start.key()).permitted()) {
+      refuseAndEnd(ErrorCode.NOT_AUTHORIZED, "the key is missing or unknown");
+      return;
+    }
+    database = Optional.of(start.database());
+    key = start.key();
     channel.send(readyLine());
   }
 
@@ -212,11 +224,6 @@
   }
 
   private void run(String id, Statement statement) {
-    Optional<StatementRequest> request = request(id, statement);
-    if (request.isEmpty()) {
-      fail(ErrorCode.UNKNOWN_STATEMENT, "no prepared statement has this name");
-      return;
-    }
     Optional<DatabaseRoute> route =
         transaction
             .map(Transaction::route)
@@ -227,6 +234,16 @@
       fail(ErrorCode.NO_DATABASE, "the database is not configured any more");
       return;
     }
+    CallerAccess access = CallerAccess.of(services.table(), route.get(), key);
+    if (!access.permitted()) {
+      onKeyWithdrawn();
+      return;
+    }
+    Optional<StatementRequest> request = request(id, statement, access.workspace());
+    if (request.isEmpty()) {
+      fail(ErrorCode.UNKNOWN_STATEMENT, "no prepared statement has this name");
+      return;
+    }
     answering = true;
     transaction.ifPresent(t -> t.touch(clock.millis()));
     runner.run(
@@ -237,7 +254,17 @@
         reply -> onReply(request.get(), reply));
   }
 
-  private Optional<StatementRequest> request(String id, Statement statement) {
+  private void onKeyWithdrawn() {
+    if (transaction.isPresent()) {
+      closing = true;
+      fail(ErrorCode.ABORTED, "rolled back: the key was withdrawn");
+    } else {
+      refuseAndEnd(ErrorCode.NOT_AUTHORIZED, "the key was withdrawn");
+    }
+  }
+
+  private Optional<StatementRequest> request(
+      String id, Statement statement, Optional<WorkspaceId> workspace) {
     if (statement instanceof Statement.Execute execute) {
       PreparedShape shape = prepared.get(execute.name());
       if (shape == null) {
@@ -246,7 +273,14 @@
       boolean writes = shape.access() == Statement.Access.WRITE;
       return Optional.of(
           new StatementRequest(
-              id, execute.arguments(), writes, false, Optional.of(shape), this, clock.millis()));
+              id,
+              execute.arguments(),
+              writes,
+              false,
+              Optional.of(shape),
+              workspace,
+              this,
+              clock.millis()));
     }
     return Optional.of(
         new StatementRequest(
@@ -255,6 +289,7 @@
             statement instanceof Statement.Write,
             statement instanceof Statement.Commit,
             Optional.empty(),
+            workspace,
             this,
             clock.millis()));
   }
@@ -380,7 +415,7 @@
    * @param now the current time by this host's clock, in milliseconds
    */
   public void tick(long now) {
-    if (pendingDatabase.isPresent()) {
+    if (pendingStart.isPresent()) {
       continueStart(now);
     }
     if (ended) {
@@ -411,12 +446,12 @@
 
   private void continueStart(long now) {
     if (services.table().version() > 0) {
-      String name = pendingDatabase.get();
-      pendingDatabase = Optional.empty();
+      CallerMessage.Start start = pendingStart.get();
+      pendingStart = Optional.empty();
       answering = false;
-      onStart(name);
+      onStart(start);
     } else if (now - openedAt > CONFIGURATION_TIMEOUT_MILLIS) {
-      pendingDatabase = Optional.empty();
+      pendingStart = Optional.empty();
       refuseAndEnd(ErrorCode.BUSY, "not run: this host has no configuration yet; retry in 500 ms");
     }
   }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/PlacementRequest.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/PlacementRequest.java
@@ -1,8 +1,10 @@
 package org.sardinebay.gateway.internal.request;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.sardinebay.MemberId;
+import org.sardinebay.WorkspaceId;
 import org.sardinebay.gateway.internal.connection.MemberConnection;
 import org.sardinebay.gateway.internal.connection.MemberPool;
 import org.sardinebay.internal.request.PlacementRequirement;
@@ -33,6 +35,14 @@
    */
   Map<String, String> values();
 
+  /**
+   * Returns the workspace that the statement runs for. Only a connection that was started for this
+   * workspace can run it.
+   *
+   * @return the workspace, empty if the deployment has none
+   */
+  Optional<WorkspaceId> workspace();
+
   /**
    * Returns the members that must not run the statement.
    *
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementCodec.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementCodec.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.sardinebay.Position;
+import org.sardinebay.WorkspaceId;
 import org.sardinebay.gateway.internal.connection.SessionReply;
 import org.sardinebay.gateway.internal.connection.Transaction;
 import org.sardinebay.net.peer.generated.PreparedStatement;
@@ -31,6 +32,7 @@
             .putAllValues(request.session().values())
             .setElapsedMillis(elapsedMillis);
     request.shape().ifPresent(shape -> call.setPrepared(prepared(shape)));
+    request.workspace().ifPresent(workspace -> call.setWorkspace(workspace.value()));
     request
         .session()
         .position()
@@ -67,6 +69,7 @@
         .build();
   }
 
+  /** The caller's own host has checked its key, so the route is open here. */
   static DatabaseRoute route(StatementRoute route) {
     return new DatabaseRoute(
         route.getDatabase(),
@@ -75,7 +78,8 @@
         route.getMaxStalenessMillis(),
         route.getTimeoutMillis(),
         route.getTargetMillis(),
-        route.getPriority());
+        route.getPriority(),
+        true);
   }
 
   static StatementRequest request(
@@ -88,6 +92,9 @@
         call.getWrites(),
         call.getCommits(),
         shape,
+        call.getWorkspace().isEmpty()
+            ? Optional.empty()
+            : Optional.of(new WorkspaceId(call.getWorkspace())),
         session,
         arrivedAt);
   }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRequest.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRequest.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.sardinebay.Position;
+import org.sardinebay.WorkspaceId;
 import org.sardinebay.session.PreparedShape;
 
 /**
@@ -13,6 +14,7 @@
  * @param writes whether the statement may write
  * @param commits whether the statement commits a transaction
  * @param shape the prepared statement to execute, if any
+ * @param workspace the workspace of the caller, empty if the deployment has none
  * @param session the state of the session that the statement belongs to
  * @param arrivedAt when the statement arrived at the caller's host, by this host's clock, in
  *     milliseconds
@@ -23,6 +25,7 @@
     boolean writes,
     boolean commits,
     Optional<PreparedShape> shape,
+    Optional<WorkspaceId> workspace,
     SessionState session,
     long arrivedAt) {
 
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.sardinebay.MemberId;
 import org.sardinebay.Position;
+import org.sardinebay.WorkspaceId;
 import org.sardinebay.gateway.internal.connection.MemberAnswer;
 import org.sardinebay.gateway.internal.connection.MemberConnection;
 import org.sardinebay.gateway.internal.connection.MemberPin;
@@ -135,6 +136,11 @@
     return request.session().values();
   }
 
+  @Override
+  public Optional<WorkspaceId> workspace() {
+    return request.workspace();
+  }
+
   @Override
   public Set<MemberId> excluded() {
     return excluded;
