Placing statements is a class of its own

Change: StatementPlacer places the statements of one service and keeps those that wait; ServiceRuntime delegates. No behaviour changes.

Result: compiles; the unit tests of the module pass.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -16,16 +16,10 @@
 import org.sardinebay.HostId;
 import org.sardinebay.MemberId;
 import org.sardinebay.gateway.internal.connection.LossCause;
-import org.sardinebay.gateway.internal.connection.MemberConnection;
 import org.sardinebay.gateway.internal.connection.MemberPool;
 import org.sardinebay.gateway.internal.request.PlacementRequest;
 import org.sardinebay.internal.connection.ConnectionQuota;
 import org.sardinebay.internal.process.DomainDistances;
-import org.sardinebay.internal.request.DispatchPass;
-import org.sardinebay.internal.request.Placement;
-import org.sardinebay.internal.request.PlacementCandidate;
-import org.sardinebay.internal.request.PlacementRequirement;
-import org.sardinebay.internal.request.StatementQueue;
 import org.sardinebay.internal.version.MemberView;
 import org.sardinebay.internal.version.ServiceView;
 import org.sardinebay.session.MemberEntry;
@@ -63,11 +57,10 @@
   private final ServiceView view;
   private final Map<MemberId, MemberPool> pools = new LinkedHashMap<>();
   private final StatusPoller statusPoller;
-  private final StatementQueue<PlacementRequest> waiting = new StatementQueue<>();
+  private final StatementPlacer placer;
   private final Map<MemberId, Long> unreachableSince = new HashMap<>();
   private Set<FailureDomain> failureDomains = Set.of();
   private ServiceSpec spec;
-  private boolean dispatching;
   private boolean home;
   private int homeCount = 1;
   private long servedAsHomeAt = Long.MIN_VALUE / 2;
@@ -100,6 +93,7 @@
     this.spec = spec;
     this.view = new ServiceView(spec.name(), clock.millis());
     this.statusPoller = new StatusPoller(view, protocol, this::roundTripMillis, clock);
+    this.placer = new StatementPlacer(view, pools, this::roundTripMillis, statusPoller, clock);
   }
 
   /**
@@ -224,7 +218,7 @@
     // Closing a pool fails its statements, which are placed again at once. So pools are closed
     // last, when the pool map and the view agree.
     removedPools.forEach(MemberPool::close);
-    dispatchWaiting();
+    placer.dispatchWaiting();
   }
 
   private MemberPool newPool(MemberEntry entry) {
@@ -250,88 +244,17 @@
    * @param request the statement's request
    */
   public void place(PlacementRequest request) {
-    if (!tryPlace(request)) {
-      waiting.add(request, request.priority(), request.placementDeadline());
-    }
-  }
-
-  private boolean tryPlace(PlacementRequest request) {
-    PlacementRequirement requirement = request.requirement();
-    long now = clock.millis();
-    Optional<MemberId> best = choose(request, requirement, now, false);
-    if (best.isPresent() && !pools.get(best.get()).hasIdle()) {
-      pools.get(best.get()).open();
-      best = choose(request, requirement, now, true);
-    }
-    if (best.isEmpty()) {
-      return false;
-    }
-    MemberPool pool = pools.get(best.get());
-    MemberConnection connection = pool.acquire(request.values()).orElseThrow();
-    request.onConnection(pool, connection, requirement, isLeasedPrimary(best.get(), now));
-    return true;
-  }
-
-  private Optional<MemberId> choose(
-      PlacementRequest request, PlacementRequirement requirement, long now, boolean idleOnly) {
-    List<PlacementCandidate> candidates = new ArrayList<>();
-    for (MemberView member : view.members()) {
-      MemberPool pool = pools.get(member.id());
-      boolean draining = member.entry().draining() && !isLeasedPrimary(member.id(), now);
-      candidates.add(
-          new PlacementCandidate(
-              member.id(),
-              isLeasedPrimary(member.id(), now),
-              pool.hasIdle() || (!idleOnly && pool.mayOpen()),
-              roundTripMillis(member),
-              statusPoller.slotsBusyElsewhere(member.id()) + pool.inUse(),
-              member.entry().slots(),
-              member.applied(),
-              member.lagging(now),
-              draining || member.unreachable() || request.excluded().contains(member.id())));
-    }
-    return Placement.choose(requirement, candidates);
+    placer.place(request);
   }
 
   private long roundTripMillis(MemberView member) {
     return distances.roundTripMillis(ownDomain, member.entry().failureDomain());
   }
 
-  private boolean isLeasedPrimary(MemberId member, long now) {
-    return view.leasedPrimary(now).filter(m -> m.id().equals(member)).isPresent();
-  }
-
   @Override
   public void onConnectionIdle(MemberPool pool) {
     pollIfDue(pool, clock.millis());
-    dispatchWaiting();
-  }
-
-  private void dispatchWaiting() {
-    if (dispatching || waiting.size() == 0) {
-      return;
-    }
-    dispatching = true;
-    try {
-      DispatchPass pass = new DispatchPass(this::freeCapacity);
-      waiting.dispatch(request -> pass.test(request.primaryOnly(), () -> tryPlace(request)));
-    } finally {
-      dispatching = false;
-    }
-  }
-
-  private DispatchPass.Capacity freeCapacity() {
-    long now = clock.millis();
-    boolean primary = false;
-    boolean any = false;
-    for (MemberView member : view.members()) {
-      MemberPool pool = pools.get(member.id());
-      if (!member.unreachable() && (pool.hasIdle() || pool.mayOpen())) {
-        any = true;
-        primary |= isLeasedPrimary(member.id(), now);
-      }
-    }
-    return new DispatchPass.Capacity(any, primary);
+    placer.dispatchWaiting();
   }
 
   @Override
@@ -377,8 +300,7 @@
         pollIfDue(pool, now);
       }
     }
-    waiting.expire(now).forEach(PlacementRequest::onNotPlaced);
-    dispatchWaiting();
+    placer.tick(now);
   }
 
   private void logReachableAgain(long now) {
@@ -396,7 +318,7 @@
   }
 
   private void pollIfDue(MemberPool pool, long now) {
-    if (home && statusPoller.isDue(pool, waiting.size() > 0, now)) {
+    if (home && statusPoller.isDue(pool, placer.waiting() > 0, now)) {
       statusPoller.poll(pool);
     }
   }
@@ -423,7 +345,7 @@
         view.primary().map(m -> m.id().value()).orElse("-"),
         view.leaseMillis(now),
         view.millisWithoutPrimary(now),
-        waiting.size(),
+        placer.waiting(),
         view.members().stream().filter(m -> !m.unreachable()).count(),
         view.members().stream().map(this::describeMember).collect(Collectors.joining(",")));
   }
@@ -440,7 +362,7 @@
    * @return the number
    */
   public int waiting() {
-    return waiting.size();
+    return placer.waiting();
   }
 
   /**
@@ -452,13 +374,7 @@
    *     be opened
    */
   public boolean hasCapacity(boolean primaryOnly) {
-    long now = clock.millis();
-    return waiting.size() == 0
-        && view.members().stream()
-            .filter(member -> !member.unreachable())
-            .filter(member -> !primaryOnly || isLeasedPrimary(member.id(), now))
-            .map(member -> pools.get(member.id()))
-            .anyMatch(pool -> pool.hasIdle() || pool.mayOpen());
+    return placer.hasCapacity(primaryOnly);
   }
 
   /**
@@ -467,6 +383,6 @@
    */
   public void close() {
     pools.values().forEach(MemberPool::close);
-    waiting.expire(Long.MAX_VALUE).forEach(PlacementRequest::onNotPlaced);
+    placer.close();
   }
 }
