Members that are slow or fail statements get less work, overdue reads are sent again

Cause: the choice of a member knew round trips, used slots and positions, but neither the durations nor the errors of recent answers. A member that turns 7 times slower, or fails part of the statements while its health check is good, kept its share; a read that hung waited for half of its timeout, longer than its target.

Change: MembersPerformance learns durations by class of statement and the share of errors for each member, with a half-life of 2 s. A read at a replica that is overdue is sent once more, for at most 5 % of the reads.

Not measured yet.

--- a/core/src/main/java/org/sardinebay/internal/process/RetryBudget.java
+++ b/core/src/main/java/org/sardinebay/internal/process/RetryBudget.java
@@ -14,11 +14,26 @@
 
   private static final double MAX_AVAILABLE_RETRIES = 100;
 
+  private final double retriesPerRequest;
   private double available = MAX_AVAILABLE_RETRIES;
 
+  /** Creates a full budget of {@link #RETRIES_PER_REQUEST}. */
+  public RetryBudget() {
+    this(RETRIES_PER_REQUEST);
+  }
+
+  /**
+   * Creates a full budget.
+   *
+   * @param retriesPerRequest how many retries each request adds to the budget
+   */
+  public RetryBudget(double retriesPerRequest) {
+    this.retriesPerRequest = retriesPerRequest;
+  }
+
   /** Records the first attempt of a request. */
   public synchronized void onRequest() {
-    available = Math.min(MAX_AVAILABLE_RETRIES, available + RETRIES_PER_REQUEST);
+    available = Math.min(MAX_AVAILABLE_RETRIES, available + retriesPerRequest);
   }
 
   /**
--- a/core/src/main/java/org/sardinebay/internal/request/AttemptOutcome.java
+++ b/core/src/main/java/org/sardinebay/internal/request/AttemptOutcome.java
@@ -4,6 +4,17 @@
 
 /** The outcome of an unsuccessful attempt to run a statement at a member. */
 public sealed interface AttemptOutcome {
+  /**
+   * Whether the outcome is evidence that the member does not work properly.
+   *
+   * @return true if the member ran the statement and failed it, or did not answer
+   */
+  default boolean countsAgainstMember() {
+    return this instanceof NoAnswer
+        || (this instanceof Refused refused
+            && (refused.code() == ErrorCode.FAILED || refused.code() == ErrorCode.TIMEOUT));
+  }
+
   /**
    * The member answered with an error.
    *
--- a/core/src/main/java/org/sardinebay/internal/request/PlacementCandidate.java
+++ b/core/src/main/java/org/sardinebay/internal/request/PlacementCandidate.java
@@ -14,6 +14,8 @@
  * @param slots the number of statements that the member runs concurrently
  * @param applied the position that its reads are known to show
  * @param lagging whether it has just refused a read because it lacked the position
+ * @param excessMillis how much longer than usual the member takes for such a statement, in
+ *     milliseconds
  * @param excluded whether the member has already refused this statement or is unreachable
  */
 public record PlacementCandidate(
@@ -25,4 +27,5 @@
     int slots,
     Position applied,
     boolean lagging,
+    long excessMillis,
     boolean excluded) {}
--- a/core/src/test/java/org/sardinebay/internal/request/PlacementTest.java
+++ b/core/src/test/java/org/sardinebay/internal/request/PlacementTest.java
@@ -44,6 +44,7 @@
         3,
         new Position(1, appliedIndex),
         lagging,
+        0,
         false);
   }
 
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -43,6 +43,7 @@
 import org.sardinebay.internal.process.LoopLag;
 import org.sardinebay.internal.process.StoreEra;
 import org.sardinebay.internal.request.AdmissionControl;
+import org.sardinebay.internal.request.ReadHedging;
 import org.sardinebay.internal.version.ConfigStore;
 import org.sardinebay.net.AdminRoutes;
 import org.sardinebay.net.RunningProcess;
@@ -185,7 +186,13 @@
   private StatementRunContext runContext(MemberProtocol protocol, StatementLog log) {
     PreparedNames names = new PreparedNames();
     return new StatementRunContext(
-        loop, clock, protocol, names, new ConnectionPreparation(protocol, names), log);
+        loop,
+        clock,
+        protocol,
+        names,
+        new ConnectionPreparation(protocol, names),
+        log,
+        new ReadHedging());
   }
 
   /** Creates the event loop, whose timers would otherwise run by the time of day. */
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/PlacementRequest.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/PlacementRequest.java
@@ -8,6 +8,7 @@
 import org.sardinebay.gateway.internal.connection.MemberConnection;
 import org.sardinebay.gateway.internal.connection.MemberPool;
 import org.sardinebay.internal.request.PlacementRequirement;
+import org.sardinebay.internal.version.StatementClass;
 
 /**
  * A request for a connection to a member, made for a statement outside a transaction or for the
@@ -28,6 +29,13 @@
    */
   boolean primaryOnly();
 
+  /**
+   * Returns the class of the statement, by which the members' durations are compared.
+   *
+   * @return the class
+   */
+  StatementClass statementClass();
+
   /**
    * Returns the session's values. A connection that already holds these values is preferred.
    *
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementLog.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementLog.java
@@ -99,6 +99,16 @@
         .log();
   }
 
+  void readSentAgain(StatementRequest request, MemberId overdue, long afterMillis) {
+    registry.counter("sardinebay_reads_sent_again").increment();
+    LOG.atInfo()
+        .setMessage("read_sent_again")
+        .addKeyValue("request", request.id())
+        .addKeyValue("overdue", overdue.value())
+        .addKeyValue("after_millis", afterMillis)
+        .log();
+  }
+
   void placementFailed(
       StatementRequest request,
       DatabaseRoute route,
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
@@ -19,6 +19,7 @@
 import org.sardinebay.internal.request.FinalAnswers;
 import org.sardinebay.internal.request.PlacementRequirement;
 import org.sardinebay.internal.request.RetryPolicy;
+import org.sardinebay.internal.version.StatementClass;
 import org.sardinebay.session.DatabaseRoute;
 import org.sardinebay.session.ErrorCode;
 import org.sardinebay.session.MemberMessage;
@@ -54,6 +55,10 @@
   private final Set<MemberId> excluded = new HashSet<>();
   private long placingSince;
   private int attempts;
+
+  /** The attempts whose statement was sent and not answered; more than one if a read is hedged. */
+  private int unanswered;
+
   private boolean finished;
 
   /**
@@ -136,6 +141,11 @@
     return request.session().values();
   }
 
+  @Override
+  public StatementClass statementClass() {
+    return new StatementClass(route.kind(), !readsOnly());
+  }
+
   @Override
   public Optional<WorkspaceId> workspace() {
     return request.workspace();
@@ -162,6 +172,9 @@
 
   @Override
   public void onNotPlaced() {
+    if (finished) {
+      return;
+    }
     context
         .log()
         .placementFailed(
@@ -230,6 +243,11 @@
   }
 
   private void send(Attempt attempt) {
+    if (finished) {
+      // The other attempt of a hedged read was answered while this connection was prepared.
+      release(attempt);
+      return;
+    }
     if (!primaryLeaseValid(attempt)) {
       onAttemptFailed(attempt, new AttemptOutcome.NotSent());
       return;
@@ -240,10 +258,32 @@
     boolean replicaRead = transaction.isEmpty() && !attempt.asPrimary;
     Optional<Position> after =
         replicaRead ? attempt.requirement.minimumPosition() : Optional.empty();
+    unanswered++;
     attempt.connection.exchange(
         context.protocol().query(request.id(), after, context.memberText(request)),
         attemptTimeoutMillis(),
         answer -> onAnswer(attempt, answer));
+    if (replicaRead && !request.writes() && unanswered == 1) {
+      hedgeWhenOverdue(attempt);
+    }
+  }
+
+  private void hedgeWhenOverdue(Attempt attempt) {
+    MemberId member = attempt.connection.member();
+    long delayMillis = service.hedgeDelayMillis(member, statementClass());
+    context.hedging().onRead();
+    context.loop().delay(delayMillis, () -> hedge(member, delayMillis));
+  }
+
+  private void hedge(MemberId overdue, long delayMillis) {
+    if (finished || unanswered != 1 || !excluded.add(overdue)) {
+      return;
+    }
+    if (context.hedging().permits() && service.placeOnIdle(this)) {
+      context.log().readSentAgain(request, overdue, delayMillis);
+    } else {
+      excluded.remove(overdue);
+    }
   }
 
   /**
@@ -281,12 +321,19 @@
   }
 
   private void onAnswer(Attempt attempt, MemberAnswer answer) {
+    unanswered--;
     recordLag(attempt, answer);
+    if (finished) {
+      release(attempt);
+      return;
+    }
     if (!(answer instanceof MemberAnswer.Complete complete) || complete.failure().isPresent()) {
       onAttemptFailed(attempt, outcome(answer, new AttemptOutcome.NoAnswer()));
       return;
     }
-    context.log().recordMemberDuration(context.clock().millis() - complete.sentAt());
+    long durationMillis = context.clock().millis() - complete.sentAt();
+    context.log().recordMemberDuration(durationMillis);
+    service.recordAnswered(attempt.connection.member(), statementClass(), durationMillis);
     reportApplied(attempt, complete);
     boolean needsLease = !request.commits() || transaction.filter(Transaction::wrote).isPresent();
     if (needsLease && !primaryLeaseValid(attempt)) {
@@ -322,13 +369,24 @@
   }
 
   private void onAttemptFailed(Attempt attempt, AttemptOutcome outcome) {
+    if (finished) {
+      release(attempt);
+      return;
+    }
     long now = context.clock().millis();
     context.log().attemptFailed(request, route, attempt.connection.member(), attempts, outcome);
+    if (outcome.countsAgainstMember()) {
+      service.recordFailed(attempt.connection.member());
+    }
     if (transaction.flatMap(Transaction::pin).isPresent()) {
       onTransactionAttemptFailed(attempt, outcome);
       return;
     }
     excluded.add(attempt.connection.member());
+    if (unanswered > 0) {
+      release(attempt);
+      return;
+    }
     if (attempt.asPrimary || excluded.size() >= service.view().members().size()) {
       excluded.clear();
     }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRunContext.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRunContext.java
@@ -5,6 +5,7 @@
 import org.sardinebay.Clock;
 import org.sardinebay.gateway.internal.connection.ConnectionPreparation;
 import org.sardinebay.gateway.internal.connection.PreparedNames;
+import org.sardinebay.internal.request.ReadHedging;
 import org.sardinebay.session.MemberProtocol;
 import org.sardinebay.session.Statement;
 
@@ -17,6 +18,7 @@
  * @param names the names of prepared statements on members
  * @param preparation applies a session's state to connections
  * @param log logs and counts the outcomes of statements
+ * @param hedging limits the reads that are sent to a second member
  */
 public record StatementRunContext(
     Eventloop loop,
@@ -24,7 +26,8 @@
     MemberProtocol protocol,
     PreparedNames names,
     ConnectionPreparation preparation,
-    StatementLog log) {
+    StatementLog log,
+    ReadHedging hedging) {
   /** Delay before a statement that a member refused is retried. */
   private static final Duration RETRY_DELAY = Duration.ofMillis(15);
 
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -20,8 +20,11 @@
 import org.sardinebay.gateway.internal.request.PlacementRequest;
 import org.sardinebay.internal.connection.ConnectionQuota;
 import org.sardinebay.internal.process.DomainDistances;
+import org.sardinebay.internal.request.ReadHedging;
 import org.sardinebay.internal.version.MemberView;
+import org.sardinebay.internal.version.MembersPerformance;
 import org.sardinebay.internal.version.ServiceView;
+import org.sardinebay.internal.version.StatementClass;
 import org.sardinebay.session.MemberEntry;
 import org.sardinebay.session.MemberProtocol;
 import org.sardinebay.session.MemberStatus;
@@ -57,6 +60,7 @@
   private final ServiceView view;
   private final Map<MemberId, MemberPool> pools = new LinkedHashMap<>();
   private final StatusPoller statusPoller;
+  private final MembersPerformance performance = new MembersPerformance();
   private final StatementPlacer placer;
   private final Map<MemberId, Long> unreachableSince = new HashMap<>();
   private Set<FailureDomain> failureDomains = Set.of();
@@ -93,7 +97,8 @@
     this.spec = spec;
     this.view = new ServiceView(spec.name(), clock.millis());
     this.statusPoller = new StatusPoller(view, protocol, this::roundTripMillis, clock);
-    this.placer = new StatementPlacer(view, pools, this::roundTripMillis, statusPoller, clock);
+    this.placer =
+        new StatementPlacer(view, pools, this::roundTripMillis, statusPoller, performance, clock);
   }
 
   /**
@@ -199,6 +204,7 @@
       if (newer == null || !newer.sameIncarnation(pool.entry())) {
         pools.remove(pool.entry().id());
         statusPoller.remove(pool.entry().id());
+        performance.remove(pool.entry().id());
         removedPools.add(pool);
         logMember("member_gone", pool.entry());
       }
@@ -247,10 +253,69 @@
     placer.place(request);
   }
 
+  /**
+   * Places a statement if a suitable connection is idle.
+   *
+   * @param request the statement's request
+   * @return false if it was not placed; it does not wait then
+   */
+  public boolean placeOnIdle(PlacementRequest request) {
+    return placer.placeOnIdle(request);
+  }
+
+  /**
+   * Returns how long a read may stay unanswered before it is sent to a second member.
+   *
+   * @param member the member that it was sent to
+   * @param statements the class of the read
+   * @return the time in milliseconds
+   */
+  public long hedgeDelayMillis(MemberId member, StatementClass statements) {
+    return ReadHedging.delayMillis(
+        performance.usualMillis(statements, clock.millis()),
+        view.member(member).map(this::roundTripMillis).orElse(0L));
+  }
+
   private long roundTripMillis(MemberView member) {
     return distances.roundTripMillis(ownDomain, member.entry().failureDomain());
   }
 
+  /**
+   * Records that a member answered a statement.
+   *
+   * @param member the member
+   * @param statements the class of the statement
+   * @param durationMillis the time from sending to the answer, in milliseconds
+   */
+  public void recordAnswered(MemberId member, StatementClass statements, long durationMillis) {
+    long atMember =
+        Math.max(0, durationMillis - view.member(member).map(this::roundTripMillis).orElse(0L));
+    logChange(member, performance.onAnswered(member, statements, atMember, clock.millis()));
+  }
+
+  /**
+   * Records that a member failed a statement, or that its answer was lost.
+   *
+   * @param member the member
+   */
+  public void recordFailed(MemberId member) {
+    logChange(member, performance.onFailed(member, pools.size(), clock.millis()));
+  }
+
+  private void logChange(MemberId member, MembersPerformance.Change change) {
+    if (change != MembersPerformance.Change.NONE) {
+      LOG.atWarn()
+          .setMessage(
+              change == MembersPerformance.Change.SET_ASIDE
+                  ? "member_set_aside"
+                  : "member_returned")
+          .addKeyValue("service", spec.name())
+          .addKeyValue("member", member.value())
+          .addKeyValue("error_share", performance.errorShare(member, clock.millis()))
+          .log();
+    }
+  }
+
   @Override
   public void onConnectionIdle(MemberPool pool) {
     pollIfDue(pool, clock.millis());
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatementPlacer.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatementPlacer.java
@@ -16,6 +16,7 @@
 import org.sardinebay.internal.request.PlacementRequirement;
 import org.sardinebay.internal.request.StatementQueue;
 import org.sardinebay.internal.version.MemberView;
+import org.sardinebay.internal.version.MembersPerformance;
 import org.sardinebay.internal.version.ServiceView;
 
 /**
@@ -32,6 +33,7 @@
   private final Map<MemberId, MemberPool> pools;
   private final ToLongFunction<MemberView> roundTripMillis;
   private final StatusPoller statusPoller;
+  private final MembersPerformance performance;
   private final Clock clock;
   private final StatementQueue<PlacementRequest> waiting = new StatementQueue<>();
   private boolean dispatching;
@@ -43,6 +45,7 @@
    * @param pools the connections to the members; a live map
    * @param roundTripMillis the round-trip time to a member, in milliseconds
    * @param statusPoller knows the members' load from other hosts
+   * @param performance what is known of the members' speed and errors
    * @param clock the clock
    */
   StatementPlacer(
@@ -50,11 +53,13 @@
       Map<MemberId, MemberPool> pools,
       ToLongFunction<MemberView> roundTripMillis,
       StatusPoller statusPoller,
+      MembersPerformance performance,
       Clock clock) {
     this.view = view;
     this.pools = pools;
     this.roundTripMillis = roundTripMillis;
     this.statusPoller = statusPoller;
+    this.performance = performance;
     this.clock = clock;
   }
 
@@ -70,6 +75,14 @@
     }
   }
 
+  /** Places a statement only if a suitable connection is idle; returns whether it was placed. */
+  boolean placeOnIdle(PlacementRequest request) {
+    PlacementRequirement requirement = request.requirement();
+    Optional<MemberId> best = choose(request, requirement, clock.millis(), true);
+    best.ifPresent(member -> assign(request, requirement, member));
+    return best.isPresent();
+  }
+
   private boolean tryPlace(PlacementRequest request) {
     PlacementRequirement requirement = request.requirement();
     long now = clock.millis();
@@ -81,12 +94,18 @@
     if (best.isEmpty()) {
       return false;
     }
-    MemberPool pool = pools.get(best.get());
-    MemberConnection connection = pool.acquire(request.values()).orElseThrow();
-    request.onConnection(pool, connection, requirement, isLeasedPrimary(best.get(), now));
+    assign(request, requirement, best.get());
     return true;
   }
 
+  private void assign(PlacementRequest request, PlacementRequirement requirement, MemberId member) {
+    long now = clock.millis();
+    performance.onSent(member, now);
+    MemberPool pool = pools.get(member);
+    MemberConnection connection = pool.acquire(request.values()).orElseThrow();
+    request.onConnection(pool, connection, requirement, isLeasedPrimary(member, now));
+  }
+
   private Optional<MemberId> choose(
       PlacementRequest request, PlacementRequirement requirement, long now, boolean idleOnly) {
     List<PlacementCandidate> candidates = new ArrayList<>();
@@ -103,7 +122,11 @@
               member.entry().slots(),
               member.applied(),
               member.lagging(now),
-              draining || member.unreachable() || request.excluded().contains(member.id())));
+              performance.excessMillis(member.id(), request.statementClass(), now),
+              draining
+                  || member.unreachable()
+                  || performance.setAside(member.id(), now)
+                  || request.excluded().contains(member.id())));
     }
     return Placement.choose(requirement, candidates);
   }
