Member connections are bound to a workspace

Cause: every statement ran on connections that carry the host's name, so members counted it for nobody's workspace.

Change: a connection is started for one workspace, and only its statements run on it: new statements, the first of a transaction, retries and forwarded ones. Callers without a workspace use connections that carry the host's name. Status queries and control statements run on any idle connection, where workspaces are in force the least recently used one. Where no connection of the workspace is idle, ConnectionOpening decides whether to wait for one, open one or replace the least recently used idle one of another workspace. Deployments without workspaces take the same path as before.

--- a/core/src/main/java/org/sardinebay/internal/connection/ConnectionQuota.java
+++ b/core/src/main/java/org/sardinebay/internal/connection/ConnectionQuota.java
@@ -91,6 +91,11 @@
     openedSinceReport++;
   }
 
+  /** Records that this host closed a connection in order to open another one in its place. */
+  public void closed() {
+    openedSinceReport--;
+  }
+
   /**
    * Records that the member refused a connection because its limit was reached.
    *
@@ -109,6 +114,18 @@
    *     stays within the member's limit and this host's maximum share
    */
   public boolean mayOpen(int own, long now) {
+    return mayOpen(own, 0, now);
+  }
+
+  /**
+   * Whether another connection may be opened while others are being opened.
+   *
+   * @param own the number of connections of this host, including those being opened
+   * @param opening the number of connections being opened
+   * @param now the current time in milliseconds
+   * @return as {@link #mayOpen(int, long)}, with those being opened counted towards the limit
+   */
+  public boolean mayOpen(int own, int opening, long now) {
     if (refusedAt.isPresent() && now - refusedAt.getAsLong() < REFUSAL_BACKOFF_MILLIS) {
       return false;
     }
@@ -118,7 +135,7 @@
     if (reportedByMember.isEmpty()) {
       return own < MAX_BEFORE_FIRST_REPORT;
     }
-    int openConnections = reportedByMember.getAsInt() + openedSinceReport;
+    int openConnections = reportedByMember.getAsInt() + openedSinceReport + opening;
     boolean withinLimit =
         own < fairShare() ? openConnections < limit : openConnections < limit - hosts;
     return withinLimit && own < Math.max(1, limit * MAX_SHARE_PERCENT / PERCENT);
--- a/core/src/main/java/org/sardinebay/internal/request/Placement.java
+++ b/core/src/main/java/org/sardinebay/internal/request/Placement.java
@@ -71,7 +71,10 @@
 
   private static long cost(PlacementRequirement requirement, PlacementCandidate candidate) {
     long queued = Math.max(0, candidate.busySlots() + 1 - candidate.slots());
-    long cost = candidate.roundTripMillis() + queued * SERVICE_TIME_MILLIS / candidate.slots();
+    long cost =
+        candidate.roundTripMillis()
+            + candidate.openCostMillis()
+            + queued * SERVICE_TIME_MILLIS / candidate.slots();
     if (requirement.primaryOnly()) {
       return cost;
     }
--- a/core/src/main/java/org/sardinebay/internal/request/PlacementCandidate.java
+++ b/core/src/main/java/org/sardinebay/internal/request/PlacementCandidate.java
@@ -10,6 +10,7 @@
  * @param primary whether it can be relied upon as the primary
  * @param available whether a connection to the member is idle or may be opened
  * @param roundTripMillis the round-trip time to the member, in milliseconds
+ * @param openCostMillis the cost of opening a connection in milliseconds, 0 if one is idle
  * @param busySlots the estimated number of statements that run or are queued at the member
  * @param slots the number of statements that the member runs concurrently
  * @param applied the position that its reads are known to show
@@ -21,6 +22,7 @@
     boolean primary,
     boolean available,
     long roundTripMillis,
+    long openCostMillis,
     int busySlots,
     int slots,
     Position applied,
--- a/core/src/main/java/org/sardinebay/session/MemberProtocol.java
+++ b/core/src/main/java/org/sardinebay/session/MemberProtocol.java
@@ -13,11 +13,12 @@
    * Formats the message that opens a connection.
    *
    * @param service the member's service
-   * @param host the host that connects
+   * @param user the workspace whose statements run on the connection, or the host that connects if
+   *     there is none
    * @param member the member that is expected to answer
    * @return the line
    */
-  String start(String service, String host, MemberId member);
+  String start(String service, String user, MemberId member);
 
   /**
    * Formats the request to run a statement.
--- a/core/src/test/java/org/sardinebay/internal/request/PlacementTest.java
+++ b/core/src/test/java/org/sardinebay/internal/request/PlacementTest.java
@@ -40,6 +40,7 @@
         primary,
         available,
         roundTripMillis,
+        0,
         busy,
         3,
         new Position(1, appliedIndex),
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberConnection.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberConnection.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import org.sardinebay.Clock;
 import org.sardinebay.MemberId;
+import org.sardinebay.WorkspaceId;
 import org.sardinebay.session.MemberMessage;
 import org.sardinebay.session.MemberProtocol;
 import org.sardinebay.session.PreparedShape;
@@ -30,6 +31,7 @@
   public static final int MAX_LINE_BYTES = (1 << 20) + 2;
 
   private final MemberId member;
+  private final Optional<WorkspaceId> workspace;
   private final MemberProtocol protocol;
   private final Clock clock;
   private final Runnable onLineReceived;
@@ -43,13 +45,14 @@
   private Optional<MemberMessage.Failed> failure = Optional.empty();
   private long sentAt;
   private long answerDueAt;
-  private long releasedAt;
   private TransactionState state = TransactionState.IDLE;
 
   /**
    * Wraps a connected socket.
    *
    * @param member the member at the other end
+   * @param workspace the workspace whose statements may run on the connection; empty if it carries
+   *     the host's name
    * @param socket the socket
    * @param protocol the protocol
    * @param clock the clock
@@ -58,12 +61,14 @@
    */
   public MemberConnection(
       MemberId member,
+      Optional<WorkspaceId> workspace,
       TcpSocket socket,
       MemberProtocol protocol,
       Clock clock,
       Runnable onLineReceived,
       Consumer<MemberConnection> onEnd) {
     this.member = member;
+    this.workspace = workspace;
     this.protocol = protocol;
     this.clock = clock;
     this.onLineReceived = onLineReceived;
@@ -196,6 +201,15 @@
     return member;
   }
 
+  /**
+   * Returns the workspace that the connection was started for.
+   *
+   * @return the workspace, empty if the connection carries this host's name
+   */
+  public Optional<WorkspaceId> workspace() {
+    return workspace;
+  }
+
   /**
    * Whether the connection can carry an exchange.
    *
@@ -240,12 +254,4 @@
   public Set<PreparedShape> prepared() {
     return prepared;
   }
-
-  long releasedAt() {
-    return releasedAt;
-  }
-
-  void releasedAt(long now) {
-    releasedAt = now;
-  }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
@@ -1,22 +1,18 @@
 package org.sardinebay.gateway.internal.connection;
 
 import io.activej.eventloop.Eventloop;
-import io.activej.net.socket.tcp.TcpSocket;
-import io.activej.reactor.net.SocketSettings;
-import java.net.ConnectException;
-import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.sardinebay.Clock;
 import org.sardinebay.HostId;
+import org.sardinebay.WorkspaceId;
 import org.sardinebay.internal.connection.ConnectionQuota;
+import org.sardinebay.internal.connection.IdleConnections;
 import org.sardinebay.session.ErrorCode;
 import org.sardinebay.session.MemberEntry;
 import org.sardinebay.session.MemberProtocol;
@@ -26,10 +22,10 @@
 
 /**
  * A pool of this host's connections to one member, which opens more connections as far as the quota
- * permits.
+ * permits. Each connection is bound to a workspace, or to none and then carries this host's name.
  *
  * <pre>{@code
- * Optional<MemberConnection> connection = pool.acquire(values);
+ * Optional<MemberConnection> connection = pool.acquire(workspace, values);
  * ...
  * pool.release(connection);
  * }</pre>
@@ -37,18 +33,12 @@
 public final class MemberPool {
   private static final Logger LOG = LoggerFactory.getLogger(MemberPool.class);
 
-  /** Timeout for opening a connection: far above a round trip between regions. */
-  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
-
   /**
    * When a member has sent no line for this long while an answer is pending, in milliseconds, a new
    * connection is opened as a probe. Longer than the execution of the longest statements.
    */
   private static final long SILENCE_MILLIS = 350;
 
-  /** Timeout for starting the session on a new connection, in milliseconds. */
-  private static final long START_TIMEOUT_MILLIS = 700;
-
   /** Delay before another connection is opened after a failure, in milliseconds. */
   private static final long REOPEN_DELAY_MILLIS = 150;
 
@@ -70,16 +60,13 @@
     void onLost(MemberPool pool, LossCause cause);
   }
 
-  private final Eventloop loop;
   private final Clock clock;
-  private final HostId self;
-  private final MemberProtocol protocol;
   private final Listener listener;
   private final ConnectionQuota quota;
-  private final Deque<MemberConnection> idle = new ArrayDeque<>();
+  private final IdleConnections<MemberConnection> idle = new IdleConnections<>();
   private final Set<MemberConnection> connections = new HashSet<>();
+  private final ConnectionOpener opener;
   private MemberEntry entry;
-  private int openingCount;
   private long reopenAt = Long.MIN_VALUE;
   private long lastLineAt;
   private boolean closed;
@@ -103,13 +90,11 @@
       MemberEntry entry,
       ConnectionQuota quota,
       Listener listener) {
-    this.loop = loop;
     this.clock = clock;
-    this.self = self;
-    this.protocol = protocol;
     this.entry = entry;
     this.quota = quota;
     this.listener = listener;
+    this.opener = new ConnectionOpener(loop, clock, self, protocol, new Opened());
   }
 
   /**
@@ -140,22 +125,50 @@
   }
 
   /**
-   * Acquires an idle connection: the last released one that already holds the session's values,
-   * otherwise the one that has been idle longest.
+   * Acquires an idle connection of a workspace, preferably one that already holds the session's
+   * values.
    *
+   * @param workspace the workspace of the statement
    * @param values the session's values
+   * @return the connection, empty if none of the workspace is idle
+   */
+  public Optional<MemberConnection> acquire(
+      Optional<WorkspaceId> workspace, Map<String, String> values) {
+    return idle.take(workspace, connection -> connection.values().equals(values));
+  }
+
+  /**
+   * Acquires an idle connection of any workspace for a control statement: the one that is least
+   * likely to be needed by a statement.
+   *
    * @return the connection, empty if none is idle
    */
-  public Optional<MemberConnection> acquire(Map<String, String> values) {
-    Iterator<MemberConnection> newestFirst = idle.iterator();
-    while (newestFirst.hasNext()) {
-      MemberConnection connection = newestFirst.next();
-      if (connection.values().equals(values)) {
-        newestFirst.remove();
-        return Optional.of(connection);
-      }
+  public Optional<ControlConnection> acquireForControl() {
+    if (!servesWorkspaces()) {
+      return acquire(Optional.empty(), Map.of())
+          .map(connection -> new ControlConnection(connection, () -> release(connection)));
+    }
+    return idle.takeOldest()
+        .map(taken -> new ControlConnection(taken.connection(), () -> releaseUnused(taken)));
+  }
+
+  /**
+   * A connection that was acquired for a control statement.
+   *
+   * @param connection the connection
+   * @param release returns it to the pool
+   */
+  public record ControlConnection(MemberConnection connection, Runnable release) {}
+
+  private boolean servesWorkspaces() {
+    return connections.stream().anyMatch(connection -> connection.workspace().isPresent());
+  }
+
+  private void releaseUnused(IdleConnections.Idle<MemberConnection> taken) {
+    if (mayBeReused(taken.connection())) {
+      idle.addUnused(taken);
+      listener.onConnectionIdle(this);
     }
-    return Optional.ofNullable(idle.pollLast());
   }
 
   /**
@@ -164,38 +177,88 @@
    * @param connection the connection
    */
   public void release(MemberConnection connection) {
+    if (mayBeReused(connection)) {
+      idle.add(connection, connection.workspace(), clock.millis());
+      listener.onConnectionIdle(this);
+    }
+  }
+
+  private boolean mayBeReused(MemberConnection connection) {
     if (!connection.usable()) {
-      return;
+      return false;
     }
     if (closed || connection.busy() || connection.state() != TransactionState.IDLE) {
       connection.abort(LossCause.DISCARDED);
-      return;
+      return false;
     }
-    connection.releasedAt(clock.millis());
-    idle.addFirst(connection);
-    listener.onConnectionIdle(this);
+    return true;
   }
 
   /**
-   * Whether a connection is idle.
+   * Whether a connection of any workspace is idle.
    *
-   * @return true if {@link #acquire} finds one
+   * @return true if {@link #acquireForControl} finds one
    */
   public boolean hasIdle() {
-    return !idle.isEmpty();
+    return idle.size() > 0;
+  }
+
+  /**
+   * Whether a connection of a workspace is idle.
+   *
+   * @param workspace the workspace
+   * @return true if {@link #acquire} finds one
+   */
+  public boolean hasIdle(Optional<WorkspaceId> workspace) {
+    return idle.has(workspace);
   }
 
   /**
    * Whether a connection may be opened now.
    *
-   * @return true if no connection is being opened, the delay after a failure is over, and the quota
-   *     permits another connection
+   * @param maxOpening the number of connections that may be in the process of opening at a time
+   * @return true if fewer connections are being opened, the delay after a failure is over, and the
+   *     quota permits another connection
+   */
+  public boolean mayOpen(int maxOpening) {
+    return mayConnect(maxOpening) && quota.mayOpen(own(), opener.count(), clock.millis());
+  }
+
+  private boolean mayConnect(int maxOpening) {
+    return !closed && opener.count() < maxOpening && clock.millis() >= reopenAt;
+  }
+
+  private int own() {
+    return connections.size() + opener.connecting();
+  }
+
+  /**
+   * Whether an idle connection of another workspace may be replaced now.
+   *
+   * @param workspace the workspace that needs a connection
+   * @param awaited whether statements of a workspace wait for a connection
+   * @param maxOpening the number of connections that may be in the process of opening at a time
+   * @return true if {@link #replace} would open a connection
+   */
+  public boolean mayReplace(
+      Optional<WorkspaceId> workspace, Predicate<Optional<WorkspaceId>> awaited, int maxOpening) {
+    return mayConnect(maxOpening) && idle.replaceable(workspace, awaited).isPresent();
+  }
+
+  /**
+   * Returns the number of a workspace's connections that run a single statement or are being
+   * opened. Those that a transaction holds are not counted: they may be held for long.
+   *
+   * @param workspace the workspace
+   * @return the number of connections that may become idle soon
    */
-  public boolean mayOpen() {
-    return !closed
-        && openingCount == 0
-        && clock.millis() >= reopenAt
-        && quota.mayOpen(connections.size() + openingCount, clock.millis());
+  public int serving(Optional<WorkspaceId> workspace) {
+    long established =
+        connections.stream()
+            .filter(connection -> connection.workspace().equals(workspace))
+            .filter(connection -> connection.state() == TransactionState.IDLE)
+            .count();
+    return (int) established - idle.size(workspace) + opener.connecting(workspace);
   }
 
   /**
@@ -227,54 +290,56 @@
   }
 
   /**
-   * Opens a connection if permitted. The listener is notified when the connection is idle, or if it
-   * could not be opened, but not if the member refused the session.
+   * Opens a connection that carries this host's name, if permitted. The listener is notified when
+   * the connection is idle, or if it could not be opened, but not if the member refused the
+   * session.
    */
   public void open() {
-    if (mayOpen()) {
-      connect();
+    if (mayOpen(1)) {
+      opener.open(entry, Optional.empty());
     }
   }
 
-  private void connect() {
-    openingCount++;
-    TcpSocket.connect(
-            loop,
-            entry.address().socketAddress(),
-            CONNECT_TIMEOUT,
-            SocketSettings.defaultInstance())
-        .whenComplete(
-            (socket, e) -> {
-              if (e == null) {
-                startSession(socket);
-              } else {
-                openFailed(
-                    e instanceof ConnectException ? LossCause.REFUSED : LossCause.CONNECT_TIMEOUT);
-              }
-            });
+  /**
+   * Opens a connection for a workspace; {@link #mayOpen} must permit it.
+   *
+   * @param workspace the workspace, empty for a connection that carries this host's name
+   * @return the connection that is being opened
+   */
+  public Opening open(Optional<WorkspaceId> workspace) {
+    return opener.open(entry, workspace);
   }
 
-  private void startSession(TcpSocket socket) {
-    MemberConnection connection =
-        new MemberConnection(
-            entry.id(), socket, protocol, clock, this::onLineReceived, this::remove);
-    connections.add(connection);
-    connection.start();
-    connection.exchange(
-        protocol.start(entry.service(), self.value(), entry.id()),
-        START_TIMEOUT_MILLIS,
-        answer -> onSessionStarted(connection, answer));
+  /**
+   * Closes the least recently used idle connection of another workspace and opens one in its place;
+   * {@link #mayReplace} must permit it.
+   *
+   * @param workspace the workspace that needs a connection
+   * @param awaited whether statements of a workspace wait for a connection
+   * @return the connection that is being opened
+   */
+  public Opening replace(
+      Optional<WorkspaceId> workspace, Predicate<Optional<WorkspaceId>> awaited) {
+    idle.replaceable(workspace, awaited).orElseThrow().abort(LossCause.DISCARDED);
+    quota.closed();
+    return opener.open(entry, workspace);
   }
 
-  private void onSessionStarted(MemberConnection connection, MemberAnswer answer) {
-    if (answer instanceof MemberAnswer.Complete complete && complete.failure().isEmpty()) {
-      openingCount--;
+  /** Receives the events of the connections that are opened, and the end of all. */
+  private final class Opened implements ConnectionOpener.Listener {
+    @Override
+    public void onConnected(MemberConnection connection) {
+      connections.add(connection);
+    }
+
+    @Override
+    public void onEstablished(MemberConnection connection) {
       quota.opened();
       release(connection);
-      return;
     }
-    if (answer instanceof MemberAnswer.Complete complete) {
-      ErrorCode code = complete.failure().orElseThrow().code();
+
+    @Override
+    public void onRefused(MemberConnection connection, ErrorCode code) {
       if (code == ErrorCode.TOO_MANY_CONNECTIONS) {
         quota.refused(clock.millis());
       }
@@ -286,21 +351,25 @@
           .addKeyValue("own", connections.size())
           .log();
       connection.abort(LossCause.DISCARDED);
-      openingCount--;
       reopenAt = clock.millis() + REOPEN_DELAY_MILLIS;
-      return;
     }
-    openFailed(((MemberAnswer.Lost) answer).cause());
-  }
 
-  private void openFailed(LossCause cause) {
-    openingCount--;
-    reopenAt = clock.millis() + REOPEN_DELAY_MILLIS;
-    listener.onLost(this, cause);
-  }
+    @Override
+    public void onFailed(LossCause cause) {
+      reopenAt = clock.millis() + REOPEN_DELAY_MILLIS;
+      listener.onLost(MemberPool.this, cause);
+    }
+
+    @Override
+    public void onLineReceived() {
+      lastLineAt = clock.millis();
+    }
 
-  private void onLineReceived() {
-    lastLineAt = clock.millis();
+    @Override
+    public void onEnd(MemberConnection connection) {
+      connections.remove(connection);
+      idle.remove(connection);
+    }
   }
 
   /**
@@ -312,16 +381,11 @@
         now - lastLineAt >= SILENCE_MILLIS
             && snapshot.stream()
                 .anyMatch(connection -> connection.pendingMillis(now) >= SILENCE_MILLIS);
-    if (silent && openingCount == 0 && now >= reopenAt) {
-      connect();
+    if (silent && opener.count() == 0 && now >= reopenAt) {
+      opener.open(entry, Optional.empty());
     }
   }
 
-  private void remove(MemberConnection connection) {
-    connections.remove(connection);
-    idle.remove(connection);
-  }
-
   /**
    * Reports that an exchange on an acquired connection was lost.
    *
@@ -342,10 +406,9 @@
     snapshot.forEach(connection -> connection.abortIfOverdue(now));
     probeIfSilent(snapshot, now);
     if (quota.shouldShrink(connections.size()) && idle.size() > 1) {
-      MemberConnection oldest = idle.peekLast();
-      if (now - oldest.releasedAt() >= ConnectionQuota.IDLE_BEFORE_SHRINK_MILLIS) {
-        oldest.abort(LossCause.DISCARDED);
-      }
+      idle.oldest()
+          .filter(oldest -> now - oldest.usedAt() >= ConnectionQuota.IDLE_BEFORE_SHRINK_MILLIS)
+          .ifPresent(oldest -> oldest.connection().abort(LossCause.DISCARDED));
     }
   }
 
@@ -357,12 +420,8 @@
    * @param now the current time by this host's clock, in milliseconds
    */
   public void closeIdle(long now) {
-    new ArrayList<>(idle)
-        .stream()
-            .filter(
-                connection ->
-                    now - connection.releasedAt() >= ConnectionQuota.IDLE_BEFORE_SHRINK_MILLIS)
-            .forEach(connection -> connection.abort(LossCause.DISCARDED));
+    idle.unusedSince(now - ConnectionQuota.IDLE_BEFORE_SHRINK_MILLIS)
+        .forEach(connection -> connection.abort(LossCause.DISCARDED));
   }
 
   /** Closes all connections; pending exchanges end with {@link MemberAnswer.Lost}. */
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayMetrics.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayMetrics.java
@@ -26,6 +26,7 @@
   private final Clock clock;
   private final MultiGauge waiting;
   private final MultiGauge connections;
+  private final MultiGauge replaced;
   private final MultiGauge term;
   private final MultiGauge lease;
   private final MultiGauge lag;
@@ -41,6 +42,7 @@
     this.clock = clock;
     this.waiting = MultiGauge.builder("sardinebay_statements_waiting").register(registry);
     this.connections = MultiGauge.builder("sardinebay_member_connections").register(registry);
+    this.replaced = MultiGauge.builder("sardinebay_connections_replaced").register(registry);
     this.term = MultiGauge.builder("sardinebay_service_term").register(registry);
     this.lease = MultiGauge.builder("sardinebay_service_lease_seconds").register(registry);
     this.lag = MultiGauge.builder("sardinebay_replica_lag_seconds").register(registry);
@@ -68,6 +70,7 @@
     }
     refreshedAt = now;
     waiting.register(rows(ServiceRuntime::waiting), true);
+    replaced.register(rows(ServiceRuntime::connectionsReplaced), true);
     term.register(rows(service -> service.view().term()), true);
     lease.register(rows(s -> s.view().leaseMillis(now) / MILLIS_PER_SECOND), true);
     connections.register(connectionRows(), true);
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardedStatements.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardedStatements.java
@@ -166,7 +166,8 @@
   }
 
   private static boolean lacksCapacity(StatementCall call, ServiceRuntime service) {
-    return call.getOnlyAtOnce() && !service.hasCapacity(needsPrimary(call));
+    return call.getOnlyAtOnce()
+        && !service.hasCapacity(needsPrimary(call), StatementCodec.workspace(call));
   }
 
   private static boolean needsPrimary(StatementCall call) {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementCodec.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementCodec.java
@@ -92,13 +92,18 @@
         call.getWrites(),
         call.getCommits(),
         shape,
-        call.getWorkspace().isEmpty()
-            ? Optional.empty()
-            : Optional.of(new WorkspaceId(call.getWorkspace())),
+        workspace(call),
         session,
         arrivedAt);
   }
 
+  /** Returns the workspace of a forwarded statement, empty if it has none. */
+  static Optional<WorkspaceId> workspace(StatementCall call) {
+    return call.getWorkspace().isEmpty()
+        ? Optional.empty()
+        : Optional.of(new WorkspaceId(call.getWorkspace()));
+  }
+
   private static PreparedShape shape(PreparedStatement prepared) {
     return new PreparedShape(
         prepared.getWrites() ? Statement.Access.WRITE : Statement.Access.READ, prepared.getShape());
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -15,6 +15,7 @@
 import org.sardinebay.FailureDomain;
 import org.sardinebay.HostId;
 import org.sardinebay.MemberId;
+import org.sardinebay.WorkspaceId;
 import org.sardinebay.gateway.internal.connection.LossCause;
 import org.sardinebay.gateway.internal.connection.MemberPool;
 import org.sardinebay.gateway.internal.request.PlacementRequest;
@@ -318,7 +319,7 @@
   }
 
   private void pollIfDue(MemberPool pool, long now) {
-    if (home && statusPoller.isDue(pool, placer.waiting() > 0, now)) {
+    if (home && statusPoller.isDue(pool, placer.lacksConnections(), now)) {
       statusPoller.poll(pool);
     }
   }
@@ -365,16 +366,25 @@
     return placer.waiting();
   }
 
+  /**
+   * Returns how many idle connections were closed in favour of another workspace.
+   *
+   * @return the number since this service was configured
+   */
+  public long connectionsReplaced() {
+    return placer.replaced();
+  }
+
   /**
    * Whether a statement forwarded by another host could be placed at once, or as soon as another
    * connection is open.
    *
    * @param primaryOnly whether only the primary can run it
-   * @return true if no statement waits here, and a connection to a suitable member is idle or may
-   *     be opened
+   * @param workspace the workspace of the statement
+   * @return true if no statement waits here, and a suitable connection is idle or may be opened
    */
-  public boolean hasCapacity(boolean primaryOnly) {
-    return placer.hasCapacity(primaryOnly);
+  public boolean hasCapacity(boolean primaryOnly, Optional<WorkspaceId> workspace) {
+    return placer.hasCapacity(primaryOnly, workspace);
   }
 
   /**
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatementPlacer.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatementPlacer.java
@@ -1,15 +1,21 @@
 package org.sardinebay.gateway.internal.version;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import org.sardinebay.Clock;
 import org.sardinebay.MemberId;
+import org.sardinebay.WorkspaceId;
 import org.sardinebay.gateway.internal.connection.MemberConnection;
 import org.sardinebay.gateway.internal.connection.MemberPool;
+import org.sardinebay.gateway.internal.connection.Opening;
 import org.sardinebay.gateway.internal.request.PlacementRequest;
+import org.sardinebay.internal.connection.ConnectionOpening;
 import org.sardinebay.internal.request.DispatchPass;
 import org.sardinebay.internal.request.Placement;
 import org.sardinebay.internal.request.PlacementCandidate;
@@ -34,7 +40,26 @@
   private final StatusPoller statusPoller;
   private final Clock clock;
   private final StatementQueue<PlacementRequest> waiting = new StatementQueue<>();
+  private final Map<PlacementRequest, Wait> waits = new HashMap<>();
+  private final Map<Optional<WorkspaceId>, Integer> waitingByWorkspace = new HashMap<>();
+  private boolean workspacesInForce;
   private boolean dispatching;
+  private long replaced;
+
+  /** What is known of a statement that waits. */
+  private static final class Wait {
+    private final long since;
+    private Optional<Opening> opening = Optional.empty();
+    private boolean lacksConnections;
+
+    private Wait(long since) {
+      this.since = since;
+    }
+
+    private boolean opens() {
+      return opening.filter(Opening::inProgress).isPresent();
+    }
+  }
 
   /**
    * Creates a placer without waiting statements.
@@ -65,40 +90,156 @@
    * @param request the statement's request
    */
   void place(PlacementRequest request) {
-    if (!tryPlace(request)) {
+    workspacesInForce |= request.workspace().isPresent();
+    Wait wait = new Wait(clock.millis());
+    if (!tryPlace(request, wait)) {
+      waits.put(request, wait);
+      waitingByWorkspace.merge(request.workspace(), 1, Integer::sum);
       waiting.add(request, request.priority(), request.placementDeadline());
     }
   }
 
-  private boolean tryPlace(PlacementRequest request) {
+  private void forget(PlacementRequest request) {
+    if (waits.remove(request) != null) {
+      waitingByWorkspace.computeIfPresent(
+          request.workspace(), (workspace, count) -> count == 1 ? null : count - 1);
+    }
+  }
+
+  private boolean tryPlace(PlacementRequest request, Wait wait) {
     PlacementRequirement requirement = request.requirement();
     long now = clock.millis();
-    Optional<MemberId> best = choose(request, requirement, now, false);
-    if (best.isPresent() && !pools.get(best.get()).hasIdle()) {
-      pools.get(best.get()).open();
-      best = choose(request, requirement, now, true);
-    }
+    Optional<MemberId> best =
+        workspacesInForce
+            ? chooseForWorkspace(request, requirement, wait, now)
+            : chooseForHost(request, requirement, now);
     if (best.isEmpty()) {
       return false;
     }
     MemberPool pool = pools.get(best.get());
-    MemberConnection connection = pool.acquire(request.values()).orElseThrow();
+    MemberConnection connection = pool.acquire(request.workspace(), request.values()).orElseThrow();
+    forget(request);
     request.onConnection(pool, connection, requirement, isLeasedPrimary(best.get(), now));
     return true;
   }
 
+  /** Chooses a member with an idle connection, where all connections carry the host's name. */
+  private Optional<MemberId> chooseForHost(
+      PlacementRequest request, PlacementRequirement requirement, long now) {
+    Optional<MemberId> best =
+        choose(request, requirement, now, pool -> Access.free(pool.hasIdle() || pool.mayOpen(1)));
+    if (best.isPresent() && !pools.get(best.get()).hasIdle()) {
+      pools.get(best.get()).open();
+      best = choose(request, requirement, now, pool -> Access.free(pool.hasIdle()));
+    }
+    return best;
+  }
+
+  /**
+   * Chooses a member with an idle connection of the statement's workspace. If another member is
+   * better, although a connection to it has to be opened, that is done and the statement waits.
+   */
+  private Optional<MemberId> chooseForWorkspace(
+      PlacementRequest request, PlacementRequirement requirement, Wait wait, long now) {
+    Optional<WorkspaceId> workspace = request.workspace();
+    if (ConnectionOpening.takesAnyIdle(now - wait.since)) {
+      Optional<MemberId> idle =
+          choose(request, requirement, now, pool -> Access.free(pool.hasIdle(workspace)));
+      if (idle.isPresent()) {
+        return idle;
+      }
+    }
+    Optional<MemberId> best =
+        choose(request, requirement, now, pool -> access(pool, request, wait, now));
+    if (best.isEmpty()) {
+      wait.lacksConnections = true;
+      return best;
+    }
+    MemberPool pool = pools.get(best.get());
+    if (pool.hasIdle(workspace)) {
+      return best;
+    }
+    wait.lacksConnections = false;
+    if (!wait.opens()) {
+      open(pool, request, wait, now);
+    }
+    return Optional.empty();
+  }
+
+  private void open(MemberPool pool, PlacementRequest request, Wait wait, long now) {
+    ConnectionOpening.Decision decision = decide(pool, request, wait, now);
+    if (decision == ConnectionOpening.Decision.OPEN) {
+      wait.opening = Optional.of(pool.open(request.workspace()));
+    } else if (decision == ConnectionOpening.Decision.REPLACE) {
+      replaced++;
+      wait.opening =
+          Optional.of(pool.replace(request.workspace(), awaited(pool, request, wait, now)));
+    }
+  }
+
+  private Access access(MemberPool pool, PlacementRequest request, Wait wait, long now) {
+    if (pool.hasIdle(request.workspace())) {
+      return Access.free(true);
+    }
+    boolean available =
+        wait.opens() || decide(pool, request, wait, now) != ConnectionOpening.Decision.NONE;
+    return new Access(available, ConnectionOpening.costMillis(roundTripMillis(pool)));
+  }
+
+  private ConnectionOpening.Decision decide(
+      MemberPool pool, PlacementRequest request, Wait wait, long now) {
+    Optional<WorkspaceId> workspace = request.workspace();
+    int ownWaiting = waits.containsKey(request) ? 1 : 0;
+    int waitingBefore = waitingByWorkspace.getOrDefault(workspace, 0) - ownWaiting;
+    return ConnectionOpening.decide(
+        new ConnectionOpening.Demand(waitingBefore, now - wait.since),
+        new ConnectionOpening.Supply(
+            pool.serving(workspace),
+            pool.mayOpen(maxOpening()),
+            pool.mayReplace(workspace, awaited(pool, request, wait, now), maxOpening()),
+            ConnectionOpening.openMillis(roundTripMillis(pool))));
+  }
+
+  /** Whether statements of another workspace wait for its connections, which are then kept. */
+  private Predicate<Optional<WorkspaceId>> awaited(
+      MemberPool pool, PlacementRequest request, Wait wait, long now) {
+    boolean starved =
+        ConnectionOpening.starved(pool.serving(request.workspace()), now - wait.since);
+    return workspace -> !starved && waitingByWorkspace.containsKey(workspace);
+  }
+
+  private int maxOpening() {
+    return workspacesInForce ? ConnectionOpening.MAX_OPENING : 1;
+  }
+
+  private long roundTripMillis(MemberPool pool) {
+    return view.member(pool.entry().id()).map(roundTripMillis::applyAsLong).orElse(0L);
+  }
+
+  /** How a statement gets a connection to a member. */
+  private record Access(boolean available, long openCostMillis) {
+    private static Access free(boolean available) {
+      return new Access(available, 0);
+    }
+  }
+
   private Optional<MemberId> choose(
-      PlacementRequest request, PlacementRequirement requirement, long now, boolean idleOnly) {
+      PlacementRequest request,
+      PlacementRequirement requirement,
+      long now,
+      Function<MemberPool, Access> accessTo) {
     List<PlacementCandidate> candidates = new ArrayList<>();
     for (MemberView member : view.members()) {
       MemberPool pool = pools.get(member.id());
       boolean draining = member.entry().draining() && !isLeasedPrimary(member.id(), now);
+      Access access = accessTo.apply(pool);
       candidates.add(
           new PlacementCandidate(
               member.id(),
               isLeasedPrimary(member.id(), now),
-              pool.hasIdle() || (!idleOnly && pool.mayOpen()),
+              access.available(),
               roundTripMillis.applyAsLong(member),
+              access.openCostMillis(),
               statusPoller.slotsBusyElsewhere(member.id()) + pool.inUse(),
               member.entry().slots(),
               member.applied(),
@@ -120,7 +261,8 @@
     dispatching = true;
     try {
       DispatchPass pass = new DispatchPass(this::freeCapacity);
-      waiting.dispatch(request -> pass.test(request.primaryOnly(), () -> tryPlace(request)));
+      waiting.dispatch(
+          request -> pass.test(request.primaryOnly(), () -> tryPlace(request, waits.get(request))));
     } finally {
       dispatching = false;
     }
@@ -132,7 +274,7 @@
     boolean any = false;
     for (MemberView member : view.members()) {
       MemberPool pool = pools.get(member.id());
-      if (!member.unreachable() && (pool.hasIdle() || pool.mayOpen())) {
+      if (!member.unreachable() && (pool.hasIdle() || pool.mayOpen(maxOpening()))) {
         any = true;
         primary |= isLeasedPrimary(member.id(), now);
       }
@@ -142,13 +284,34 @@
 
   /** Fails the statements that have waited too long, and places others. */
   void tick(long now) {
-    waiting.expire(now).forEach(PlacementRequest::onNotPlaced);
+    expire(now);
     dispatchWaiting();
   }
 
+  private void expire(long now) {
+    List<PlacementRequest> expired = waiting.expire(now);
+    expired.forEach(this::forget);
+    expired.forEach(PlacementRequest::onNotPlaced);
+  }
+
   /** Fails all waiting statements. */
   void close() {
-    waiting.expire(Long.MAX_VALUE).forEach(PlacementRequest::onNotPlaced);
+    expire(Long.MAX_VALUE);
+  }
+
+  /** Returns how many idle connections were closed in favour of another workspace. */
+  long replaced() {
+    return replaced;
+  }
+
+  /**
+   * Whether statements wait that neither an idle connection nor one being opened will serve, so
+   * that a fresh status of the members may help: it may permit more connections.
+   */
+  boolean lacksConnections() {
+    return workspacesInForce
+        ? waits.values().stream().anyMatch(wait -> wait.lacksConnections)
+        : waiting.size() > 0;
   }
 
   /** Returns the number of statements that wait. */
@@ -156,14 +319,21 @@
     return waiting.size();
   }
 
-  /** Whether a statement could be placed at once, or as soon as another connection is open. */
-  boolean hasCapacity(boolean primaryOnly) {
+  /**
+   * Whether a statement of a workspace could be placed at once, or as soon as another connection is
+   * open.
+   */
+  boolean hasCapacity(boolean primaryOnly, Optional<WorkspaceId> workspace) {
     long now = clock.millis();
     return waiting.size() == 0
         && view.members().stream()
             .filter(member -> !member.unreachable())
             .filter(member -> !primaryOnly || isLeasedPrimary(member.id(), now))
             .map(member -> pools.get(member.id()))
-            .anyMatch(pool -> pool.hasIdle() || pool.mayOpen());
+            .anyMatch(
+                pool ->
+                    pool.hasIdle(workspace)
+                        || pool.mayOpen(maxOpening())
+                        || pool.mayReplace(workspace, other -> false, maxOpening()));
   }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatusPoller.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatusPoller.java
@@ -9,7 +9,6 @@
 import org.sardinebay.Clock;
 import org.sardinebay.MemberId;
 import org.sardinebay.gateway.internal.connection.MemberAnswer;
-import org.sardinebay.gateway.internal.connection.MemberConnection;
 import org.sardinebay.gateway.internal.connection.MemberPool;
 import org.sardinebay.internal.version.MemberView;
 import org.sardinebay.internal.version.ServiceView;
@@ -124,21 +123,23 @@
 
   /** Sends a control statement; the member replies with its status. */
   void sendControl(MemberPool pool, String text, Consumer<Optional<MemberStatus>> done) {
-    Optional<MemberConnection> acquired = pool.acquire(Map.of());
+    Optional<MemberPool.ControlConnection> acquired = pool.acquireForControl();
     if (acquired.isEmpty()) {
       done.accept(Optional.empty());
       return;
     }
-    MemberConnection connection = acquired.get();
     int ownInUse = pool.inUse();
-    connection.exchange(
-        protocol.query(MemberProtocol.INTERNAL_STATEMENT_ID, Optional.empty(), text),
-        TIMEOUT_MILLIS,
-        answer -> {
-          Optional<MemberStatus> status = onAnswer(pool, ownInUse, answer);
-          pool.release(connection);
-          done.accept(status);
-        });
+    acquired
+        .get()
+        .connection()
+        .exchange(
+            protocol.query(MemberProtocol.INTERNAL_STATEMENT_ID, Optional.empty(), text),
+            TIMEOUT_MILLIS,
+            answer -> {
+              Optional<MemberStatus> status = onAnswer(pool, ownInUse, answer);
+              acquired.get().release().run();
+              done.accept(status);
+            });
   }
 
   private Optional<MemberStatus> onAnswer(MemberPool pool, int ownInUse, MemberAnswer answer) {
