--- a/core/src/main/java/org/sardinebay/internal/request/Placement.java
+++ b/core/src/main/java/org/sardinebay/internal/request/Placement.java
@@ -73,6 +73,7 @@
     long queued = Math.max(0, candidate.busySlots() + 1 - candidate.slots());
     long cost =
         candidate.roundTripMillis()
+            + candidate.openCostMillis()
             + candidate.excessMillis()
             + queued * SERVICE_TIME_MILLIS / candidate.slots();
     if (requirement.primaryOnly()) {
--- a/core/src/test/java/org/sardinebay/internal/version/MembersPerformanceTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/MembersPerformanceTest.java
@@ -109,6 +109,7 @@
           true,
           roundTripMillis,
           0,
+          0,
           4,
           new Position(1, 1),
           false,
