Workspaces in the stand-ins; the decoder of workspaces is strict

Cause: tests with real processes could not check on whose behalf a member runs a statement, and the stand-in platform had no workspaces. A key with characters outside of ASCII was refused although the configuration listed it, since the digest was taken of the received bytes decoded and encoded again.

A configuration whose workspaces are not a list is rejected and logged; the one before it stays in force. The digest of a caller's key is taken of the bytes that it sent.

--- a/core/src/main/java/org/sardinebay/session/KeyDigest.java
+++ b/core/src/main/java/org/sardinebay/session/KeyDigest.java
@@ -17,15 +17,25 @@
   }
 
   /**
-   * Computes the digest of a key.
+   * Computes the digest of a key given as text.
    *
    * @param key the key
-   * @return the digest
+   * @return the digest of its bytes in UTF-8
    */
   public static KeyDigest of(String key) {
+    return of(key.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /**
+   * Computes the digest of a key given as bytes, in the form that callers send it.
+   *
+   * @param key the key's bytes in UTF-8
+   * @return the digest
+   */
+  public static KeyDigest of(byte[] key) {
     try {
       MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
-      return new KeyDigest(sha256.digest(key.getBytes(StandardCharsets.UTF_8)));
+      return new KeyDigest(sha256.digest(key));
     } catch (NoSuchAlgorithmException e) {
       throw new IllegalStateException("every Java platform has SHA-256", e);
     }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
@@ -215,7 +215,11 @@
 
   private void onConfiguration(VersionedRecord record, boolean changed) {
     if (changed && record.key().equals(CONFIGURATION)) {
-      configurations.read(record.body()).ifPresent(services::configure);
+      configurations
+          .read(record.body())
+          .ifPresentOrElse(
+              services::configure,
+              () -> logUnreadable("configuration_unreadable", record.key(), record.version()));
     }
   }
 
--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
@@ -31,6 +31,7 @@
   private final int maxConnections;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final AtomicInteger answersToLose = new AtomicInteger();
+  private final MemberRecording recording = new MemberRecording();
   private ServerSocket listener;
   private Future<?> acceptLoop;
   private ExecutorService threads;
@@ -81,13 +82,15 @@
           new BufferedReader(
               new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
       Writer out = new OutputStreamWriter(socket.getOutputStream(), StandardCharsets.ISO_8859_1);
-      String refusal = refusal(in.readLine());
+      String[] start = words(in.readLine());
+      String refusal = refusal(start);
       if (!refusal.isEmpty()) {
         send(out, "ERR " + refusal + " " + id + "\r\n");
         return;
       }
       send(out, "READY I " + group.position(id) + "\r\n");
-      serveStatements(in, out, new LineMemberSession(id, group));
+      recording.onStart(start[2]);
+      serveStatements(in, out, new LineMemberSession(id, group), start[2]);
     } catch (IOException e) {
       // The peer closed the connection, which ends the session.
     } finally {
@@ -95,7 +98,8 @@
     }
   }
 
-  private void serveStatements(BufferedReader in, Writer out, LineMemberSession session)
+  private void serveStatements(
+      BufferedReader in, Writer out, LineMemberSession session, String startedFor)
       throws IOException {
     for (String line = in.readLine(); line != null; line = in.readLine()) {
       if (line.equals("BYE")) {
@@ -103,6 +107,7 @@
       }
       String[] parts = line.split(" ", 3);
       boolean controlStatement = parts[1].equals("-");
+      recording.onStatement(startedFor, parts[1], parts[2]);
       String reply = session.run(parts[2], sockets.size());
       if (!controlStatement && answersToLose.get() > 0 && answersToLose.getAndDecrement() > 0) {
         continue;
@@ -111,8 +116,11 @@
     }
   }
 
-  private String refusal(String start) {
-    String[] words = start == null ? new String[0] : start.split(" ");
+  private static String[] words(String line) {
+    return line == null ? new String[0] : line.split(" ");
+  }
+
+  private String refusal(String[] words) {
     boolean known = words.length >= 3 && words[0].equals("START") && words[1].equals(service);
     if (!known || (words.length > 3 && !words[3].equals(id))) {
       return "WRONGNODE";
@@ -130,6 +138,11 @@
     answersToLose.set(count);
   }
 
+  /** The connections that were started and the statements that were run so far. */
+  MemberRecording recording() {
+    return recording;
+  }
+
   int connections() {
     return sockets.size();
   }
--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.sardinebay.Address;
 import org.sardinebay.Clock;
@@ -14,7 +15,8 @@
 /**
  * A complete platform on loopback: a metadata store and one service of three members. Its databases
  * {@code strict}, {@code aged} and {@code own} have one kind of route each: {@code primary}, {@code
- * bounded_staleness} and {@code read_your_writes}.
+ * bounded_staleness} and {@code read_your_writes}. Callers need no keys until {@link
+ * #configureWorkspaces} is called.
  *
  * <pre>{@code
  * LineProtocolPlatform platform = LineProtocolPlatform.start(ports, clock);
@@ -25,6 +27,9 @@
   /** The name of the service. */
   public static final String SERVICE = "orders";
 
+  /** The name of the database whose callers need no key. */
+  static final String OPEN_DATABASE = "open";
+
   private static final int MEMBERS = 3;
   private static final int SLOTS = 3;
   private static final int MAX_CONNECTIONS = 12;
@@ -38,6 +43,7 @@
   private final List<LineMember> members = new ArrayList<>();
   private int version;
   private int maxConnections = MAX_CONNECTIONS;
+  private Optional<List<PlatformWorkspace>> workspaces = Optional.empty();
 
   private LineProtocolPlatform(MemberGroup group, MetadataStore store, Address address) {
     this.group = group;
@@ -95,13 +101,28 @@
           .put("targetLatencyMs", TIMEOUT_MILLIS)
           .put("priority", 1)
           .put("backend", SERVICE)
-          .put("maxStalenessMs", MAX_STALENESS_MILLIS);
+          .put("maxStalenessMs", MAX_STALENESS_MILLIS)
+          .put("public", database.equals(OPEN_DATABASE));
     }
+    workspaces.ifPresent(
+        entries -> {
+          ArrayNode tenants = spec.putArray("tenants");
+          entries.forEach(entry -> tenants.add(entry.toJson()));
+        });
     spec.putArray("backends").addObject().put("name", SERVICE).put("maxConns", maxConnections);
     spec.putObject("limits").put("txIdleMs", TIMEOUT_MILLIS);
     store.put("config", "main", spec);
   }
 
+  /**
+   * Writes a configuration in which callers need a key of one of the given workspaces, except on
+   * the additional database {@value #OPEN_DATABASE}.
+   */
+  void configureWorkspaces(PlatformWorkspace... entries) {
+    workspaces = Optional.of(List.of(entries));
+    configure("strict", "aged", "own", OPEN_DATABASE);
+  }
+
   private static String kind(String database) {
     return switch (database) {
       case "aged" -> "bounded_staleness";
