A withdrawn key ends its sessions at once

Cause: a new configuration reached open sessions only with their next statement on a member. BEGIN, SET, PREPARE and the other statements that the gateway answers itself were still answered under a withdrawn key, an open transaction stayed open at its member, and a session whose key had moved went on under the other workspace. After the abort of a transaction the session did not end.

Change: SessionAccess decides for one session whether it may go on, and caches the verdict for the version of the configuration. Services runs a task after each new configuration, and Sessions applies it to all open sessions in batches of 500: idle sessions are closed, the answer to a running statement is still sent, an open transaction is rolled back at its member and its next statement gets ABORTED. Every statement is checked first. key_withdrawn is logged by workspace. The state of a session moved to CallerState. An exception in one session's periodic work no longer keeps the other sessions from theirs.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
@@ -1,24 +1,19 @@
 package org.sardinebay.gateway.internal.connection;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.sardinebay.Clock;
-import org.sardinebay.Position;
 import org.sardinebay.WorkspaceId;
 import org.sardinebay.gateway.internal.request.StatementRequest;
 import org.sardinebay.gateway.internal.request.StatementRunner;
 import org.sardinebay.gateway.internal.version.ServiceRuntime;
 import org.sardinebay.gateway.internal.version.Services;
-import org.sardinebay.internal.connection.CallerAccess;
+import org.sardinebay.internal.connection.SessionAccess;
 import org.sardinebay.session.CallerMessage;
 import org.sardinebay.session.CallerProtocol;
 import org.sardinebay.session.DatabaseRoute;
 import org.sardinebay.session.ErrorCode;
-import org.sardinebay.session.KeyDigest;
 import org.sardinebay.session.MemberProtocol;
-import org.sardinebay.session.PreparedShape;
 import org.sardinebay.session.RouteTable;
 import org.sardinebay.session.Statement;
 import org.sardinebay.session.TransactionState;
@@ -26,11 +21,11 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * A caller's session with its values, prepared statements, transaction and position. Statements
- * that need no member are answered here; the state that they set is applied to the member
- * connection before the next statement runs on it.
+ * A caller's session with its state and transaction. Statements that need no member are answered
+ * here; the state that they set is applied to the member connection before the next statement runs
+ * on it.
  */
-public final class CallerSession implements LineChannel.Listener, StatementRequest.SessionState {
+public final class CallerSession implements LineChannel.Listener {
   private static final Logger LOG = LoggerFactory.getLogger(CallerSession.class);
 
   /** Timeout for receiving the rest of a line once its first byte has arrived, in milliseconds. */
@@ -51,12 +46,10 @@
   private final long openedAt;
   private LineChannel channel;
   private Optional<String> database = Optional.empty();
-  private Optional<KeyDigest> key = Optional.empty();
-  private final Map<String, String> values = new HashMap<>();
-  private final Map<String, PreparedShape> prepared = new HashMap<>();
+  private Optional<SessionAccess> access = Optional.empty();
+  private final CallerState callerState = new CallerState();
   private Optional<Transaction> transaction = Optional.empty();
   private TransactionState state = TransactionState.IDLE;
-  private Optional<Position> position = Optional.empty();
 
   /** Whether the transaction was rolled back for being idle and the caller has not been told. */
   private boolean abortUnreported;
@@ -64,6 +57,11 @@
   /** The start message that the caller sent before a configuration was received. */
   private Optional<CallerMessage.Start> pendingStart = Optional.empty();
 
+  /** Whether the caller has lost its access; only the answer to its running statement is due. */
+  private boolean withdrawn;
+
+  private long withdrawnAt;
+  private boolean withdrawalReported;
   private boolean answering;
   private boolean closing;
   private boolean ended;
@@ -148,27 +146,30 @@
       refuseAndEnd(ErrorCode.NO_DATABASE, "no route has the name " + start.database());
       return;
     }
-    if (!CallerAccess.of(table, route.get(), start.key()).permitted()) {
+    access = SessionAccess.admit(table, route.get(), start.key());
+    if (access.isEmpty()) {
       refuseAndEnd(ErrorCode.NOT_AUTHORIZED, "the key is missing or unknown");
       return;
     }
     database = Optional.of(start.database());
-    key = start.key();
     channel.send(readyLine());
   }
 
   private void onQuery(CallerMessage.Query query) {
+    if (refuseWithoutAccess()) {
+      return;
+    }
     Statement statement = query.statement();
     if (state == TransactionState.FAILED) {
       onQueryAfterFailure(statement);
     } else if (statement instanceof Statement.SetValue set) {
-      values.put(set.name(), set.value());
+      callerState.set(set);
       succeed();
     } else if (statement instanceof Statement.Prepare prepare) {
-      prepared.put(prepare.name(), prepare.shape());
+      callerState.prepare(prepare);
       succeed();
     } else if (statement instanceof Statement.Deallocate deallocate) {
-      prepared.remove(deallocate.name());
+      callerState.deallocate(deallocate);
       succeed();
     } else if (statement instanceof Statement.Begin begin) {
       onBegin(query.id(), begin);
@@ -234,12 +235,8 @@
       fail(ErrorCode.NO_DATABASE, "the database is not configured any more");
       return;
     }
-    CallerAccess access = CallerAccess.of(services.table(), route.get(), key);
-    if (!access.permitted()) {
-      onKeyWithdrawn();
-      return;
-    }
-    Optional<StatementRequest> request = request(id, statement, access.workspace());
+    Optional<StatementRequest> request =
+        callerState.request(id, statement, memberProtocol, workspace(), clock.millis());
     if (request.isEmpty()) {
       fail(ErrorCode.UNKNOWN_STATEMENT, "no prepared statement has this name");
       return;
@@ -254,44 +251,67 @@
         reply -> onReply(request.get(), reply));
   }
 
-  private void onKeyWithdrawn() {
+  /**
+   * Applies the configuration in force. A session whose caller has lost its access ends at once if
+   * it is idle. The answer to a running statement is still sent; an open transaction is rolled back
+   * at its member, and the next statement is told so.
+   *
+   * @return whether the access was withdrawn since the last call, or by this one
+   */
+  public boolean applyConfiguration() {
+    if (!ended && access.isPresent()) {
+      switch (access.get().check(services.table())) {
+        case WITHDRAWN -> withdraw();
+        case IDENTIFIED -> closeWhenIdle();
+        case UNCHANGED -> {}
+      }
+    }
+    boolean report = withdrawn && !withdrawalReported;
+    withdrawalReported |= report;
+    return report;
+  }
+
+  private void withdraw() {
+    if (withdrawn) {
+      return;
+    }
+    withdrawn = true;
+    withdrawnAt = clock.millis();
+    closing = true;
+    if (answering) {
+      return;
+    }
+    if (transaction.isEmpty()) {
+      end();
+    } else {
+      failTransaction();
+    }
+  }
+
+  /** Refuses the statement and ends the session if the caller has lost its access. */
+  private boolean refuseWithoutAccess() {
+    SessionAccess.Verdict verdict = access.orElseThrow().check(services.table());
+    closing |= verdict != SessionAccess.Verdict.UNCHANGED;
+    if (verdict != SessionAccess.Verdict.WITHDRAWN) {
+      return false;
+    }
+    withdrawn = true;
     if (transaction.isPresent()) {
-      closing = true;
+      endTransaction();
       fail(ErrorCode.ABORTED, "rolled back: the key was withdrawn");
     } else {
       refuseAndEnd(ErrorCode.NOT_AUTHORIZED, "the key was withdrawn");
     }
+    return true;
   }
 
-  private Optional<StatementRequest> request(
-      String id, Statement statement, Optional<WorkspaceId> workspace) {
-    if (statement instanceof Statement.Execute execute) {
-      PreparedShape shape = prepared.get(execute.name());
-      if (shape == null) {
-        return Optional.empty();
-      }
-      boolean writes = shape.access() == Statement.Access.WRITE;
-      return Optional.of(
-          new StatementRequest(
-              id,
-              execute.arguments(),
-              writes,
-              false,
-              Optional.of(shape),
-              workspace,
-              this,
-              clock.millis()));
-    }
-    return Optional.of(
-        new StatementRequest(
-            id,
-            memberProtocol.text(statement),
-            statement instanceof Statement.Write,
-            statement instanceof Statement.Commit,
-            Optional.empty(),
-            workspace,
-            this,
-            clock.millis()));
+  /**
+   * Returns the workspace that the session was admitted for.
+   *
+   * @return the workspace, empty if the session has none
+   */
+  public Optional<WorkspaceId> workspace() {
+    return access.flatMap(SessionAccess::workspace);
   }
 
   private void onReply(StatementRequest request, SessionReply reply) {
@@ -304,6 +324,9 @@
       return;
     }
     transaction.ifPresent(t -> t.touch(clock.millis()));
+    if (withdrawn && transaction.isPresent()) {
+      failTransaction();
+    }
     if (reply instanceof SessionReply.Failure failure) {
       fail(failure.code(), failure.text());
       return;
@@ -326,13 +349,17 @@
 
   private void fail(ErrorCode code, String text) {
     if (transaction.isPresent()) {
-      state = TransactionState.FAILED;
-      rollBackAtMember(MemberProtocol.INTERNAL_STATEMENT_ID);
+      failTransaction();
     }
     channel.send(protocol.error(code, text), readyLine());
     endIfClosing();
   }
 
+  private void failTransaction() {
+    state = TransactionState.FAILED;
+    rollBackAtMember(MemberProtocol.INTERNAL_STATEMENT_ID);
+  }
+
   private void endIfClosing() {
     if (closing && state == TransactionState.IDLE) {
       end();
@@ -340,13 +367,14 @@
   }
 
   private String readyLine() {
-    return protocol.ready(state, position);
+    return protocol.ready(state, callerState.position());
   }
 
   private void refuseAndEnd(ErrorCode code, String text) {
     LOG.atInfo()
         .setMessage("session_refused")
         .addKeyValue("database", database.orElse("-"))
+        .addKeyValue("workspace", workspace().map(WorkspaceId::value).orElse("-"))
         .addKeyValue("code", code)
         .addKeyValue("text", text)
         .log();
@@ -430,7 +458,9 @@
       return;
     }
     long limit = services.table().limits().transactionIdleMillis();
-    if (!answering
+    if (withdrawn && !answering && now - withdrawnAt > limit) {
+      end();
+    } else if (!answering
         && state == TransactionState.OPEN
         && transaction.filter(t -> t.idleMillis(now) > limit).isPresent()) {
       LOG.atInfo()
@@ -438,9 +468,8 @@
           .addKeyValue("database", database.orElse("-"))
           .addKeyValue("limit_millis", limit)
           .log();
-      state = TransactionState.FAILED;
       abortUnreported = true;
-      rollBackAtMember(MemberProtocol.INTERNAL_STATEMENT_ID);
+      failTransaction();
     }
   }
 
@@ -455,19 +484,4 @@
       refuseAndEnd(ErrorCode.BUSY, "not run: this host has no configuration yet; retry in 500 ms");
     }
   }
-
-  @Override
-  public Map<String, String> values() {
-    return values;
-  }
-
-  @Override
-  public Optional<Position> position() {
-    return position;
-  }
-
-  @Override
-  public void advance(Position seen) {
-    position = Optional.of(position.map(seen::max).orElse(seen));
-  }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -162,7 +162,9 @@
     StatementRunner runner =
         new ForwardingRunner(
             new ForwardingRunner.Context(clock, log, homes, overflow, admission, local));
-    this.sessions = new Sessions(services, runner, new LineCallerProtocol(), memberProtocol, clock);
+    this.sessions =
+        new Sessions(loop, services, runner, new LineCallerProtocol(), memberProtocol, clock);
+    services.onConfigured(sessions::applyConfiguration);
   }
 
   private ForwardedStatements.Context forwardedContext(
@@ -238,7 +240,7 @@
             loop,
             clock,
             registry);
-    sessions.listen(loop, settings.callers());
+    sessions.listen(settings.callers());
     JsonHttpServer.serveOn(
         loop,
         settings.readiness(),
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/Sessions.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/Sessions.java
@@ -5,11 +5,17 @@
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.net.socket.tcp.TcpSocket;
 import java.io.IOException;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.sardinebay.Address;
 import org.sardinebay.Clock;
+import org.sardinebay.WorkspaceId;
 import org.sardinebay.gateway.internal.connection.CallerSession;
 import org.sardinebay.gateway.internal.connection.LineChannel;
 import org.sardinebay.gateway.internal.connection.MemberConnection;
@@ -17,9 +23,20 @@
 import org.sardinebay.gateway.internal.version.Services;
 import org.sardinebay.session.CallerProtocol;
 import org.sardinebay.session.MemberProtocol;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Accepts connections of callers and tracks their sessions. */
 final class Sessions {
+  private static final Logger LOG = LoggerFactory.getLogger(Sessions.class);
+
+  /**
+   * How many sessions a new configuration is applied to in one iteration of the event loop; the
+   * others check it before their next statement.
+   */
+  private static final int CONFIGURATION_BATCH = 500;
+
+  private final Eventloop loop;
   private final Services services;
   private final StatementRunner runner;
   private final CallerProtocol protocol;
@@ -29,11 +46,13 @@
   private boolean closing;
 
   Sessions(
+      Eventloop loop,
       Services services,
       StatementRunner runner,
       CallerProtocol protocol,
       MemberProtocol memberProtocol,
       Clock clock) {
+    this.loop = loop;
     this.services = services;
     this.runner = runner;
     this.protocol = protocol;
@@ -41,7 +60,7 @@
     this.clock = clock;
   }
 
-  void listen(Eventloop loop, Address address) throws IOException {
+  void listen(Address address) throws IOException {
     SimpleServer.builder(loop, this::accept)
         .withListenAddress(address.socketAddress())
         .build()
@@ -67,7 +86,50 @@
   }
 
   void tick(long now) {
-    new ArrayList<>(openSessions).forEach(session -> session.tick(now));
+    new ArrayList<>(openSessions).forEach(session -> runGuarded(() -> session.tick(now)));
+  }
+
+  /** Applies the configuration in force to all open sessions. */
+  void applyConfiguration() {
+    applyConfiguration(new ArrayDeque<>(openSessions), new HashMap<>(), services.table().version());
+  }
+
+  private void applyConfiguration(
+      Deque<CallerSession> remaining, Map<Optional<WorkspaceId>, Integer> withdrawn, long version) {
+    for (int i = 0; i < CONFIGURATION_BATCH && !remaining.isEmpty(); i++) {
+      CallerSession session = remaining.remove();
+      runGuarded(
+          () -> {
+            if (session.applyConfiguration()) {
+              withdrawn.merge(session.workspace(), 1, Integer::sum);
+            }
+          });
+    }
+    if (remaining.isEmpty()) {
+      withdrawn.forEach((workspace, count) -> logWithdrawn(workspace, count, version));
+    } else {
+      loop.delay(1, () -> applyConfiguration(remaining, withdrawn, version));
+    }
+  }
+
+  private static void logWithdrawn(Optional<WorkspaceId> workspace, int sessions, long version) {
+    LOG.atInfo()
+        .setMessage("key_withdrawn")
+        .addKeyValue("workspace", workspace.map(WorkspaceId::value).orElse("-"))
+        .addKeyValue("sessions", sessions)
+        .addKeyValue("version", version)
+        .log();
+  }
+
+  /**
+   * Runs a task of one session. An exception in it must not keep the other sessions from theirs.
+   */
+  private static void runGuarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      LOG.atError().setMessage("session_task_failed").setCause(e).log();
+    }
   }
 
   /**
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/Services.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/Services.java
@@ -33,6 +33,7 @@
   private List<MemberEntry> members = List.of();
   private RouteTable table = RouteTable.EMPTY;
   private long appliedAt;
+  private Runnable onConfigured = () -> {};
 
   /**
    * Creates an instance without a configuration.
@@ -82,6 +83,16 @@
       }
     }
     distributeMembers();
+    onConfigured.run();
+  }
+
+  /**
+   * Sets the task that runs after each new configuration, on the event loop.
+   *
+   * @param task the task
+   */
+  public void onConfigured(Runnable task) {
+    onConfigured = task;
   }
 
   /**
--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
@@ -3,6 +3,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.InterruptedIOException;
 import java.io.OutputStreamWriter;
 import java.io.Writer;
 import java.net.ServerSocket;
@@ -32,6 +33,7 @@
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final AtomicInteger answersToLose = new AtomicInteger();
   private final MemberRecording recording = new MemberRecording();
+  private volatile long answerDelayMillis;
   private ServerSocket listener;
   private Future<?> acceptLoop;
   private ExecutorService threads;
@@ -109,6 +111,9 @@
       boolean controlStatement = parts[1].equals("-");
       recording.onStatement(startedFor, parts[1], parts[2]);
       String reply = session.run(parts[2], sockets.size());
+      if (!controlStatement) {
+        pause(answerDelayMillis);
+      }
       if (!controlStatement && answersToLose.get() > 0 && answersToLose.getAndDecrement() > 0) {
         continue;
       }
@@ -138,6 +143,20 @@
     answersToLose.set(count);
   }
 
+  /** Delays the answer to each caller statement that was run, in milliseconds. */
+  void answerAfter(long millis) {
+    answerDelayMillis = millis;
+  }
+
+  private static void pause(long millis) throws InterruptedIOException {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new InterruptedIOException();
+    }
+  }
+
   /** The connections that were started and the statements that were run so far. */
   MemberRecording recording() {
     return recording;
--- a/standins/src/test/java/org/sardinebay/standins/impeller/ExplainTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/ExplainTest.java
@@ -2,18 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import ch.qos.logback.classic.Logger;
-import ch.qos.logback.classic.LoggerContext;
-import ch.qos.logback.classic.spi.ILoggingEvent;
-import ch.qos.logback.core.AppenderBase;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -22,10 +16,7 @@
 import org.sardinebay.Clock;
 import org.sardinebay.ctl.CtlMain;
 import org.sardinebay.net.RunningProcess;
-import org.sardinebay.net.log.KeyValueLayout;
-import org.sardinebay.net.log.LogLine;
 import org.sardinebay.standins.platform.FreePorts;
-import org.slf4j.LoggerFactory;
 
 /**
  * Checks that {@code sardinebayctl explain}, as docs/OPERATIONS.md describes it, finds the cause of
@@ -34,28 +25,14 @@
 class ExplainTest {
   @TempDir private Path directory;
 
-  private final CapturedLog log = new CapturedLog();
+  private CapturedLog log;
   private LineProtocolPlatform platform;
   private RunningProcess gateway;
   private Address callers;
 
-  /** Captures log lines in the gateway's format. */
-  private static final class CapturedLog extends AppenderBase<ILoggingEvent> {
-    private final KeyValueLayout layout = new KeyValueLayout();
-    private final List<String> lines = new CopyOnWriteArrayList<>();
-
-    @Override
-    protected void append(ILoggingEvent event) {
-      lines.add(layout.doLayout(event));
-    }
-  }
-
   @BeforeEach
   void startAll() throws Exception {
-    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
-    log.setContext(context);
-    log.start();
-    root(context).addAppender(log);
+    log = CapturedLog.open();
     platform = LineProtocolPlatform.start(FreePorts::next, Clock.system());
     callers = FreePorts.next();
     gateway = new GatewayFleet(platform.address()).start(callers, "host-1", "hall-m-1");
@@ -67,11 +44,7 @@
   void stopAll() throws Exception {
     gateway.shutdown();
     platform.close();
-    root((LoggerContext) LoggerFactory.getILoggerFactory()).detachAppender(log);
-  }
-
-  private static Logger root(LoggerContext context) {
-    return context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+    log.close();
   }
 
   private String answer(String database, String statement) throws IOException {
@@ -81,9 +54,7 @@
   }
 
   private String lastFailedRequest() {
-    return log.lines.stream()
-        .flatMap(text -> LogLine.parse(text).stream())
-        .filter(line -> line.event().equals("statement_failed"))
+    return log.events("statement_failed").stream()
         .reduce((earlier, later) -> later)
         .orElseThrow()
         .field("request");
@@ -91,7 +62,7 @@
 
   private String explain(String request) throws IOException {
     Path file = directory.resolve("host-1.log");
-    Files.writeString(file, String.join("", log.lines));
+    Files.writeString(file, String.join("", log.lines()));
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     PrintStream printed = new PrintStream(out, true, StandardCharsets.UTF_8);
     CtlMain.run(printed, printed, "explain", request, file.toString());
