Quotas: gateways take a token for each operation of a workspace with a rate

Cause: callers of a workspace could send any number of operations, on all hosts together.

Change: Quotas calls the keepers over the connections between hosts, answers QuotaCall on the peer connection's thread, logs quota_refused and quota_keeper_unanswered, counts tokens, and shows buckets and workspaces in /dump. ForwardingRunner takes a token before a single statement or the first statement of a transaction; BEGIN asks ahead. The settings quotaWindowSeconds, quotaOverrun and quotaSlack are optional.

Result: QuotaTest (three gateways), GatewayTest, HomesTest, GatewaySettingsTest, FieldReaderTest pass: 44 in standins, 2 in gateway, 3 in core. Not measured under full load.

--- a/core/src/main/java/org/sardinebay/internal/request/FinalAnswers.java
+++ b/core/src/main/java/org/sardinebay/internal/request/FinalAnswers.java
@@ -79,6 +79,18 @@
     return answer(ErrorCode.BUSY, "nothing was kept: this host is overloaded; retry in 500 ms");
   }
 
+  /**
+   * The workspace has used up its quota.
+   *
+   * @param retryAfterMillis when the caller should retry, in milliseconds
+   * @return the answer
+   */
+  public static RetryPolicy.Step.GiveUp quotaUsedUp(long retryAfterMillis) {
+    return answer(
+        ErrorCode.BUSY,
+        "not run: the quota of the workspace is used up; retry in " + retryAfterMillis + " ms");
+  }
+
   /**
    * No home of the service (a host with connections to its members) accepted the statement.
    *
--- a/core/src/main/java/org/sardinebay/record/FieldReader.java
+++ b/core/src/main/java/org/sardinebay/record/FieldReader.java
@@ -148,6 +148,28 @@
     return has(field) ? number(field, min, max) : fallback;
   }
 
+  /**
+   * Reads an optional number that may have a fraction.
+   *
+   * @param field its name
+   * @param min the minimum value allowed
+   * @param max the maximum value allowed
+   * @param fallback the value if the field is absent
+   * @return the number
+   */
+  public double decimal(String field, double min, double max, double fallback) {
+    known.add(field);
+    if (!has(field)) {
+      return fallback;
+    }
+    JsonNode value = node.path(field);
+    if (!value.isNumber() || !(value.doubleValue() >= min && value.doubleValue() <= max)) {
+      report(field, value, "a number from " + min + " to " + max);
+      return fallback;
+    }
+    return value.doubleValue();
+  }
+
   /**
    * Reads an optional boolean.
    *
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
@@ -211,6 +211,7 @@
         Optional.of(
             new Transaction(id, route.get(), service.get(), begin.readOnly(), clock.millis()));
     state = TransactionState.OPEN;
+    runner.onTransactionBegun(CallerAccess.of(services.table(), route.get(), key).workspace());
     succeed();
   }
 
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/HomeClient.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/HomeClient.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -14,6 +15,8 @@
 import org.sardinebay.net.peer.PeerClient;
 import org.sardinebay.net.peer.PeerResult;
 import org.sardinebay.net.peer.generated.Frame;
+import org.sardinebay.net.peer.generated.QuotaCall;
+import org.sardinebay.net.peer.generated.QuotaReply;
 import org.sardinebay.net.peer.generated.ReachCall;
 import org.sardinebay.net.peer.generated.StatementCall;
 import org.sardinebay.session.RegisteredHost;
@@ -127,6 +130,27 @@
                     && reply.frame().getReachReply().getReached()));
   }
 
+  /**
+   * Asks the host for tokens of a workspace's quota. An answer counts as a sign of life.
+   *
+   * @param call names the workspace and the number of tokens
+   * @param timeoutMillis how long the answer may take
+   * @param done receives the answer on the event loop's thread, empty if there is none; called once
+   */
+  public void requestTokens(
+      QuotaCall call, long timeoutMillis, Consumer<Optional<QuotaReply>> done) {
+    send(
+        Frame.newBuilder().setQuotaCall(call).build(),
+        timeoutMillis,
+        result -> {
+          updateState(result, () -> {});
+          done.accept(
+              result instanceof PeerResult.Reply reply && reply.frame().hasQuotaReply()
+                  ? Optional.of(reply.frame().getQuotaReply())
+                  : Optional.empty());
+        });
+  }
+
   private void send(StatementCall call, long timeoutMillis, Consumer<PeerResult> done) {
     send(Frame.newBuilder().setStatementCall(call).build(), timeoutMillis, done);
   }
@@ -154,6 +178,8 @@
     if (result instanceof PeerResult.Reply reply && reply.frame().hasStatementReply()) {
       liveness.onAnswer(now);
       leaving = reply.frame().getStatementReply().getLeaving();
+    } else if (result instanceof PeerResult.Reply reply && reply.frame().hasQuotaReply()) {
+      liveness.onAnswer(now);
     } else if (result instanceof PeerResult.NotSent) {
       liveness.onUnreachable();
     } else {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/Transaction.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/Transaction.java
@@ -31,6 +31,7 @@
   private final long startedAt;
   private Optional<Pin> pin = Optional.empty();
   private boolean wrote;
+  private boolean counted;
   private long lastUsedAt;
 
   /**
@@ -146,6 +147,20 @@
     return wrote;
   }
 
+  /** Records that the transaction was counted against the quota of its workspace. */
+  public void markCounted() {
+    counted = true;
+  }
+
+  /**
+   * Whether the transaction was counted against the quota of its workspace.
+   *
+   * @return true once its first statement has a token
+   */
+  public boolean counted() {
+    return counted;
+  }
+
   /**
    * Records that the transaction was used.
    *
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -7,7 +7,6 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
@@ -15,8 +14,6 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import org.sardinebay.Clock;
 import org.sardinebay.gateway.internal.connection.ConnectionPreparation;
 import org.sardinebay.gateway.internal.connection.HomeClient;
@@ -32,6 +29,7 @@
 import org.sardinebay.gateway.internal.version.Overflow;
 import org.sardinebay.gateway.internal.version.PeerReachability;
 import org.sardinebay.gateway.internal.version.PromotionCoordinator;
+import org.sardinebay.gateway.internal.version.Quotas;
 import org.sardinebay.gateway.internal.version.ServiceRuntime;
 import org.sardinebay.gateway.internal.version.Services;
 import org.sardinebay.gateway.internal.version.StoreFeeds;
@@ -53,6 +51,7 @@
 import org.sardinebay.net.http.Route;
 import org.sardinebay.net.peer.ConfigStoreAdapter;
 import org.sardinebay.net.peer.generated.Frame;
+import org.sardinebay.net.peer.generated.QuotaCall;
 import org.sardinebay.net.peer.generated.ReachCall;
 import org.sardinebay.platform.PlatformClient;
 import org.sardinebay.session.MemberProtocol;
@@ -83,9 +82,6 @@
   /** When the event loop has not ticked for this long, in milliseconds, it is considered stuck. */
   private static final long UNRESPONSIVE_MILLIS = 1_500;
 
-  /** How long a dump may wait for the event loop, in milliseconds; a stopped loop never answers. */
-  private static final long DUMP_TIMEOUT_MILLIS = 2_000;
-
   private static final int UNAVAILABLE = 503;
 
   private volatile GatewaySettings settings;
@@ -98,6 +94,7 @@
   private final Peers peers;
   private final Homes homes;
   private final Overflow overflow;
+  private final Quotas quotas;
   private final PeerReachability reachability;
   private final Set<ForwardedStatements> forwarded = new HashSet<>();
   private final PrometheusMeterRegistry registry =
@@ -146,6 +143,7 @@
             feeds::hosts,
             () -> new ForwardedStatements(forwardedContext),
             this::answerReach,
+            this::answerQuota,
             clock,
             registry);
     this.homes =
@@ -158,10 +156,11 @@
                 new HomeClient(
                     host, peers::client, loop, clock, () -> lag.recentMillis(clock.millis())));
     this.overflow = new Overflow(homes, clock);
+    this.quotas = newQuotas();
     this.reachability = new PeerReachability(services, homes, memberProtocol, loop, clock);
     StatementRunner runner =
         new ForwardingRunner(
-            new ForwardingRunner.Context(clock, log, homes, overflow, admission, local));
+            new ForwardingRunner.Context(clock, log, homes, overflow, admission, quotas, local));
     this.sessions = new Sessions(services, runner, new LineCallerProtocol(), memberProtocol, clock);
   }
 
@@ -182,6 +181,22 @@
     return reachability.answer(call);
   }
 
+  private Quotas newQuotas() {
+    return new Quotas(
+        settings.registeredHost(),
+        settings.quotaRule(),
+        settings.distances(),
+        services::table,
+        feeds::hosts,
+        homes,
+        clock,
+        registry);
+  }
+
+  private Frame answerQuota(QuotaCall call) {
+    return quotas.answer(call);
+  }
+
   private StatementRunContext runContext(MemberProtocol protocol, StatementLog log) {
     PreparedNames names = new PreparedNames();
     return new StatementRunContext(
@@ -243,8 +258,7 @@
         loop,
         settings.readiness(),
         List.of(new Route(HttpMethod.GET, PlatformKeys.READY_PATH, call -> readiness())));
-    List<Route> admin = new ArrayList<>(AdminRoutes.of(this, registry));
-    JsonHttpServer.serveOn(loop, settings.metrics(), admin);
+    JsonHttpServer.serveOn(loop, settings.metrics(), AdminRoutes.of(this, registry));
     metrics = new GatewayMetrics(services, sessions, storeEra, clock, registry);
     tick();
   }
@@ -306,17 +320,18 @@
     long now = clock.millis();
     admission.onTick(lag.onTick(now));
     tickedAt = now;
-    runGuarded("members", () -> feeds.tick(now));
-    runGuarded("homes", () -> homes.assignAll(services, now));
+    TickPart.run("members", () -> feeds.tick(now));
+    TickPart.run("homes", () -> homes.assignAll(services, now));
     for (ServiceRuntime service : List.copyOf(services.all())) {
-      runGuarded("service", () -> service.tick(now));
+      TickPart.run("service", () -> service.tick(now));
     }
-    runGuarded("homes", () -> homes.tick(now));
-    runGuarded("overflow", () -> overflow.tick(now));
-    runGuarded("forwarded", () -> tickForwarded(now));
-    runGuarded("metrics", () -> metrics.tick(now));
-    runGuarded("sessions", () -> sessions.tick(now));
-    runGuarded("promotions", () -> promotions.tick(now));
+    TickPart.run("homes", () -> homes.tick(now));
+    TickPart.run("quotas", () -> quotas.tick(now));
+    TickPart.run("overflow", () -> overflow.tick(now));
+    TickPart.run("forwarded", () -> tickForwarded(now));
+    TickPart.run("metrics", () -> metrics.tick(now));
+    TickPart.run("sessions", () -> sessions.tick(now));
+    TickPart.run("promotions", () -> promotions.tick(now));
   }
 
   private boolean responsive() {
@@ -328,35 +343,16 @@
     forwarded.removeIf(ForwardedStatements::isFinished);
   }
 
-  /**
-   * Runs one part of a tick. An exception in it must not prevent the other parts or later ticks.
-   */
-  private static void runGuarded(String part, Runnable task) {
-    try {
-      task.run();
-    } catch (RuntimeException e) {
-      LOG.atError().setMessage("tick_failed").addKeyValue("part", part).setCause(e).log();
-    }
-  }
-
   @Override
   public JsonNode dump() {
     if (loop.inReactorThread()) {
       return writeDump();
     }
-    CompletableFuture<JsonNode> dump = CompletableFuture.supplyAsync(this::writeDump, loop);
-    try {
-      return dump.get(DUMP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      return Json.newObject().put("problem", "interrupted");
-    } catch (ExecutionException | TimeoutException e) {
-      return Json.newObject().put("problem", e.toString());
-    }
+    return GatewayDump.await(CompletableFuture.supplyAsync(this::writeDump, loop));
   }
 
   private JsonNode writeDump() {
-    return GatewayDump.write(services, sessions, storeEra, feeds.hosts().size(), clock);
+    return GatewayDump.write(services, sessions, storeEra, feeds.hosts().size(), quotas, clock);
   }
 
   @Override
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewaySettings.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewaySettings.java
@@ -7,7 +7,9 @@
 import org.sardinebay.FailureDomain;
 import org.sardinebay.HostId;
 import org.sardinebay.internal.process.DomainDistances;
+import org.sardinebay.internal.version.QuotaRule;
 import org.sardinebay.record.FieldReader;
+import org.sardinebay.session.RegisteredHost;
 
 /**
  * The gateway's settings.
@@ -25,6 +27,7 @@
  * @param shutdownMillis maximum duration of a shutdown
  * @param balancerNoticesMillis how long the balancer may still send callers after the start of a
  *     shutdown
+ * @param quotaRule how far the operations of a workspace may exceed its limit
  */
 public record GatewaySettings(
     HostId host,
@@ -38,11 +41,16 @@
     Address store,
     Address promotions,
     long shutdownMillis,
-    long balancerNoticesMillis) {
+    long balancerNoticesMillis,
+    QuotaRule quotaRule) {
   private static final long MAX_SHUTDOWN_SECONDS = 3_600;
   private static final long MILLIS_PER_SECOND = 1_000;
   private static final int MAX_PORT = 65_535;
   private static final long MAX_BALANCER_NOTICES_MILLIS = 600_000;
+  private static final double MIN_QUOTA_WINDOW_SECONDS = 0.1;
+  private static final double MAX_QUOTA_WINDOW_SECONDS = 3_600;
+  private static final double MAX_QUOTA_OVERRUN = 10;
+  private static final double MAX_QUOTA_SLACK = 1_000_000;
 
   /** Enough for a balancer that checks readiness every second and needs two failed checks. */
   private static final long DEFAULT_BALANCER_NOTICES_MILLIS = 2_500;
@@ -66,7 +74,22 @@
             "balancerNoticesMillis",
             0,
             MAX_BALANCER_NOTICES_MILLIS,
-            DEFAULT_BALANCER_NOTICES_MILLIS));
+            DEFAULT_BALANCER_NOTICES_MILLIS),
+        quotaRule(reader));
+  }
+
+  private static QuotaRule quotaRule(FieldReader reader) {
+    QuotaRule fallback = QuotaRule.DEFAULT;
+    double windowSeconds =
+        reader.decimal(
+            "quotaWindowSeconds",
+            MIN_QUOTA_WINDOW_SECONDS,
+            MAX_QUOTA_WINDOW_SECONDS,
+            (double) fallback.windowMillis() / MILLIS_PER_SECOND);
+    return new QuotaRule(
+        Math.round(windowSeconds * MILLIS_PER_SECOND),
+        reader.decimal("quotaOverrun", 0, MAX_QUOTA_OVERRUN, fallback.overrun()),
+        reader.decimal("quotaSlack", 0, MAX_QUOTA_SLACK, fallback.slack()));
   }
 
   private static DomainDistances distances(FieldReader reader) {
@@ -82,6 +105,11 @@
     return new DomainDistances(regions);
   }
 
+  /** Returns the entry under which other hosts know this one. */
+  RegisteredHost registeredHost() {
+    return new RegisteredHost(host, failureDomain, peers);
+  }
+
   /** Returns these settings, with the values from newer ones that take effect without a restart. */
   GatewaySettings reloaded(GatewaySettings newer) {
     return new GatewaySettings(
@@ -96,7 +124,8 @@
         store,
         promotions,
         newer.shutdownMillis,
-        newer.balancerNoticesMillis);
+        newer.balancerNoticesMillis,
+        quotaRule);
   }
 
   static List<String> help() {
@@ -114,6 +143,9 @@
         "promotions       IP:PORT where the platform accepts promotion orders",
         "shutdownSeconds  maximum duration of a shutdown, in seconds *",
         "balancerNoticesMillis  how long the balancer may still send callers then; default 2500 *",
+        "quotaWindowSeconds     the window in which operations are counted; default 5",
+        "quotaOverrun           fraction by which a window's limit may be exceeded; default 0.1",
+        "quotaSlack             operations by which it may be exceeded in addition; default 20",
         "* reloaded on SIGHUP; the others need a restart");
   }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
@@ -25,6 +25,7 @@
 import org.sardinebay.net.peer.PeerHandler;
 import org.sardinebay.net.peer.PeerServer;
 import org.sardinebay.net.peer.generated.Frame;
+import org.sardinebay.net.peer.generated.QuotaCall;
 import org.sardinebay.net.peer.generated.ReachCall;
 import org.sardinebay.session.RegisteredHost;
 
@@ -41,6 +42,7 @@
   private final Supplier<List<RegisteredHost>> registered;
   private final Supplier<ForwardedStatements> statements;
   private final Function<ReachCall, CompletableFuture<Frame>> reachHandler;
+  private final Function<QuotaCall, Frame> quotaHandler;
   private final Clock clock;
   private final MeterRegistry registry;
   private final ScheduledExecutorService timer =
@@ -55,6 +57,7 @@
       Supplier<List<RegisteredHost>> registered,
       Supplier<ForwardedStatements> statements,
       Function<ReachCall, CompletableFuture<Frame>> reachHandler,
+      Function<QuotaCall, Frame> quotaHandler,
       Clock clock,
       MeterRegistry registry) {
     this.settings = settings;
@@ -63,6 +66,7 @@
     this.registered = registered;
     this.statements = statements;
     this.reachHandler = reachHandler;
+    this.quotaHandler = quotaHandler;
     this.clock = clock;
     this.registry = registry;
   }
@@ -74,7 +78,8 @@
     server =
         Optional.of(
             PeerServer.start(
-                settings.peers(), () -> new Connection(feedServer, statements, reachHandler)));
+                settings.peers(),
+                () -> new Connection(feedServer, statements, reachHandler, quotaHandler)));
     PeerClient peerClient = client();
     for (Nearness nearness : Nearness.values()) {
       new ConfigFeedClient(
@@ -132,15 +137,18 @@
     private final ConfigFeedServer feedServer;
     private final Supplier<ForwardedStatements> statements;
     private final Function<ReachCall, CompletableFuture<Frame>> reachHandler;
+    private final Function<QuotaCall, Frame> quotaHandler;
     private Optional<ForwardedStatements> forwarded = Optional.empty();
 
     private Connection(
         ConfigFeedServer feedServer,
         Supplier<ForwardedStatements> statements,
-        Function<ReachCall, CompletableFuture<Frame>> reachHandler) {
+        Function<ReachCall, CompletableFuture<Frame>> reachHandler,
+        Function<QuotaCall, Frame> quotaHandler) {
       this.feedServer = feedServer;
       this.statements = statements;
       this.reachHandler = reachHandler;
+      this.quotaHandler = quotaHandler;
     }
 
     @Override
@@ -151,6 +159,9 @@
       if (call.hasReachCall()) {
         return reachHandler.apply(call.getReachCall());
       }
+      if (call.hasQuotaCall()) {
+        return CompletableFuture.completedFuture(quotaHandler.apply(call.getQuotaCall()));
+      }
       if (!call.hasStatementCall()) {
         return CompletableFuture.failedFuture(
             new IllegalArgumentException("a gateway can't answer " + call.getBodyCase()));
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardingRunner.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardingRunner.java
@@ -3,11 +3,14 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.sardinebay.Clock;
+import org.sardinebay.WorkspaceId;
 import org.sardinebay.gateway.internal.connection.HomeClient;
 import org.sardinebay.gateway.internal.connection.SessionReply;
 import org.sardinebay.gateway.internal.connection.Transaction;
 import org.sardinebay.gateway.internal.version.Homes;
 import org.sardinebay.gateway.internal.version.Overflow;
+import org.sardinebay.gateway.internal.version.QuotaOutcome;
+import org.sardinebay.gateway.internal.version.Quotas;
 import org.sardinebay.gateway.internal.version.ServiceRuntime;
 import org.sardinebay.internal.request.AdmissionControl;
 import org.sardinebay.internal.request.FinalAnswers;
@@ -36,6 +39,7 @@
    * @param homes knows the homes of each service
    * @param overflow chooses hosts for statements that would have to wait here
    * @param admission decides whether this host takes on another statement
+   * @param quotas enforces the quotas of workspaces
    * @param local runs statements on this host's connections to members
    */
   public record Context(
@@ -44,6 +48,7 @@
       Homes homes,
       Overflow overflow,
       AdmissionControl admission,
+      Quotas quotas,
       StatementRunner local) {}
 
   /**
@@ -64,12 +69,56 @@
       Consumer<SessionReply> done) {
     Optional<Transaction.Pin> pin = transaction.flatMap(Transaction::pin);
     if (pin.isEmpty() && !context.admission().admits()) {
-      RetryPolicy.Step.GiveUp refusal = FinalAnswers.hostOverloaded();
-      SessionReply reply = new SessionReply.Failure(refusal.code(), refusal.text());
-      context.log().statementEnded(request, route, 0, request.arrivedAt(), reply);
-      done.accept(reply);
+      refuse(FinalAnswers.hostOverloaded(), request, route, done);
       return;
     }
+    Optional<WorkspaceId> toCount = request.workspace().filter(id -> startsOperation(transaction));
+    if (toCount.isEmpty()) {
+      start(request, transaction, service, route, done);
+      return;
+    }
+    context
+        .quotas()
+        .acquire(
+            toCount.get(),
+            request.id(),
+            outcome -> {
+              if (outcome instanceof QuotaOutcome.Refused refused) {
+                refuse(FinalAnswers.quotaUsedUp(refused.retryAfterMillis()), request, route, done);
+              } else {
+                transaction.ifPresent(Transaction::markCounted);
+                start(request, transaction, service, route, done);
+              }
+            });
+  }
+
+  @Override
+  public void onTransactionBegun(Optional<WorkspaceId> workspace) {
+    workspace.ifPresent(context.quotas()::onTransactionBegun);
+  }
+
+  /** An operation is a single statement or a whole transaction. */
+  private static boolean startsOperation(Optional<Transaction> transaction) {
+    return transaction.map(t -> t.pin().isEmpty() && !t.counted()).orElse(true);
+  }
+
+  private void refuse(
+      RetryPolicy.Step.GiveUp refusal,
+      StatementRequest request,
+      DatabaseRoute route,
+      Consumer<SessionReply> done) {
+    SessionReply reply = new SessionReply.Failure(refusal.code(), refusal.text());
+    context.log().statementEnded(request, route, 0, request.arrivedAt(), reply);
+    done.accept(reply);
+  }
+
+  private void start(
+      StatementRequest request,
+      Optional<Transaction> transaction,
+      ServiceRuntime service,
+      DatabaseRoute route,
+      Consumer<SessionReply> done) {
+    Optional<Transaction.Pin> pin = transaction.flatMap(Transaction::pin);
     boolean runsHere = pin.isPresent() ? !(pin.get() instanceof HomePin) : service.home();
     if (!runsHere) {
       forward(request, transaction, service, route, Optional.empty(), done);
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRunner.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRunner.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.sardinebay.WorkspaceId;
 import org.sardinebay.gateway.internal.connection.SessionReply;
 import org.sardinebay.gateway.internal.connection.Transaction;
 import org.sardinebay.gateway.internal.version.ServiceRuntime;
@@ -25,4 +26,11 @@
       ServiceRuntime service,
       DatabaseRoute route,
       Consumer<SessionReply> done);
+
+  /**
+   * A transaction began. Its first statement follows soon; what that needs may be prepared.
+   *
+   * @param workspace the workspace of the caller, empty if it has none
+   */
+  default void onTransactionBegun(Optional<WorkspaceId> workspace) {}
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/Homes.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/Homes.java
@@ -242,6 +242,23 @@
         .toList();
   }
 
+  /**
+   * Returns the client of another host.
+   *
+   * @param id the host
+   * @return the client, empty if the host is this one or is not registered
+   */
+  public Optional<HomeClient> client(HostId id) {
+    HomeClient known = clients.get(id);
+    if (known != null && !id.equals(self)) {
+      return Optional.of(known);
+    }
+    return hosts.get().stream()
+        .filter(host -> host.id().equals(id) && !id.equals(self))
+        .findFirst()
+        .map(this::client);
+  }
+
   /**
    * Probes hosts that do not respond, and removes those that are no longer registered.
    *
--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
@@ -36,6 +36,7 @@
   private final MetadataStore store;
   private final Address address;
   private final List<LineMember> members = new ArrayList<>();
+  private final ArrayNode workspaces = Json.newObject().putArray("tenants");
   private int version;
   private int maxConnections = MAX_CONNECTIONS;
 
@@ -80,6 +81,25 @@
     configure("strict", "aged", "own");
   }
 
+  /**
+   * Writes a configuration with one workspace.
+   *
+   * @param key the key of its callers
+   * @param operationsPerSecond its rate, which is also its burst
+   */
+  void limitWorkspace(String key, int operationsPerSecond) {
+    workspaces.removeAll();
+    workspaces
+        .addObject()
+        .put("name", "workspace-" + key)
+        .put("priority", 1)
+        .put("ratePerS", operationsPerSecond)
+        .put("burst", operationsPerSecond)
+        .putArray("apiKeys")
+        .add(key);
+    configure("strict", "aged", "own");
+  }
+
   /** Writes a configuration with the given databases, whose names determine the kind of route. */
   void configure(String... databases) {
     version += 3;
@@ -98,6 +118,9 @@
           .put("maxStalenessMs", MAX_STALENESS_MILLIS);
     }
     spec.putArray("backends").addObject().put("name", SERVICE).put("maxConns", maxConnections);
+    if (!workspaces.isEmpty()) {
+      spec.set("tenants", workspaces);
+    }
     spec.putObject("limits").put("txIdleMs", TIMEOUT_MILLIS);
     store.put("config", "main", spec);
   }
