--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
@@ -212,6 +212,7 @@
         Optional.of(
             new Transaction(id, route.get(), service.get(), begin.readOnly(), clock.millis()));
     state = TransactionState.OPEN;
+    runner.onTransactionBegun(workspace());
     succeed();
   }
 
