--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
@@ -41,7 +41,6 @@
   private final MetadataStore store;
   private final Address address;
   private final List<LineMember> members = new ArrayList<>();
-  private final ArrayNode workspaces = Json.newObject().putArray("tenants");
   private int version;
   private int maxConnections = MAX_CONNECTIONS;
   private Optional<List<PlatformWorkspace>> workspaces = Optional.empty();
@@ -94,15 +93,11 @@
    * @param operationsPerSecond its rate, which is also its burst
    */
   void limitWorkspace(String key, int operationsPerSecond) {
-    workspaces.removeAll();
-    workspaces
-        .addObject()
-        .put("name", "workspace-" + key)
-        .put("priority", 1)
-        .put("ratePerS", operationsPerSecond)
-        .put("burst", operationsPerSecond)
-        .putArray("apiKeys")
-        .add(key);
+    workspaces =
+        Optional.of(
+            List.of(
+                new PlatformWorkspace(
+                    "workspace-" + key, operationsPerSecond, operationsPerSecond, List.of(key))));
     configure("strict", "aged", "own");
   }
 
@@ -130,9 +125,6 @@
           entries.forEach(entry -> tenants.add(entry.toJson()));
         });
     spec.putArray("backends").addObject().put("name", SERVICE).put("maxConns", maxConnections);
-    if (!workspaces.isEmpty()) {
-      spec.set("tenants", workspaces);
-    }
     spec.putObject("limits").put("txIdleMs", TIMEOUT_MILLIS);
     store.put("config", "main", spec);
   }
