Large configurations are announced, fetched once and compressed between hosts

Cause: each version of the configuration travelled to each host three times, from the store and from two other hosts. With 1,400 routes a version has some 360 kB, 0.3 s of a link of 10 Mbit/s, and statements and probes waited behind it. Each watcher encoded the version again for each host, on the event loop.

Change: a changed large record is announced by an empty reply; the host then asks with its versions and gets only what it lacks. A message is encoded once for each version, on the timer's thread.

--- a/net/src/main/java/org/sardinebay/net/peer/ConfigFeedClient.java
+++ b/net/src/main/java/org/sardinebay/net/peer/ConfigFeedClient.java
@@ -116,6 +116,7 @@
         ConfigCall.newBuilder()
             .setProcess(process)
             .setDigest(store.digest())
+            .setAcceptsCompressed(true)
             .setWaitMillis(WAIT_MILLIS);
     if (sendVersions) {
       call.addAllApplied(FeedCodec.toMessages(store.versions()));
--- a/net/src/main/java/org/sardinebay/net/peer/ConfigFeedServer.java
+++ b/net/src/main/java/org/sardinebay/net/peer/ConfigFeedServer.java
@@ -27,7 +27,9 @@
  * <p>A call that lists record versions gets the newer records, and stays pending until one of them
  * is urgent or its wait expires. A call with only a digest stays pending while the digest equals
  * that of this store. A different digest gets an immediate reply without records, so that the
- * client lists its versions in the next call.
+ * client lists its versions in the next call. A change of a large record is announced to such a
+ * call in the same way: most clients have the record from another source by then, and nothing is
+ * sent twice over their link.
  */
 public final class ConfigFeedServer {
   /**
@@ -41,6 +43,7 @@
   private final ConfigFeedStore store;
   private final ScheduledExecutorService timer;
   private final Predicate<ObjectKey> urgent;
+  private final RecordEncoder encoder = new RecordEncoder();
   private final Set<PendingCall> pendingCalls = ConcurrentHashMap.newKeySet();
 
   /**
@@ -56,7 +59,8 @@
     this.store = store;
     this.timer = timer;
     this.urgent = urgent;
-    store.onChange(() -> pendingCalls.forEach(this::completeIfChanged));
+    // Encoding a large record must not hold up the thread that changed the store.
+    store.onChange(() -> timer.execute(() -> pendingCalls.forEach(this::completeIfChanged)));
   }
 
   /**
@@ -70,9 +74,11 @@
     boolean digestOnly = call.getAppliedCount() == 0 && call.getDigest() != 0;
     Map<ObjectKey, Long> applied = digestOnly ? store.versions() : FeedCodec.versions(call);
     if (digestOnly && call.getDigest() != store.digest()) {
-      return CompletableFuture.completedFuture(reply(List.of()));
+      return CompletableFuture.completedFuture(reply(List.of(), false));
     }
-    PendingCall pending = new PendingCall(applied, new CompletableFuture<>());
+    PendingCall pending =
+        new PendingCall(
+            applied, digestOnly, call.getAcceptsCompressed(), new CompletableFuture<>());
     pendingCalls.add(pending);
     completeIfChanged(pending);
     long waitMillis = Math.min(call.getWaitMillis(), MAX_WAIT_MILLIS);
@@ -94,14 +100,15 @@
 
   private void complete(PendingCall pending, List<PlatformObject> records) {
     pendingCalls.remove(pending);
-    pending.result.complete(reply(records));
+    boolean announce = pending.digestOnly && records.stream().anyMatch(encoder::large);
+    pending.result.complete(reply(announce ? List.of() : records, pending.acceptsCompressed));
   }
 
-  private static Frame reply(List<PlatformObject> records) {
+  private Frame reply(List<PlatformObject> records, boolean acceptsCompressed) {
     ConfigReply.Builder reply = ConfigReply.newBuilder();
     int bytes = 0;
     for (PlatformObject record : records) {
-      ConfigRecord message = FeedCodec.toMessage(record);
+      ConfigRecord message = encoder.encode(record, acceptsCompressed);
       bytes += message.getSerializedSize();
       if (bytes > MAX_REPLY_BYTES && reply.getRecordsCount() > 0) {
         break;
@@ -114,10 +121,18 @@
   /** A long-polling call without a reply so far. Compared by identity. */
   private static final class PendingCall {
     private final Map<ObjectKey, Long> applied;
+    private final boolean digestOnly;
+    private final boolean acceptsCompressed;
     private final CompletableFuture<Frame> result;
 
-    PendingCall(Map<ObjectKey, Long> applied, CompletableFuture<Frame> result) {
+    PendingCall(
+        Map<ObjectKey, Long> applied,
+        boolean digestOnly,
+        boolean acceptsCompressed,
+        CompletableFuture<Frame> result) {
       this.applied = applied;
+      this.digestOnly = digestOnly;
+      this.acceptsCompressed = acceptsCompressed;
       this.result = result;
     }
   }
--- a/net/src/main/java/org/sardinebay/net/peer/FeedCodec.java
+++ b/net/src/main/java/org/sardinebay/net/peer/FeedCodec.java
@@ -55,9 +55,9 @@
         .build();
   }
 
-  /** Returns empty if the body is not a JSON object or the version is out of range. */
+  /** Returns empty if the body can't be read as a JSON object or the version is out of range. */
   static Optional<PlatformObject> toObject(ConfigRecord message) {
-    Optional<JsonNode> body = Json.parse(message.getBody().toByteArray());
+    Optional<JsonNode> body = RecordEncoder.body(message).flatMap(Json::parse);
     if (body.isEmpty()
         || !(body.get() instanceof ObjectNode object)
         || message.getVersion() == 0
