Tests of member connections by workspace

Cause: nothing checked under whose name a member runs statements.

Change: the stand-in member records the START name of each statement, the stand-in platform writes workspaces with keys. WorkspaceConnectionsTest runs single statements, transactions, prepared statements, retries after a crash, forwarded statements and callers without a key, also with one connection to each member and with members that refuse with TOOMANY.

--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineCaller.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineCaller.java
@@ -26,8 +26,12 @@
   }
 
   static LineCaller open(Address gateway, String database) throws IOException {
+    return open(gateway, database, "test");
+  }
+
+  static LineCaller open(Address gateway, String database, String key) throws IOException {
     LineCaller caller = new LineCaller(gateway);
-    caller.send("START " + database + " test\r\n");
+    caller.send("START " + database + " " + key + "\r\n");
     String ready = caller.readLine();
     if (ready == null || !ready.startsWith("READY I")) {
       throw new IOException("session was not started: " + ready);
--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
@@ -8,8 +8,11 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -28,13 +31,17 @@
   private final String service;
   private final Address address;
   private final MemberGroup group;
-  private final int maxConnections;
+  private volatile int maxConnections;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private final Queue<Ran> ran = new ConcurrentLinkedQueue<>();
   private final AtomicInteger answersToLose = new AtomicInteger();
   private ServerSocket listener;
   private Future<?> acceptLoop;
   private ExecutorService threads;
 
+  /** A caller's statement that ran, and the second word of its connection's START message. */
+  record Ran(String user, String text) {}
+
   LineMember(String id, String service, Address address, MemberGroup group, int maxConnections) {
     this.id = id;
     this.service = service;
@@ -81,13 +88,14 @@
           new BufferedReader(
               new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
       Writer out = new OutputStreamWriter(socket.getOutputStream(), StandardCharsets.ISO_8859_1);
-      String refusal = refusal(in.readLine());
+      String start = in.readLine();
+      String refusal = refusal(start);
       if (!refusal.isEmpty()) {
         send(out, "ERR " + refusal + " " + id + "\r\n");
         return;
       }
       send(out, "READY I " + group.position(id) + "\r\n");
-      serveStatements(in, out, new LineMemberSession(id, group));
+      serveStatements(in, out, start.split(" ")[2], new LineMemberSession(id, group));
     } catch (IOException e) {
       // The peer closed the connection, which ends the session.
     } finally {
@@ -95,14 +103,17 @@
     }
   }
 
-  private void serveStatements(BufferedReader in, Writer out, LineMemberSession session)
-      throws IOException {
+  private void serveStatements(
+      BufferedReader in, Writer out, String user, LineMemberSession session) throws IOException {
     for (String line = in.readLine(); line != null; line = in.readLine()) {
       if (line.equals("BYE")) {
         return;
       }
       String[] parts = line.split(" ", 3);
       boolean controlStatement = parts[1].equals("-");
+      if (!controlStatement) {
+        ran.add(new Ran(user, parts[2]));
+      }
       String reply = session.run(parts[2], sockets.size());
       if (!controlStatement && answersToLose.get() > 0 && answersToLose.getAndDecrement() > 0) {
         continue;
@@ -130,6 +141,16 @@
     answersToLose.set(count);
   }
 
+  /** Returns the callers' statements that ran since the start, in order. */
+  List<Ran> ran() {
+    return List.copyOf(ran);
+  }
+
+  /** Changes how many connections are accepted; those that are open stay. */
+  void limitConnections(int limit) {
+    maxConnections = limit;
+  }
+
   int connections() {
     return sockets.size();
   }
--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
@@ -36,6 +36,7 @@
   private final MetadataStore store;
   private final Address address;
   private final List<LineMember> members = new ArrayList<>();
+  private List<String> workspaces = List.of();
   private int version;
   private int maxConnections = MAX_CONNECTIONS;
 
@@ -80,6 +81,15 @@
     configure("strict", "aged", "own");
   }
 
+  /**
+   * Writes a configuration with workspaces. The key of each is its name with "-key" added; the
+   * database "aged" is open to callers without a key.
+   */
+  void configureWorkspaces(String... names) {
+    workspaces = List.of(names);
+    configure("strict", "aged", "own");
+  }
+
   /** Writes a configuration with the given databases, whose names determine the kind of route. */
   void configure(String... databases) {
     version += 3;
@@ -95,7 +105,14 @@
           .put("targetLatencyMs", TIMEOUT_MILLIS)
           .put("priority", 1)
           .put("backend", SERVICE)
-          .put("maxStalenessMs", MAX_STALENESS_MILLIS);
+          .put("maxStalenessMs", MAX_STALENESS_MILLIS)
+          .put("public", database.equals("aged"));
+    }
+    if (!workspaces.isEmpty()) {
+      ArrayNode tenants = spec.putArray("tenants");
+      for (String name : workspaces) {
+        tenants.addObject().put("name", name).putArray("apiKeys").add(name + "-key");
+      }
     }
     spec.putArray("backends").addObject().put("name", SERVICE).put("maxConns", maxConnections);
     spec.putObject("limits").put("txIdleMs", TIMEOUT_MILLIS);
--- /dev/null
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/WorkspaceConnectionsTest.java
@@ -0,0 +1,225 @@
+package org.sardinebay.standins.impeller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.Address;
+import org.sardinebay.Clock;
+import org.sardinebay.net.RunningProcess;
+import org.sardinebay.standins.platform.FreePorts;
+
+/**
+ * Hosts, members and callers of several workspaces. Guards against statements that run on a
+ * connection of another workspace: the item that a statement names is the name of its workspace.
+ */
+class WorkspaceConnectionsTest {
+  private static final List<String> WORKSPACES = List.of("gozi", "wadi", "tarn");
+
+  private final List<RunningProcess> hosts = new ArrayList<>();
+  private LineProtocolPlatform platform;
+  private GatewayFleet fleet;
+
+  @BeforeEach
+  void startPlatform() throws IOException {
+    platform = LineProtocolPlatform.start(FreePorts::next, Clock.system());
+    platform.configureWorkspaces(WORKSPACES.toArray(String[]::new));
+    fleet = new GatewayFleet(platform.address());
+  }
+
+  @AfterEach
+  void stopAll() throws Exception {
+    hosts.parallelStream().forEach(RunningProcess::shutdown);
+    platform.close();
+  }
+
+  private Address startHost(String name) throws Exception {
+    Address callers = FreePorts.next();
+    hosts.add(fleet.start(callers, name, "hall-m-1"));
+    await(() -> query(callers, "gozi", "READ gozi").startsWith("ROW"));
+    return callers;
+  }
+
+  private void await(Callable<Boolean> condition) throws Exception {
+    GatewayFleet.await(
+        condition, () -> "dumps: " + hosts.stream().map(host -> host.dump().toString()).toList());
+  }
+
+  private static LineCaller open(Address host, String workspace) throws IOException {
+    return LineCaller.open(host, "strict", workspace + "-key");
+  }
+
+  private static String query(Address host, String workspace, String statement) throws IOException {
+    try (LineCaller caller = open(host, workspace)) {
+      return caller.query(statement).get(0);
+    }
+  }
+
+  private Stream<LineMember.Ran> ran() {
+    return IntStream.range(0, 3).mapToObj(platform::member).flatMap(m -> m.ran().stream());
+  }
+
+  private void assertUsersMatchItems() {
+    assertThat(ran().filter(ran -> ran.text().matches("(AFTER \\S+ )?(READ|WRITE|EXEC) .*")))
+        .isNotEmpty()
+        .allSatisfy(ran -> assertThat(ran.text().split(" ")).contains(ran.user()));
+  }
+
+  @Nested
+  class OneHost {
+    private Address host;
+
+    @BeforeEach
+    void start() throws Exception {
+      host = startHost("host-1");
+    }
+
+    @Test
+    void should_run_single_statements_and_transactions_for_their_workspace() throws Exception {
+      for (String workspace : WORKSPACES) {
+        try (LineCaller caller = open(host, workspace)) {
+          caller.query("WRITE " + workspace + " 1");
+          caller.query("BEGIN");
+          caller.query("WRITE " + workspace + " 2");
+          assertThat(caller.query("COMMIT").get(0)).startsWith("DONE");
+          assertThat(caller.query("READ " + workspace).get(0)).isEqualTo("ROW 2{}");
+        }
+      }
+      assertUsersMatchItems();
+      assertThat(ran().filter(ran -> ran.text().startsWith("COMMIT")).map(LineMember.Ran::user))
+          .containsExactlyInAnyOrderElementsOf(WORKSPACES);
+    }
+
+    @Test
+    void should_keep_prepared_statements_of_a_workspace_on_its_connections() throws Exception {
+      for (int i = 0; i < 3; i++) {
+        for (String workspace : WORKSPACES) {
+          try (LineCaller caller = open(host, workspace)) {
+            caller.query("PREPARE q READ shape1");
+            assertThat(caller.query("EXEC q " + workspace).get(0)).isEqualTo("ROW -{}");
+          }
+        }
+      }
+      assertUsersMatchItems();
+    }
+
+    @Test
+    void should_run_statements_for_their_workspace_after_a_member_has_crashed() throws Exception {
+      platform.member(0).crash();
+      for (String workspace : WORKSPACES) {
+        await(() -> query(host, workspace, "READ " + workspace).startsWith("ROW"));
+      }
+      assertUsersMatchItems();
+    }
+
+    @Test
+    void should_run_statements_without_a_key_in_the_name_of_the_host() throws Exception {
+      try (LineCaller caller = LineCaller.open(host, "aged", "unknown")) {
+        assertThat(caller.query("READ host-1").get(0)).isEqualTo("ROW -{}");
+      }
+      assertUsersMatchItems();
+    }
+  }
+
+  @Nested
+  class OneConnectionToEachMember {
+    private Address host;
+
+    @BeforeEach
+    void start() throws Exception {
+      platform.limitConnections(1);
+      host = startHost("host-1");
+    }
+
+    @Test
+    void should_alternate_between_workspaces() throws Exception {
+      try (LineCaller one = open(host, "gozi");
+          LineCaller other = open(host, "wadi")) {
+        for (int i = 0; i < 10; i++) {
+          assertThat(one.query("READ gozi").get(0)).isEqualTo("ROW -{}");
+          assertThat(other.query("READ wadi").get(0)).isEqualTo("ROW -{}");
+        }
+      }
+      assertUsersMatchItems();
+    }
+
+    @Test
+    void should_serve_callers_of_all_workspaces_at_the_same_time() throws Exception {
+      ExecutorService threads = Executors.newFixedThreadPool(WORKSPACES.size());
+      try {
+        List<Future<?>> callers = new ArrayList<>();
+        for (String workspace : WORKSPACES) {
+          callers.add(threads.submit(() -> readTwentyTimes(workspace)));
+        }
+        for (Future<?> caller : callers) {
+          caller.get();
+        }
+      } finally {
+        threads.shutdownNow();
+      }
+      assertUsersMatchItems();
+    }
+
+    private Void readTwentyTimes(String workspace) throws IOException {
+      try (LineCaller caller = open(host, workspace)) {
+        for (int i = 0; i < 20; i++) {
+          assertThat(caller.query("READ " + workspace).get(0)).isEqualTo("ROW -{}");
+        }
+      }
+      return null;
+    }
+
+    @Test
+    void should_not_replace_a_connection_that_a_transaction_holds() throws Exception {
+      try (LineCaller holder = open(host, "gozi")) {
+        holder.query("BEGIN");
+        holder.query("WRITE gozi 1");
+        assertThat(query(host, "wadi", "READ wadi")).startsWith("ERR BUSY");
+        assertThat(holder.query("COMMIT").get(0)).startsWith("DONE");
+      }
+      assertThat(query(host, "wadi", "READ wadi")).isEqualTo("ROW -{}");
+    }
+  }
+
+  /** Guards against a host that keeps idle connections of one workspace while others wait. */
+  @Test
+  void should_close_an_idle_connection_when_the_member_refuses_another() throws Exception {
+    Address host = startHost("host-1");
+    await(() -> platform.member(0).connections() > 0);
+    for (int i = 0; i < 3; i++) {
+      platform.member(i).limitConnections(platform.member(i).connections());
+    }
+    for (String workspace : WORKSPACES) {
+      await(() -> query(host, workspace, "READ " + workspace).startsWith("ROW"));
+    }
+    assertUsersMatchItems();
+  }
+
+  @Test
+  void should_run_forwarded_statements_for_their_workspace() throws Exception {
+    platform.limitConnections(4);
+    List<Address> callers = List.of(startHost("host-1"), startHost("host-2"));
+    for (Address host : callers) {
+      for (String workspace : WORKSPACES) {
+        await(() -> query(host, workspace, "READ " + workspace).startsWith("ROW"));
+        try (LineCaller caller = open(host, workspace)) {
+          caller.query("BEGIN");
+          caller.query("WRITE " + workspace + " 2");
+          assertThat(caller.query("COMMIT").get(0)).startsWith("DONE");
+        }
+      }
+    }
+    assertUsersMatchItems();
+  }
+}
