Workspaces without connections are served under overload

A pool beyond its fair share also closed all idle connections on one report of the member, which is up to 8 s old.

Change: a statement of a workspace without connections goes before the queue after 100 ms, one at a time for each service. A new connection is not replaced while its workspace waits for it. Closed connections count until the next report.

--- a/core/src/main/java/org/sardinebay/internal/connection/ConnectionOpening.java
+++ b/core/src/main/java/org/sardinebay/internal/connection/ConnectionOpening.java
@@ -134,4 +134,19 @@
   public static boolean starved(int serving, long waitedMillis) {
     return serving == 0 && waitedMillis >= STARVED_MILLIS;
   }
+
+  /**
+   * Whether a statement of a workspace without connections goes before the queue. Under overload
+   * the queue reaches a statement only shortly before its deadline, when there is no time left to
+   * open a connection, so that workspaces without one would get nothing. At most one connection of
+   * a service is opened this way at a time: opening them takes capacity from the others.
+   *
+   * @param serving the number of connections of the statement's workspace that serve it already
+   * @param waitedMillis how long the statement has waited, in milliseconds
+   * @param remainingMillis how long it may still wait, in milliseconds
+   * @return true if the statement is starved, and there is time to open a connection for it
+   */
+  public static boolean goesFirst(int serving, long waitedMillis, long remainingMillis) {
+    return starved(serving, waitedMillis) && remainingMillis >= STARVED_MILLIS;
+  }
 }
--- a/core/src/main/java/org/sardinebay/internal/connection/ConnectionQuota.java
+++ b/core/src/main/java/org/sardinebay/internal/connection/ConnectionQuota.java
@@ -47,6 +47,7 @@
   private int hosts = 1;
   private OptionalInt reportedByMember = OptionalInt.empty();
   private int openedSinceReport;
+  private int closedSinceReport;
   private OptionalLong refusedAt = OptionalLong.empty();
 
   /**
@@ -84,6 +85,7 @@
   public void onTotalReported(int connections) {
     reportedByMember = OptionalInt.of(connections);
     openedSinceReport = 0;
+    closedSinceReport = 0;
   }
 
   /** Records that this host opened a connection after the last report. */
@@ -91,9 +93,9 @@
     openedSinceReport++;
   }
 
-  /** Records that this host closed a connection in order to open another one in its place. */
+  /** Records that this host closed a connection after the last report, for other connections. */
   public void closed() {
-    openedSinceReport--;
+    closedSinceReport++;
   }
 
   /**
@@ -135,7 +137,8 @@
     if (reportedByMember.isEmpty()) {
       return own < MAX_BEFORE_FIRST_REPORT;
     }
-    int openConnections = reportedByMember.getAsInt() + openedSinceReport + opening;
+    int openConnections =
+        reportedByMember.getAsInt() + openedSinceReport + opening - closedSinceReport;
     boolean withinLimit =
         own < fairShare() ? openConnections < limit : openConnections < limit - hosts;
     return withinLimit && own < Math.max(1, limit * MAX_SHARE_PERCENT / PERCENT);
@@ -164,6 +167,8 @@
    *     share
    */
   public boolean shouldShrink(int own) {
-    return own > 1 && own > fairShare() && reportedByMember.orElse(0) >= limit - hosts;
+    return own > 1
+        && own > fairShare()
+        && reportedByMember.orElse(0) - closedSinceReport >= limit - hosts;
   }
 }
--- a/core/src/main/java/org/sardinebay/internal/connection/IdleConnections.java
+++ b/core/src/main/java/org/sardinebay/internal/connection/IdleConnections.java
@@ -29,10 +29,22 @@
    *
    * @param connection the connection
    * @param workspace the workspace that it was started for, empty if it carries the host's name
-   * @param usedAt when it was last used by a statement, in milliseconds
+   * @param usedAt when it was last used by a statement, or opened, in milliseconds
+   * @param hasServed whether a statement has used it
    * @param <C> the type of the connection
    */
-  public record Idle<C>(C connection, Optional<WorkspaceId> workspace, long usedAt) {}
+  public record Idle<C>(
+      C connection, Optional<WorkspaceId> workspace, long usedAt, boolean hasServed) {}
+
+  /**
+   * The claim of a workspace to a connection.
+   *
+   * @param workspace the workspace that needs a connection
+   * @param awaited whether statements of a workspace wait for a connection
+   * @param starved whether the workspace has no connection and has waited for long
+   */
+  public record Claim(
+      Optional<WorkspaceId> workspace, Predicate<Optional<WorkspaceId>> awaited, boolean starved) {}
 
   /**
    * Adds a connection that a statement has just used.
@@ -42,7 +54,18 @@
    * @param now the current time in milliseconds
    */
   public void add(C connection, Optional<WorkspaceId> workspace, long now) {
-    newestFirst.addFirst(new Idle<>(connection, workspace, now));
+    newestFirst.addFirst(new Idle<>(connection, workspace, now, true));
+  }
+
+  /**
+   * Adds a connection that was just opened.
+   *
+   * @param connection the connection
+   * @param workspace the workspace that it was started for
+   * @param now the current time in milliseconds
+   */
+  public void addNew(C connection, Optional<WorkspaceId> workspace, long now) {
+    newestFirst.addFirst(new Idle<>(connection, workspace, now, false));
   }
 
   /**
@@ -105,18 +128,20 @@
 
   /**
    * Returns the connection to close so that one of another workspace can be opened in its place:
-   * the least recently used one of those that are not awaited.
+   * the least recently used one of those that are not awaited. A starved workspace may also take an
+   * awaited one, unless it is new: the workspace that it was opened for would not get a statement
+   * through.
    *
-   * @param workspace the workspace that needs a connection
-   * @param awaited whether statements of a workspace wait for a connection
+   * @param claim the workspace that needs a connection
    * @return the connection, empty if none may be replaced
    */
-  public Optional<C> replaceable(
-      Optional<WorkspaceId> workspace, Predicate<Optional<WorkspaceId>> awaited) {
+  public Optional<C> replaceable(Claim claim) {
     Iterator<Idle<C>> oldestFirst = newestFirst.descendingIterator();
     while (oldestFirst.hasNext()) {
       Idle<C> idle = oldestFirst.next();
-      if (!idle.workspace().equals(workspace) && !awaited.test(idle.workspace())) {
+      boolean kept =
+          claim.awaited().test(idle.workspace()) && !(claim.starved() && idle.hasServed());
+      if (!idle.workspace().equals(claim.workspace()) && !kept) {
         return Optional.of(idle.connection());
       }
     }
--- a/core/src/test/java/org/sardinebay/internal/connection/ConnectionQuotaTest.java
+++ b/core/src/test/java/org/sardinebay/internal/connection/ConnectionQuotaTest.java
@@ -76,4 +76,23 @@
     assertThat(quota.shouldShrink(5)).isTrue();
     assertThat(quota.shouldShrink(3)).isFalse();
   }
+
+  /** Guards against a host that closes all its connections beyond the share on one old report. */
+  @Test
+  void should_shrink_only_until_the_closed_connections_suffice() {
+    quota.hosts(6);
+    quota.onTotalReported(16);
+    assertThat(quota.shouldShrink(8)).isTrue();
+    quota.closed();
+    quota.closed();
+
+    assertThat(quota.shouldShrink(6)).isFalse();
+  }
+
+  @Test
+  void should_count_connections_that_are_being_opened() {
+    quota.onTotalReported(LIMIT - 3);
+    assertThat(quota.mayOpen(1, 1, 0)).isTrue();
+    assertThat(quota.mayOpen(1, 3, 0)).isFalse();
+  }
 }
--- a/core/src/test/java/org/sardinebay/internal/connection/IdleConnectionsTest.java
+++ b/core/src/test/java/org/sardinebay/internal/connection/IdleConnectionsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -15,6 +16,11 @@
 
   private final IdleConnections<String> idle = new IdleConnections<>();
 
+  private static IdleConnections.Claim claim(
+      Optional<WorkspaceId> workspace, Predicate<Optional<WorkspaceId>> awaited, boolean starved) {
+    return new IdleConnections.Claim(workspace, awaited, starved);
+  }
+
   @BeforeEach
   void addConnections() {
     idle.add("host-old", NONE, 1);
@@ -53,14 +59,14 @@
   class Replacing {
     @Test
     void should_choose_the_least_recently_used_of_another_workspace() {
-      assertThat(idle.replaceable(NONE, awaited -> false)).contains("wadi");
-      assertThat(idle.replaceable(GOZI, awaited -> false)).contains("host-old");
+      assertThat(idle.replaceable(claim(NONE, awaited -> false, false))).contains("wadi");
+      assertThat(idle.replaceable(claim(GOZI, awaited -> false, false))).contains("host-old");
     }
 
     @Test
     void should_not_choose_a_connection_that_statements_wait_for() {
-      assertThat(idle.replaceable(GOZI, NONE::equals)).contains("wadi");
-      assertThat(idle.replaceable(GOZI, awaited -> true)).isEmpty();
+      assertThat(idle.replaceable(claim(GOZI, NONE::equals, false))).contains("wadi");
+      assertThat(idle.replaceable(claim(GOZI, awaited -> true, false))).isEmpty();
     }
 
     @Test
@@ -68,7 +74,17 @@
       IdleConnections.Idle<String> taken = idle.takeOldest().orElseThrow();
       idle.addUnused(taken);
 
-      assertThat(idle.replaceable(GOZI, awaited -> false)).contains("host-old");
+      assertThat(idle.replaceable(claim(GOZI, awaited -> false, false))).contains("host-old");
+    }
+
+    /** Guards against workspaces that take each other's connections before a statement ran. */
+    @Test
+    void should_not_choose_a_new_connection_even_for_a_starved_workspace() {
+      IdleConnections<String> few = new IdleConnections<>();
+      few.addNew("new", WADI, 1);
+      assertThat(few.replaceable(claim(GOZI, WADI::equals, true))).isEmpty();
+      few.add("used", WADI, 2);
+      assertThat(few.replaceable(claim(GOZI, WADI::equals, true))).contains("used");
     }
   }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
 import org.sardinebay.Clock;
 import org.sardinebay.HostId;
 import org.sardinebay.WorkspaceId;
@@ -33,42 +32,18 @@
 public final class MemberPool {
   private static final Logger LOG = LoggerFactory.getLogger(MemberPool.class);
 
-  /**
-   * When a member has sent no line for this long while an answer is pending, in milliseconds, a new
-   * connection is opened as a probe. Longer than the execution of the longest statements.
-   */
-  private static final long SILENCE_MILLIS = 350;
-
   /** Delay before another connection is opened after a failure, in milliseconds. */
   private static final long REOPEN_DELAY_MILLIS = 150;
 
-  /** Receives the events of a pool. */
-  public interface Listener {
-    /**
-     * Called when a connection became idle, so that waiting statements may be placed.
-     *
-     * @param pool the pool
-     */
-    void onConnectionIdle(MemberPool pool);
-
-    /**
-     * Called when a connection could not be opened, and by {@link MemberPool#reportLoss}.
-     *
-     * @param pool the pool
-     * @param cause the cause of the loss
-     */
-    void onLost(MemberPool pool, LossCause cause);
-  }
-
   private final Clock clock;
-  private final Listener listener;
+  private final MemberPoolListener listener;
   private final ConnectionQuota quota;
   private final IdleConnections<MemberConnection> idle = new IdleConnections<>();
   private final Set<MemberConnection> connections = new HashSet<>();
   private final ConnectionOpener opener;
   private MemberEntry entry;
   private long reopenAt = Long.MIN_VALUE;
-  private long lastLineAt;
+  private final MemberSilence silence = new MemberSilence();
   private boolean closed;
 
   /**
@@ -89,7 +64,7 @@
       MemberProtocol protocol,
       MemberEntry entry,
       ConnectionQuota quota,
-      Listener listener) {
+      MemberPoolListener listener) {
     this.clock = clock;
     this.entry = entry;
     this.quota = quota;
@@ -152,14 +127,6 @@
         .map(taken -> new ControlConnection(taken.connection(), () -> releaseUnused(taken)));
   }
 
-  /**
-   * A connection that was acquired for a control statement.
-   *
-   * @param connection the connection
-   * @param release returns it to the pool
-   */
-  public record ControlConnection(MemberConnection connection, Runnable release) {}
-
   private boolean servesWorkspaces() {
     return connections.stream().anyMatch(connection -> connection.workspace().isPresent());
   }
@@ -235,14 +202,12 @@
   /**
    * Whether an idle connection of another workspace may be replaced now.
    *
-   * @param workspace the workspace that needs a connection
-   * @param awaited whether statements of a workspace wait for a connection
+   * @param claim the workspace that needs a connection
    * @param maxOpening the number of connections that may be in the process of opening at a time
    * @return true if {@link #replace} would open a connection
    */
-  public boolean mayReplace(
-      Optional<WorkspaceId> workspace, Predicate<Optional<WorkspaceId>> awaited, int maxOpening) {
-    return mayConnect(maxOpening) && idle.replaceable(workspace, awaited).isPresent();
+  public boolean mayReplace(IdleConnections.Claim claim, int maxOpening) {
+    return mayConnect(maxOpening) && idle.replaceable(claim).isPresent();
   }
 
   /**
@@ -286,13 +251,12 @@
    * @return the time in milliseconds
    */
   public long silenceMillis(long now) {
-    return now - lastLineAt;
+    return silence.millis(now);
   }
 
   /**
-   * Opens a connection that carries this host's name, if permitted. The listener is notified when
-   * the connection is idle, or if it could not be opened, but not if the member refused the
-   * session.
+   * Opens a connection that carries this host's name, if permitted. The listener learns when it is
+   * idle or could not be opened, but not if the member refused the session.
    */
   public void open() {
     if (mayOpen(1)) {
@@ -314,15 +278,13 @@
    * Closes the least recently used idle connection of another workspace and opens one in its place;
    * {@link #mayReplace} must permit it.
    *
-   * @param workspace the workspace that needs a connection
-   * @param awaited whether statements of a workspace wait for a connection
+   * @param claim the workspace that needs a connection
    * @return the connection that is being opened
    */
-  public Opening replace(
-      Optional<WorkspaceId> workspace, Predicate<Optional<WorkspaceId>> awaited) {
-    idle.replaceable(workspace, awaited).orElseThrow().abort(LossCause.DISCARDED);
+  public Opening replace(IdleConnections.Claim claim) {
+    idle.replaceable(claim).orElseThrow().abort(LossCause.DISCARDED);
     quota.closed();
-    return opener.open(entry, workspace);
+    return opener.open(entry, claim.workspace());
   }
 
   /** Receives the events of the connections that are opened, and the end of all. */
@@ -335,7 +297,10 @@
     @Override
     public void onEstablished(MemberConnection connection) {
       quota.opened();
-      release(connection);
+      if (mayBeReused(connection)) {
+        idle.addNew(connection, connection.workspace(), clock.millis());
+        listener.onConnectionIdle(MemberPool.this);
+      }
     }
 
     @Override
@@ -362,7 +327,7 @@
 
     @Override
     public void onLineReceived() {
-      lastLineAt = clock.millis();
+      silence.onLine(clock.millis());
     }
 
     @Override
@@ -377,11 +342,9 @@
    * unreachable and not merely slow.
    */
   private void probeIfSilent(List<MemberConnection> snapshot, long now) {
-    boolean silent =
-        now - lastLineAt >= SILENCE_MILLIS
-            && snapshot.stream()
-                .anyMatch(connection -> connection.pendingMillis(now) >= SILENCE_MILLIS);
-    if (silent && opener.count() == 0 && now >= reopenAt) {
+    long pendingMillis =
+        snapshot.stream().mapToLong(connection -> connection.pendingMillis(now)).max().orElse(0);
+    if (silence.needsProbe(pendingMillis, now) && opener.count() == 0 && now >= reopenAt) {
       opener.open(entry, Optional.empty());
     }
   }
@@ -408,8 +371,17 @@
     if (quota.shouldShrink(connections.size()) && idle.size() > 1) {
       idle.oldest()
           .filter(oldest -> now - oldest.usedAt() >= ConnectionQuota.IDLE_BEFORE_SHRINK_MILLIS)
-          .ifPresent(oldest -> oldest.connection().abort(LossCause.DISCARDED));
+          .ifPresent(this::closeOldest);
+    }
+  }
+
+  private void closeOldest(IdleConnections.Idle<MemberConnection> oldest) {
+    if (servesWorkspaces()) {
+      // The member reports its total only every 8 s. Without this count, all connections beyond the
+      // fair share would be closed in the meantime, and with them those that workspaces reuse.
+      quota.closed();
     }
+    oldest.connection().abort(LossCause.DISCARDED);
   }
 
   /**
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -18,6 +18,7 @@
 import org.sardinebay.WorkspaceId;
 import org.sardinebay.gateway.internal.connection.LossCause;
 import org.sardinebay.gateway.internal.connection.MemberPool;
+import org.sardinebay.gateway.internal.connection.MemberPoolListener;
 import org.sardinebay.gateway.internal.request.PlacementRequest;
 import org.sardinebay.internal.connection.ConnectionQuota;
 import org.sardinebay.internal.process.DomainDistances;
@@ -39,7 +40,7 @@
  * runtime.tick(now);
  * }</pre>
  */
-public final class ServiceRuntime implements MemberPool.Listener {
+public final class ServiceRuntime implements MemberPoolListener {
   private static final Logger LOG = LoggerFactory.getLogger(ServiceRuntime.class);
 
   /**
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatementPlacer.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatementPlacer.java
@@ -1,12 +1,12 @@
 package org.sardinebay.gateway.internal.version;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
-import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import org.sardinebay.Clock;
 import org.sardinebay.MemberId;
@@ -16,6 +16,7 @@
 import org.sardinebay.gateway.internal.connection.Opening;
 import org.sardinebay.gateway.internal.request.PlacementRequest;
 import org.sardinebay.internal.connection.ConnectionOpening;
+import org.sardinebay.internal.connection.IdleConnections;
 import org.sardinebay.internal.request.DispatchPass;
 import org.sardinebay.internal.request.Placement;
 import org.sardinebay.internal.request.PlacementCandidate;
@@ -42,6 +43,7 @@
   private final StatementQueue<PlacementRequest> waiting = new StatementQueue<>();
   private final Map<PlacementRequest, Wait> waits = new HashMap<>();
   private final Map<Optional<WorkspaceId>, Integer> waitingByWorkspace = new HashMap<>();
+  private Optional<Wait> starvedWait = Optional.empty();
   private boolean workspacesInForce;
   private boolean dispatching;
   private long replaced;
@@ -172,8 +174,7 @@
       wait.opening = Optional.of(pool.open(request.workspace()));
     } else if (decision == ConnectionOpening.Decision.REPLACE) {
       replaced++;
-      wait.opening =
-          Optional.of(pool.replace(request.workspace(), awaited(pool, request, wait, now)));
+      wait.opening = Optional.of(pool.replace(claim(pool, request, wait, now)));
     }
   }
 
@@ -196,16 +197,16 @@
         new ConnectionOpening.Supply(
             pool.serving(workspace),
             pool.mayOpen(maxOpening()),
-            pool.mayReplace(workspace, awaited(pool, request, wait, now), maxOpening()),
+            pool.mayReplace(claim(pool, request, wait, now), maxOpening()),
             ConnectionOpening.openMillis(roundTripMillis(pool))));
   }
 
-  /** Whether statements of another workspace wait for its connections, which are then kept. */
-  private Predicate<Optional<WorkspaceId>> awaited(
+  private IdleConnections.Claim claim(
       MemberPool pool, PlacementRequest request, Wait wait, long now) {
-    boolean starved =
-        ConnectionOpening.starved(pool.serving(request.workspace()), now - wait.since);
-    return workspace -> !starved && waitingByWorkspace.containsKey(workspace);
+    return new IdleConnections.Claim(
+        request.workspace(),
+        waitingByWorkspace::containsKey,
+        ConnectionOpening.starved(pool.serving(request.workspace()), now - wait.since));
   }
 
   private int maxOpening() {
@@ -260,6 +261,7 @@
     }
     dispatching = true;
     try {
+      placeStarved();
       DispatchPass pass = new DispatchPass(this::freeCapacity);
       waiting.dispatch(
           request -> pass.test(request.primaryOnly(), () -> tryPlace(request, waits.get(request))));
@@ -268,6 +270,32 @@
     }
   }
 
+  /** Opens a connection for a workspace that has none and waits for long, before all others. */
+  private void placeStarved() {
+    boolean idle = pools.values().stream().anyMatch(MemberPool::hasIdle);
+    if (!workspacesInForce || !idle || starvedWait.filter(Wait::opens).isPresent()) {
+      return;
+    }
+    long now = clock.millis();
+    waits.entrySet().stream()
+        .filter(entry -> !entry.getValue().opens() && goesFirst(entry, now))
+        .min(Comparator.comparingLong(entry -> entry.getValue().since))
+        .ifPresent(
+            entry -> {
+              starvedWait = Optional.of(entry.getValue());
+              chooseForWorkspace(
+                  entry.getKey(), entry.getKey().requirement(), entry.getValue(), now);
+            });
+  }
+
+  private boolean goesFirst(Map.Entry<PlacementRequest, Wait> waiter, long now) {
+    PlacementRequest request = waiter.getKey();
+    long waited = now - waiter.getValue().since;
+    long remaining = request.placementDeadline() - now;
+    return ConnectionOpening.goesFirst(0, waited, remaining)
+        && pools.values().stream().allMatch(pool -> pool.serving(request.workspace()) == 0);
+  }
+
   private DispatchPass.Capacity freeCapacity() {
     long now = clock.millis();
     boolean primary = false;
@@ -325,6 +353,7 @@
    */
   boolean hasCapacity(boolean primaryOnly, Optional<WorkspaceId> workspace) {
     long now = clock.millis();
+    IdleConnections.Claim claim = new IdleConnections.Claim(workspace, other -> false, false);
     return waiting.size() == 0
         && view.members().stream()
             .filter(member -> !member.unreachable())
@@ -334,6 +363,6 @@
                 pool ->
                     pool.hasIdle(workspace)
                         || pool.mayOpen(maxOpening())
-                        || pool.mayReplace(workspace, other -> false, maxOpening()));
+                        || pool.mayReplace(claim, maxOpening()));
   }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatusPoller.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatusPoller.java
@@ -8,6 +8,7 @@
 import java.util.function.ToLongFunction;
 import org.sardinebay.Clock;
 import org.sardinebay.MemberId;
+import org.sardinebay.gateway.internal.connection.ControlConnection;
 import org.sardinebay.gateway.internal.connection.MemberAnswer;
 import org.sardinebay.gateway.internal.connection.MemberPool;
 import org.sardinebay.internal.version.MemberView;
@@ -123,7 +124,7 @@
 
   /** Sends a control statement; the member replies with its status. */
   void sendControl(MemberPool pool, String text, Consumer<Optional<MemberStatus>> done) {
-    Optional<MemberPool.ControlConnection> acquired = pool.acquireForControl();
+    Optional<ControlConnection> acquired = pool.acquireForControl();
     if (acquired.isEmpty()) {
       done.accept(Optional.empty());
       return;
