A workspace prefers the same home host

Cause: each host chose among the home hosts of a failure domain by itself, so the connections of a workspace were opened at every home. Each home also kept its fair share of connections to every member, wherever that member is.

Change: WorkspaceHomes orders the homes of a failure domain by a rendezvous hash of service and workspace. The few workspaces with a tenth of a host's statements go to the home to which that host has sent least, so that the loads of the homes stay close. Statements that need the primary go to a home in the primary's failure domain, also from homes elsewhere, if not every host connects. Where workspaces are in force, connections unused for 5 s are closed while few remain, so that homes keep those that they use. Without workspaces nothing changes.

--- a/core/src/main/java/org/sardinebay/internal/connection/ConnectionQuota.java
+++ b/core/src/main/java/org/sardinebay/internal/connection/ConnectionQuota.java
@@ -20,6 +20,13 @@
    */
   public static final long IDLE_BEFORE_SHRINK_MILLIS = 1_000;
 
+  /**
+   * How long a connection of a workspace stays idle while few connections remain, in milliseconds.
+   * A home with 28 statements a second and 25 connections replaces the least recently used one
+   * after about this time.
+   */
+  private static final long WORKSPACE_IDLE_MILLIS = 5_000;
+
   /**
    * Connections left out of the fair shares, for connections that hosts open concurrently. Beyond
    * its fair share, a host also leaves one connection free for each host.
@@ -167,8 +174,32 @@
    *     share
    */
   public boolean shouldShrink(int own) {
-    return own > 1
-        && own > fairShare()
-        && reportedByMember.orElse(0) - closedSinceReport >= limit - hosts;
+    return own > 1 && own > fairShare() && remaining() <= hosts;
+  }
+
+  private int remaining() {
+    return limit - (reportedByMember.orElse(0) - closedSinceReport);
+  }
+
+  /**
+   * Returns how long a connection may stay idle before it is closed for other hosts: without
+   * workspaces, for a short time while {@link #shouldShrink}. With workspaces, connections that one
+   * host keeps for rare workspaces are better used by a host that serves many statements, so each
+   * host keeps those that it has used recently, and not a fixed share.
+   *
+   * @param own the number of connections of this host
+   * @param ofWorkspaces whether connections are bound to workspaces
+   * @return the time in milliseconds, empty while there are enough connections for all hosts
+   */
+  public OptionalLong maxIdleMillis(int own, boolean ofWorkspaces) {
+    if (own <= 1 || remaining() > hosts) {
+      return OptionalLong.empty();
+    }
+    if (!ofWorkspaces) {
+      return shouldShrink(own) ? OptionalLong.of(IDLE_BEFORE_SHRINK_MILLIS) : OptionalLong.empty();
+    }
+    boolean othersLackConnections = own > fairShare() && remaining() <= RESERVE;
+    return OptionalLong.of(
+        othersLackConnections ? IDLE_BEFORE_SHRINK_MILLIS : WORKSPACE_IDLE_MILLIS);
   }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardedRun.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardedRun.java
@@ -84,14 +84,26 @@
   private Optional<HomeClient> choose() {
     return offeredTo.isPresent()
         ? offeredTo.filter(client -> attempts == 0)
-        : homes.choose(service, excluded, clock.millis()).or(this::chooseAmongDeclined);
+        : chooseHome().or(this::chooseAmongDeclined);
   }
 
   /** Returns the home where the statement waits for a primary, since no home has a usable one. */
   private Optional<HomeClient> chooseAmongDeclined() {
     excluded.removeAll(declined);
     mayDecline = false;
-    return homes.choose(service, excluded, clock.millis());
+    return chooseHome();
+  }
+
+  private Optional<HomeClient> chooseHome() {
+    long now = clock.millis();
+    return request.workspace().isEmpty()
+        ? homes.choose(service, excluded, now)
+        : homes.chooseForWorkspace(
+            service,
+            request.workspace().get(),
+            ForwardingRunner.needsPrimary(request, transaction, route),
+            excluded,
+            now);
   }
 
   private Optional<HomePin> pinned() {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardingRunner.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardingRunner.java
@@ -70,7 +70,10 @@
       done.accept(reply);
       return;
     }
-    boolean runsHere = pin.isPresent() ? !(pin.get() instanceof HomePin) : service.home();
+    boolean runsHere =
+        pin.isPresent()
+            ? !(pin.get() instanceof HomePin)
+            : service.home() && !runsNearPrimary(request, transaction, service, route);
     if (!runsHere) {
       forward(request, transaction, service, route, Optional.empty(), done);
       return;
@@ -86,6 +89,17 @@
     }
   }
 
+  /** Whether the statement should use the connections of a home near the primary. */
+  private boolean runsNearPrimary(
+      StatementRequest request,
+      Optional<Transaction> transaction,
+      ServiceRuntime service,
+      DatabaseRoute route) {
+    return request.workspace().isPresent()
+        && needsPrimary(request, transaction, route)
+        && context.homes().otherHomeNearPrimary(service);
+  }
+
   private void forward(
       StatementRequest request,
       Optional<Transaction> transaction,
@@ -98,7 +112,7 @@
         .start();
   }
 
-  private static boolean needsPrimary(
+  static boolean needsPrimary(
       StatementRequest request, Optional<Transaction> transaction, DatabaseRoute route) {
     boolean readsOnly = transaction.map(Transaction::readOnly).orElse(!request.writes());
     return route.kind() == RouteKind.PRIMARY || !readsOnly;
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/Homes.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/Homes.java
@@ -13,11 +13,13 @@
 import java.util.function.Supplier;
 import org.sardinebay.FailureDomain;
 import org.sardinebay.HostId;
+import org.sardinebay.WorkspaceId;
 import org.sardinebay.gateway.internal.connection.HomeClient;
 import org.sardinebay.internal.process.DomainDistances;
 import org.sardinebay.internal.version.PrimaryAbsence;
 import org.sardinebay.internal.version.RendezvousOrder;
 import org.sardinebay.internal.version.ServiceHomes;
+import org.sardinebay.internal.version.WorkspaceHomes;
 import org.sardinebay.session.RegisteredHost;
 
 /**
@@ -46,6 +48,7 @@
   private final Function<RegisteredHost, HomeClient> clientFactory;
   private final Map<HostId, HomeClient> clients = new HashMap<>();
   private final Map<String, Ranking> rankings = new HashMap<>();
+  private final WorkspaceHomes workspaceHomes = new WorkspaceHomes();
   private final PrimaryAbsence primaryAbsence = new PrimaryAbsence();
   private Collection<RegisteredHost> knownHosts = List.of();
   private OptionalLong firstAssignedAt = OptionalLong.empty();
@@ -199,6 +202,61 @@
         .map(this::client);
   }
 
+  /**
+   * Chooses a home for a statement of a workspace. A statement that only the primary can run goes
+   * to a home in the primary's failure domain: the way is as long as by a near home, but a new
+   * connection is opened without a round trip to another region, and the members' connections are
+   * spread over fewer homes.
+   *
+   * @param service the service
+   * @param workspace the workspace
+   * @param needsPrimary whether only the primary can run the statement
+   * @param excluded hosts that the statement must not be sent to
+   * @param now the current time by this host's clock, in milliseconds
+   * @return the home, empty if no usable home is known
+   */
+  public Optional<HomeClient> chooseForWorkspace(
+      ServiceRuntime service,
+      WorkspaceId workspace,
+      boolean needsPrimary,
+      Set<HostId> excluded,
+      long now) {
+    Collection<RegisteredHost> all = hosts.get();
+    Map<HostId, Integer> preference = ranking(service, all).preference();
+    List<RegisteredHost> usable =
+        homes(service, all).stream()
+            .filter(host -> !host.id().equals(self) && !excluded.contains(host.id()))
+            .sorted(Comparator.comparing(host -> preference.get(host.id())))
+            .toList();
+    String name = service.view().service();
+    Optional<FailureDomain> firstDomain =
+        needsPrimary ? WorkspaceHomes.primaryDomain(service.view().members()) : Optional.empty();
+    Optional<RegisteredHost> home =
+        workspaceHomes.order(name, workspace, usable, firstDomain, now).stream()
+            .min(Comparator.comparing(host -> reportedWithoutPrimary(service, host.id(), now)));
+    home.ifPresent(host -> workspaceHomes.sent(name, workspace, host.id(), now));
+    return home.map(this::client);
+  }
+
+  /**
+   * Whether a home in the primary's failure domain can be used, and this host is in another one.
+   *
+   * @param service the service
+   * @return true if {@link #chooseForWorkspace} finds such a home
+   */
+  public boolean otherHomeNearPrimary(ServiceRuntime service) {
+    if (ServiceHomes.everyHostConnects(service.maxConnections(), hosts.get().size())) {
+      return false;
+    }
+    return WorkspaceHomes.primaryDomain(service.view().members())
+        .filter(domain -> !domain.equals(ownDomain))
+        .filter(
+            domain ->
+                homes(service, hosts.get()).stream()
+                    .anyMatch(host -> host.failureDomain().equals(domain)))
+        .isPresent();
+  }
+
   /**
    * Records that a home declined a statement because it has no usable primary.
    *
