--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
 import org.sardinebay.Clock;
 import org.sardinebay.HostId;
 import org.sardinebay.WorkspaceId;
@@ -33,42 +32,18 @@
 public final class MemberPool {
   private static final Logger LOG = LoggerFactory.getLogger(MemberPool.class);
 
-  /**
-   * When a member has sent no line for this long while an answer is pending, in milliseconds, a new
-   * connection is opened as a probe. Longer than the execution of the longest statements.
-   */
-  private static final long SILENCE_MILLIS = 350;
-
   /** Delay before another connection is opened after a failure, in milliseconds. */
   private static final long REOPEN_DELAY_MILLIS = 150;
 
-  /** Receives the events of a pool. */
-  public interface Listener {
-    /**
-     * Called when a connection became idle, so that waiting statements may be placed.
-     *
-     * @param pool the pool
-     */
-    void onConnectionIdle(MemberPool pool);
-
-    /**
-     * Called when a connection could not be opened, and by {@link MemberPool#reportLoss}.
-     *
-     * @param pool the pool
-     * @param cause the cause of the loss
-     */
-    void onLost(MemberPool pool, LossCause cause);
-  }
-
   private final Clock clock;
-  private final Listener listener;
+  private final MemberPoolListener listener;
   private final ConnectionQuota quota;
   private final IdleConnections<MemberConnection> idle = new IdleConnections<>();
   private final Set<MemberConnection> connections = new HashSet<>();
   private final ConnectionOpener opener;
   private MemberEntry entry;
   private long reopenAt = Long.MIN_VALUE;
-  private long lastLineAt;
+  private final MemberSilence silence = new MemberSilence();
   private boolean closed;
 
   /**
@@ -89,7 +64,7 @@
       MemberProtocol protocol,
       MemberEntry entry,
       ConnectionQuota quota,
-      Listener listener) {
+      MemberPoolListener listener) {
     this.clock = clock;
     this.entry = entry;
     this.quota = quota;
@@ -152,14 +127,6 @@
         .map(taken -> new ControlConnection(taken.connection(), () -> releaseUnused(taken)));
   }
 
-  /**
-   * A connection that was acquired for a control statement.
-   *
-   * @param connection the connection
-   * @param release returns it to the pool
-   */
-  public record ControlConnection(MemberConnection connection, Runnable release) {}
-
   private boolean servesWorkspaces() {
     return connections.stream().anyMatch(connection -> connection.workspace().isPresent());
   }
@@ -221,28 +188,23 @@
    *     quota permits another connection
    */
   public boolean mayOpen(int maxOpening) {
-    return mayConnect(maxOpening) && quota.mayOpen(own(), opener.count(), clock.millis());
+    return mayConnect(maxOpening)
+        && quota.mayOpen(connections.size() + opener.connecting(), opener.count(), clock.millis());
   }
 
   private boolean mayConnect(int maxOpening) {
     return !closed && opener.count() < maxOpening && clock.millis() >= reopenAt;
   }
 
-  private int own() {
-    return connections.size() + opener.connecting();
-  }
-
   /**
    * Whether an idle connection of another workspace may be replaced now.
    *
-   * @param workspace the workspace that needs a connection
-   * @param awaited whether statements of a workspace wait for a connection
+   * @param claim the workspace that needs a connection
    * @param maxOpening the number of connections that may be in the process of opening at a time
    * @return true if {@link #replace} would open a connection
    */
-  public boolean mayReplace(
-      Optional<WorkspaceId> workspace, Predicate<Optional<WorkspaceId>> awaited, int maxOpening) {
-    return mayConnect(maxOpening) && idle.replaceable(workspace, awaited).isPresent();
+  public boolean mayReplace(IdleConnections.Claim claim, int maxOpening) {
+    return mayConnect(maxOpening) && idle.replaceable(claim).isPresent();
   }
 
   /**
@@ -286,13 +248,12 @@
    * @return the time in milliseconds
    */
   public long silenceMillis(long now) {
-    return now - lastLineAt;
+    return silence.millis(now);
   }
 
   /**
-   * Opens a connection that carries this host's name, if permitted. The listener is notified when
-   * the connection is idle, or if it could not be opened, but not if the member refused the
-   * session.
+   * Opens a connection that carries this host's name, if permitted. The listener learns when it is
+   * idle or could not be opened, but not if the member refused the session.
    */
   public void open() {
     if (mayOpen(1)) {
@@ -301,9 +262,10 @@
   }
 
   /**
-   * Opens a connection for a workspace; {@link #mayOpen} must permit it.
+   * Opens a connection for a workspace, in this host's name without one; {@link #mayOpen} must
+   * permit it.
    *
-   * @param workspace the workspace, empty for a connection that carries this host's name
+   * @param workspace the workspace
    * @return the connection that is being opened
    */
   public Opening open(Optional<WorkspaceId> workspace) {
@@ -314,15 +276,13 @@
    * Closes the least recently used idle connection of another workspace and opens one in its place;
    * {@link #mayReplace} must permit it.
    *
-   * @param workspace the workspace that needs a connection
-   * @param awaited whether statements of a workspace wait for a connection
+   * @param claim the workspace that needs a connection
    * @return the connection that is being opened
    */
-  public Opening replace(
-      Optional<WorkspaceId> workspace, Predicate<Optional<WorkspaceId>> awaited) {
-    idle.replaceable(workspace, awaited).orElseThrow().abort(LossCause.DISCARDED);
+  public Opening replace(IdleConnections.Claim claim) {
+    idle.replaceable(claim).orElseThrow().abort(LossCause.DISCARDED);
     quota.closed();
-    return opener.open(entry, workspace);
+    return opener.open(entry, claim.workspace());
   }
 
   /** Receives the events of the connections that are opened, and the end of all. */
@@ -335,7 +295,10 @@
     @Override
     public void onEstablished(MemberConnection connection) {
       quota.opened();
-      release(connection);
+      if (mayBeReused(connection)) {
+        idle.addNew(connection, connection.workspace(), clock.millis());
+        listener.onConnectionIdle(MemberPool.this);
+      }
     }
 
     @Override
@@ -362,7 +325,7 @@
 
     @Override
     public void onLineReceived() {
-      lastLineAt = clock.millis();
+      silence.onLine(clock.millis());
     }
 
     @Override
@@ -372,20 +335,6 @@
     }
   }
 
-  /**
-   * Opens a connection to a member that does not respond: if it can't be opened, the member is
-   * unreachable and not merely slow.
-   */
-  private void probeIfSilent(List<MemberConnection> snapshot, long now) {
-    boolean silent =
-        now - lastLineAt >= SILENCE_MILLIS
-            && snapshot.stream()
-                .anyMatch(connection -> connection.pendingMillis(now) >= SILENCE_MILLIS);
-    if (silent && opener.count() == 0 && now >= reopenAt) {
-      opener.open(entry, Optional.empty());
-    }
-  }
-
   /**
    * Reports that an exchange on an acquired connection was lost.
    *
@@ -404,18 +353,33 @@
   public void sweep(long now) {
     List<MemberConnection> snapshot = new ArrayList<>(connections);
     snapshot.forEach(connection -> connection.abortIfOverdue(now));
-    probeIfSilent(snapshot, now);
-    if (quota.shouldShrink(connections.size()) && idle.size() > 1) {
-      idle.oldest()
-          .filter(oldest -> now - oldest.usedAt() >= ConnectionQuota.IDLE_BEFORE_SHRINK_MILLIS)
-          .ifPresent(oldest -> oldest.connection().abort(LossCause.DISCARDED));
+    long pendingMillis =
+        snapshot.stream().mapToLong(connection -> connection.pendingMillis(now)).max().orElse(0);
+    if (silence.needsProbe(pendingMillis, now) && opener.count() == 0 && now >= reopenAt) {
+      // If no connection can be opened, the member is unreachable and not merely slow.
+      opener.open(entry, Optional.empty());
+    }
+    if (idle.size() > 1) {
+      quota
+          .maxIdleMillis(connections.size(), servesWorkspaces())
+          .ifPresent(maxIdleMillis -> closeOldest(now - maxIdleMillis));
+    }
+  }
+
+  private void closeOldest(long usedBefore) {
+    Optional<IdleConnections.Idle<MemberConnection>> oldest = idle.oldest();
+    if (oldest.isPresent() && oldest.get().usedAt() <= usedBefore) {
+      if (servesWorkspaces()) {
+        // The member reports its total only every 8 s. Until then, one report must not close more.
+        quota.closed();
+      }
+      oldest.get().connection().abort(LossCause.DISCARDED);
     }
   }
 
   /**
-   * Closes the connections that have been idle for {@link
-   * ConnectionQuota#IDLE_BEFORE_SHRINK_MILLIS}. Called while this host is not a home of the
-   * service.
+   * Closes the connections that have been idle for long. Called while this host is not a home of
+   * the service.
    *
    * @param now the current time by this host's clock, in milliseconds
    */
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardingRunner.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardingRunner.java
@@ -119,7 +119,10 @@
       DatabaseRoute route,
       Consumer<SessionReply> done) {
     Optional<Transaction.Pin> pin = transaction.flatMap(Transaction::pin);
-    boolean runsHere = pin.isPresent() ? !(pin.get() instanceof HomePin) : service.home();
+    boolean runsHere =
+        pin.isPresent()
+            ? !(pin.get() instanceof HomePin)
+            : service.home() && !runsNearPrimary(request, transaction, service, route);
     if (!runsHere) {
       forward(request, transaction, service, route, Optional.empty(), done);
       return;
@@ -135,6 +138,17 @@
     }
   }
 
+  /** Whether the statement should use the connections of a home near the primary. */
+  private boolean runsNearPrimary(
+      StatementRequest request,
+      Optional<Transaction> transaction,
+      ServiceRuntime service,
+      DatabaseRoute route) {
+    return request.workspace().isPresent()
+        && needsPrimary(request, transaction, route)
+        && context.homes().otherHomeNearPrimary(service);
+  }
+
   private void forward(
       StatementRequest request,
       Optional<Transaction> transaction,
@@ -147,7 +161,7 @@
         .start();
   }
 
-  private static boolean needsPrimary(
+  static boolean needsPrimary(
       StatementRequest request, Optional<Transaction> transaction, DatabaseRoute route) {
     boolean readsOnly = transaction.map(Transaction::readOnly).orElse(!request.writes());
     return route.kind() == RouteKind.PRIMARY || !readsOnly;
--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
@@ -29,7 +29,7 @@
   private final String service;
   private final Address address;
   private final MemberGroup group;
-  private final int maxConnections;
+  private volatile int maxConnections;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final AtomicInteger answersToLose = new AtomicInteger();
   private final MemberRecording recording = new MemberRecording();
@@ -162,6 +162,11 @@
     return recording;
   }
 
+  /** Changes how many connections are accepted; those that are open stay. */
+  void limitConnections(int limit) {
+    maxConnections = limit;
+  }
+
   int connections() {
     return sockets.size();
   }
