--- a/ctl/src/main/java/org/sardinebay/ctl/internal/request/CauseFinder.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/request/CauseFinder.java
@@ -35,6 +35,16 @@
       if (failed.field("text").contains("overloaded")) {
         return Optional.of("the caller's host was late with its own work and did not begin it");
       }
+      if (failed.field("text").contains("quota")) {
+        return Optional.of(
+            "the quota of workspace "
+                + failed.field("workspace")
+                + " was used up: the keepers asked had no tokens"
+                + history
+                    .contextLine("quota_keeper_unanswered")
+                    .map(line -> "; the keeper " + line.field("keeper") + " did not answer")
+                    .orElse(""));
+      }
       return lastOutcome(history).map(outcome -> "every attempt failed, the last with " + outcome);
     }
     LogLine line = placeNotFound.get();
--- a/ctl/src/test/java/org/sardinebay/ctl/internal/request/CauseFinderTest.java
+++ b/ctl/src/test/java/org/sardinebay/ctl/internal/request/CauseFinderTest.java
@@ -35,6 +35,18 @@
           .contains("the caller's host was late with its own work and did not begin it");
     }
 
+    @Test
+    void should_report_that_the_quota_of_the_workspace_was_used_up() {
+      line(
+          20,
+          "host-1",
+          "event=statement_failed request=r1 service=s workspace=w1 code=BUSY text=\"not run: the"
+              + " quota of the workspace is used up; retry in 230 ms\"");
+
+      assertThat(cause())
+          .contains("the quota of workspace w1 was used up: the keepers asked had no tokens");
+    }
+
     @Test
     void should_report_why_the_primary_was_replaced() {
       line(18, "host-1", "event=primary_change_needed service=s primary=m-1 cause=REFUSED");
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementLog.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementLog.java
@@ -9,6 +9,7 @@
 import org.sardinebay.Clock;
 import org.sardinebay.HostId;
 import org.sardinebay.MemberId;
+import org.sardinebay.WorkspaceId;
 import org.sardinebay.gateway.internal.connection.SessionReply;
 import org.sardinebay.gateway.internal.version.PlacementSnapshot;
 import org.sardinebay.internal.request.AttemptOutcome;
@@ -156,6 +157,7 @@
           .addKeyValue("request", request.id())
           .addKeyValue("database", route.database())
           .addKeyValue("service", route.service())
+          .addKeyValue("workspace", request.workspace().map(WorkspaceId::value).orElse("-"))
           .addKeyValue("kind", route.kind())
           .addKeyValue("attempts", attempts)
           .addKeyValue("millis", elapsedMillis)
