Quotas: no keeper before registered hosts are known

Cause: a host that knew no other host kept a shard of each workspace for itself. In a fleet that starts, the first token of each host together passed the rule (113 operations in one window), found by a new random test of fleets that start.

Change: a host that knows no registered host has no keepers and refuses operations of limited workspaces until its first listing.

Result: 23 Quota tests of core pass; the new one failed before the change. It also passes if the fleet is taken to be known at once, which only QuotaHostsTest guards against.

--- a/core/src/main/java/org/sardinebay/internal/version/QuotaHosts.java
+++ b/core/src/main/java/org/sardinebay/internal/version/QuotaHosts.java
@@ -32,23 +32,24 @@
    */
   private static final long LISTING_MILLIS = 3_000;
 
-  private final RegisteredHost self;
+  private final HostId self;
   private final Map<HostId, Known> known = new LinkedHashMap<>();
   private Collection<RegisteredHost> lastRegistered = List.of();
-  private List<RegisteredHost> all;
+  private List<RegisteredHost> all = List.of();
   private OptionalLong selfSeenAt = OptionalLong.empty();
   private boolean complete;
 
   private record Known(RegisteredHost host, long registeredAt) {}
 
   /**
-   * Creates an instance that knows only this host.
+   * Creates an instance that knows no hosts, not even this one: if each host of a fleet that starts
+   * were a keeper for itself, a workspace with a low rate would pass the rule by the first token of
+   * each.
    *
    * @param self this host
    */
-  public QuotaHosts(RegisteredHost self) {
+  public QuotaHosts(HostId self) {
     this.self = self;
-    this.all = List.of(self);
   }
 
   /**
@@ -70,7 +71,7 @@
     registered.forEach(host -> known.put(host.id(), new Known(host, now)));
     known.values().removeIf(entry -> now - entry.registeredAt() > REMEMBERED_MILLIS);
     List<RegisteredHost> before = all;
-    all = known.isEmpty() ? List.of(self) : hosts();
+    all = hosts();
     return complete != wasComplete || !all.equals(before);
   }
 
@@ -81,7 +82,7 @@
   }
 
   private boolean complete(Collection<RegisteredHost> registered, long now) {
-    if (selfSeenAt.isEmpty() && registered.stream().anyMatch(h -> h.id().equals(self.id()))) {
+    if (selfSeenAt.isEmpty() && registered.stream().anyMatch(h -> h.id().equals(self))) {
       selfSeenAt = OptionalLong.of(now);
     }
     return selfSeenAt.isPresent() && now - selfSeenAt.getAsLong() >= LISTING_MILLIS;
@@ -90,7 +91,7 @@
   /**
    * Returns the hosts.
    *
-   * @return all hosts registered now or a short while ago; only this host before any is known
+   * @return all hosts registered now or a short while ago
    */
   public List<RegisteredHost> all() {
     return all;
--- a/core/src/test/java/org/sardinebay/internal/process/QuotaFleetRun.java
+++ b/core/src/test/java/org/sardinebay/internal/process/QuotaFleetRun.java
@@ -12,6 +12,7 @@
 import org.sardinebay.FailureDomain;
 import org.sardinebay.HostId;
 import org.sardinebay.WorkspaceId;
+import org.sardinebay.internal.version.QuotaHosts;
 import org.sardinebay.internal.version.QuotaRule;
 import org.sardinebay.internal.version.QuotaShards;
 import org.sardinebay.internal.version.QuotaView;
@@ -189,6 +190,18 @@
       apply(view(fleet, workspace));
     }
 
+    /** Starts a process that knows no hosts. */
+    void startAlone(QuotaHosts known, Workspace workspace) {
+      view = QuotaView.of(RULE, known.all(), known.complete(), workspaces(workspace));
+      start();
+    }
+
+    void listed(QuotaHosts known, List<RegisteredHost> registered, Workspace workspace) {
+      if (!dead && known.update(registered, now)) {
+        apply(QuotaView.of(RULE, known.all(), known.complete(), workspaces(workspace)));
+      }
+    }
+
     private void apply(QuotaView newer) {
       view = newer;
       keeper.update(view);
--- a/core/src/test/java/org/sardinebay/internal/process/QuotaRuleRandomTest.java
+++ b/core/src/test/java/org/sardinebay/internal/process/QuotaRuleRandomTest.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.sardinebay.internal.version.QuotaHosts;
 import org.sardinebay.internal.version.QuotaRule;
 import org.sardinebay.session.RegisteredHost;
 import org.sardinebay.session.Workspace;
@@ -54,6 +55,53 @@
     }
     run.run(END_MILLIS);
 
+    assertWithinRule(run, before, after);
+  }
+
+  /**
+   * Hosts that start together have seen only some of the others at first, and each takes itself for
+   * a keeper of a small fleet.
+   */
+  @Property(tries = 100)
+  void should_pass_the_rule_in_no_window_while_a_fleet_starts(
+      @ForAll @IntRange(min = 12, max = 100) int size,
+      @ForAll @IntRange(min = 1, max = 300) int rate,
+      @ForAll @IntRange(min = 100, max = 3_000) int startMillis,
+      @ForAll long seed) {
+    Random random = new Random(seed);
+    Workspace workspace = QuotaFleetRun.workspace(rate, rate);
+    QuotaFleetRun run = new QuotaFleetRun(size, workspace, seed);
+    double[] weights = new double[size];
+    List<RegisteredHost> registered = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      weights[i] = 0.2 + random.nextDouble();
+      RegisteredHost entry = QuotaFleetRun.host(i);
+      QuotaFleetRun.Host host = run.at(i);
+      host.kill();
+      long startAt = random.nextInt(startMillis);
+      QuotaHosts known = new QuotaHosts(entry.id());
+      run.at(
+          startAt,
+          () -> {
+            host.startAlone(known, workspace);
+            host.listed(known, List.copyOf(registered), workspace);
+          });
+      run.at(startAt + 50, () -> registered.add(entry));
+      List<List<RegisteredHost>> listings = new ArrayList<>(List.of(List.of()));
+      for (long listedAt : List.of(1_000L, 2_000L, 4_000L, 8_000L)) {
+        run.at(startAt + listedAt, () -> listings.set(0, List.copyOf(registered)));
+      }
+      for (long tick = 1_000; tick < END_MILLIS; tick += 200) {
+        run.at(startAt + tick, () -> host.listed(known, listings.get(0), workspace));
+      }
+    }
+    run.demand(rate * 5.0, weights, 0, END_MILLIS);
+    run.run(END_MILLIS);
+
+    assertWithinRule(run, workspace, workspace);
+  }
+
+  private static void assertWithinRule(QuotaFleetRun run, Workspace before, Workspace after) {
     double beforeAllowed = RULE.windowLimit(before) + RULE.tolerance(before);
     double afterAllowed = RULE.windowLimit(after) + RULE.tolerance(after);
     int first = 0;
--- a/core/src/test/java/org/sardinebay/internal/version/QuotaHostsTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/QuotaHostsTest.java
@@ -14,7 +14,7 @@
 
 class QuotaHostsTest {
   private static final Workspace WORKSPACE = new Workspace(new WorkspaceId("ws"), 1, 198, 198);
-  private final QuotaHosts hosts = new QuotaHosts(host(0));
+  private final QuotaHosts hosts = new QuotaHosts(host(0).id());
 
   private static RegisteredHost host(int index) {
     return new RegisteredHost(
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/Quotas.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/Quotas.java
@@ -130,7 +130,7 @@
     this.homes = homes;
     this.clock = clock;
     this.metrics = new QuotaMetrics(registry);
-    this.hosts = new QuotaHosts(self);
+    this.hosts = new QuotaHosts(self.id());
     this.view = QuotaView.of(rule, hosts.all(), hosts.complete(), Optional.empty());
     this.keeper = new QuotaKeeper(self.id(), view);
   }
