--- a/core/src/test/java/org/sardinebay/internal/process/QuotaFleetRun.java
+++ b/core/src/test/java/org/sardinebay/internal/process/QuotaFleetRun.java
@@ -12,6 +12,7 @@
 import org.sardinebay.FailureDomain;
 import org.sardinebay.HostId;
 import org.sardinebay.WorkspaceId;
+import org.sardinebay.internal.version.QuotaHosts;
 import org.sardinebay.internal.version.QuotaRule;
 import org.sardinebay.internal.version.QuotaShards;
 import org.sardinebay.internal.version.QuotaView;
@@ -28,11 +29,13 @@
   private static final WorkspaceId WORKSPACE = new WorkspaceId("ws");
   private static final int DOMAINS = 6;
   private static final long CALL_TIMEOUT_MILLIS = 200;
+  private static final long PROBE_MILLIS = 700;
 
   private final List<Host> hosts = new ArrayList<>();
   private final List<Long> runAt = new ArrayList<>();
   private long waitedMillis;
   private long refused;
+  private long calls;
   private long now;
   private final Random random;
   private final PriorityQueue<Event> events = new PriorityQueue<>();
@@ -73,10 +76,15 @@
     return (double) waitedMillis / Math.max(1, runAt.size());
   }
 
+  double callsPerStatement() {
+    return (double) calls / Math.max(1, refused + runAt.size());
+  }
+
   /** Forgets what was counted so far. */
   void resetCounts() {
     runAt.clear();
     refused = 0;
+    calls = 0;
     waitedMillis = 0;
   }
 
@@ -182,6 +190,18 @@
       apply(view(fleet, workspace));
     }
 
+    /** Starts a process that knows no hosts. */
+    void startAlone(QuotaHosts known, Workspace workspace) {
+      view = QuotaView.of(RULE, known.all(), known.complete(), workspaces(workspace));
+      start();
+    }
+
+    void listed(QuotaHosts known, List<RegisteredHost> registered, Workspace workspace) {
+      if (!dead && known.update(registered, now)) {
+        apply(QuotaView.of(RULE, known.all(), known.complete(), workspaces(workspace)));
+      }
+    }
+
     private void apply(QuotaView newer) {
       view = newer;
       keeper.update(view);
@@ -236,6 +256,7 @@
         perform(tokens.onReply(ask, grant.granted(), grant.retryAfterMillis(), now));
         return;
       }
+      calls++;
       boolean[] ended = {false};
       int start = starts;
       at(now + CALL_TIMEOUT_MILLIS, () -> resume(start, () -> end(ask, ended, Optional.empty())));
@@ -246,6 +267,21 @@
       }
     }
 
+    private void probeLater(HostId keeper) {
+      int start = starts;
+      at(now + PROBE_MILLIS, () -> resume(start, () -> probe(keeper)));
+    }
+
+    private void probe(HostId keeper) {
+      int to = indexOf(keeper);
+      boolean answers = to < hosts.size() && !unreachable.contains(to) && !hosts.get(to).dead;
+      if (answers && now >= hosts.get(to).pausedUntil) {
+        health.onAnswer(keeper);
+      } else {
+        probeLater(keeper);
+      }
+    }
+
     private void answer(Host caller, int start, QuotaStep.Ask<Long> ask, boolean[] ended) {
       QuotaKeeper.Grant grant = keeper.grant(WORKSPACE, ask.wanted(), now);
       if (!unreachable.contains(caller.index)) {
@@ -265,7 +301,7 @@
         return;
       }
       health.onUnanswered(ask.keeper(), now);
-      at(now + 700, () -> act(() -> health.onAnswer(ask.keeper())));
+      probeLater(ask.keeper());
       perform(tokens.onUnanswered(ask, now));
     }
   }
