Fewer store calls at a start, kernel probes on watch connections

A host that starts again listed all hosts afresh and then wrote its entry twice, once for a conflict and once with the version. It now takes a listing that may be stale and writes only what is not listed as it is; the return of the store from an older copy still makes all hosts register again.

Hosts that don't watch closely wait for 30 s instead of 20 s for a change, so they make a third fewer calls while nothing changes. The kernel probes the connections of watches, so one whose host is gone fails after some 2 s. The close watches keep their waits: a relay that stops passing data on answers the probes.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -221,7 +221,7 @@
     storeEra.onChange(GatewayProcess::logEra);
     JsonHttpClient http = JsonHttpClient.onEventLoop(loop, STORE_SILENCE);
     PlatformClient store = storeClient(http);
-    PlatformClient watched = storeClient(JsonHttpClient.onEventLoop(loop, StoreWatches.SILENCE));
+    PlatformClient watched = storeClient(StoreWatches.client(loop));
     new StoreWatches(settings.host(), feeds, watched, loop, clock, registry).start();
     new HostRegistration(settings, store, storeEra, feeds.listener(StoreFeeds.HOSTS), loop).start();
     startPeersInBackground();
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/HostRegistration.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/HostRegistration.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.activej.eventloop.Eventloop;
-import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -12,6 +12,7 @@
 import org.sardinebay.net.http.Json;
 import org.sardinebay.platform.ObjectKey;
 import org.sardinebay.platform.PlatformClient;
+import org.sardinebay.platform.PlatformObject;
 import org.sardinebay.platform.PlatformResult;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -60,10 +61,14 @@
     this.loop = loop;
   }
 
-  /** Lists the hosts before this one registers, so that a first start shows: it isn't listed. */
+  /**
+   * Lists the hosts before this one registers, so that a first start shows: it isn't listed. A host
+   * that is listed as it would register makes no write. The listing may be stale, because nothing
+   * but the return of the store from an older copy undoes a registration, and that is noticed.
+   */
   void start() {
     storeEra.onChange((previous, current) -> registerAgain(previous));
-    listAll();
+    list(listing -> register(listing));
   }
 
   private void registerAgain(OptionalLong previousEra) {
@@ -73,15 +78,35 @@
     }
   }
 
+  private ObjectKey key() {
+    return new ObjectKey(StoreFeeds.HOSTS, settings.host().value());
+  }
+
+  private ObjectNode body() {
+    return Json.newObject()
+        .put("peers", settings.peers().toString())
+        .put("failureDomain", settings.failureDomain().value());
+  }
+
+  private void register(PlatformResult result) {
+    Optional<PlatformObject> own = listed(result);
+    if (own.isPresent() && own.get().body().equals(body())) {
+      LOG.atInfo().setMessage("host_registered_before").log();
+    } else {
+      register(own.map(PlatformObject::version).orElse(0L));
+    }
+  }
+
+  private Optional<PlatformObject> listed(PlatformResult result) {
+    return result instanceof PlatformResult.Listing listing
+        ? listing.objects().stream().filter(object -> object.key().equals(key())).findAny()
+        : Optional.empty();
+  }
+
   private void register(long expectedVersion) {
-    ObjectKey key = new ObjectKey(StoreFeeds.HOSTS, settings.host().value());
-    ObjectNode body =
-        Json.newObject()
-            .put("peers", settings.peers().toString())
-            .put("failureDomain", settings.failureDomain().value());
     CompletableFuture<Void> unused =
         store
-            .write(key, expectedVersion, body, CALL_TIMEOUT_MILLIS)
+            .write(key(), expectedVersion, body(), CALL_TIMEOUT_MILLIS)
             .thenAccept(result -> loop.execute(() -> onRegistered(result)));
   }
 
@@ -96,44 +121,22 @@
     }
   }
 
-  private void listAll() {
-    // A watch after revision 0 lists the objects and does not wait.
-    CompletableFuture<Void> unused =
-        store
-            .watch(List.of(StoreFeeds.HOSTS), 0, 0)
-            .thenAccept(
-                result ->
-                    loop.execute(() -> onListed(result, this::applyListing, () -> register(0))));
-  }
-
-  private void applyListing(PlatformResult.Listing listing) {
-    listener.onListing(listing.revision(), listing.objects());
-  }
-
   /** Finds hosts that have registered since; a stale listing doesn't show that one is gone. */
-  private void listAgain() {
+  private void list(Consumer<PlatformResult> next) {
     CompletableFuture<Void> unused =
         store
             .listStale(StoreFeeds.HOSTS)
-            .thenAccept(
-                result ->
-                    loop.execute(
-                        () ->
-                            onListed(
-                                result,
-                                listing -> listener.onChanges(listing.objects()),
-                                () -> {})));
+            .thenAccept(result -> loop.execute(() -> onListed(result, next)));
   }
 
-  private void onListed(
-      PlatformResult result, Consumer<PlatformResult.Listing> apply, Runnable next) {
+  private void onListed(PlatformResult result, Consumer<PlatformResult> next) {
     if (result instanceof PlatformResult.Listing listing) {
-      apply.accept(listing);
+      listener.onChanges(listing.objects());
     } else {
       LOG.atInfo().setMessage("hosts_not_listed").addKeyValue("result", result).log();
     }
-    next.run();
-    loop.delay(listIntervalMillis, this::listAgain);
+    next.accept(result);
+    loop.delay(listIntervalMillis, () -> list(listed -> {}));
     listIntervalMillis = Math.min(MAX_LIST_INTERVAL_MILLIS, 2 * listIntervalMillis);
   }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/StoreWatches.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/StoreWatches.java
@@ -11,6 +11,7 @@
 import org.sardinebay.gateway.internal.version.StoreFeeds;
 import org.sardinebay.impeller.PlatformKeys;
 import org.sardinebay.internal.process.StoreWatchers;
+import org.sardinebay.net.http.JsonHttpClient;
 import org.sardinebay.platform.PlatformClient;
 
 /**
@@ -22,18 +23,23 @@
    * How long a watch of the configuration waits for a change on hosts that watch closely, in
    * milliseconds. A connection that went silent is noticed when the wait and the margin of the
    * call's timeout are over; together they are shorter than the time within which a configuration
-   * must be applied after a disruption.
+   * must be applied after a disruption. The kernel's probes don't replace this: a relay that stops
+   * passing data on still answers them.
    */
   private static final long CLOSE_CONFIGURATION_WAIT_MILLIS = 2_000;
 
   /** How long a watch of the members waits on these hosts, in milliseconds. */
   private static final long CLOSE_MEMBERS_WAIT_MILLIS = 4_000;
 
-  /** How long a watch waits for a change on the other hosts, in milliseconds. */
-  private static final long WAIT_MILLIS = 20_000;
+  /**
+   * How long a watch waits for a change on the other hosts, in milliseconds: the longest that the
+   * store permits, because each wait is a counted call. They learn of changes from the hosts that
+   * watch closely.
+   */
+  private static final long WAIT_MILLIS = 30_000;
 
   /** How long a connection that carries watches may receive nothing: longer than they wait. */
-  static final Duration SILENCE = Duration.ofMillis(WAIT_MILLIS + 2_000);
+  private static final Duration SILENCE = Duration.ofMillis(WAIT_MILLIS + 2_000);
 
   /**
    * Delay between a change of the members and the next watch on hosts that watch closely, in
@@ -66,6 +72,11 @@
     this.registry = registry;
   }
 
+  /** Creates the client for the watches, whose connections are idle for most of the time. */
+  static JsonHttpClient client(Eventloop loop) {
+    return JsonHttpClient.probingOnEventLoop(loop, SILENCE);
+  }
+
   void start() {
     watch(
         PlatformKeys.CONFIGURATION.kind(),
--- a/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
+++ b/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
@@ -87,17 +87,36 @@
    * @return the client
    */
   public static JsonHttpClient onEventLoop(Eventloop loop, Duration readWriteTimeout) {
-    HttpClient client =
-        HttpClient.builder(loop, new IpAddressResolver())
-            .withSocketSettings(SocketSettings.builder().withLingerTimeout(Duration.ZERO).build())
-            .withConnectTimeout(CONNECT_TIMEOUT)
-            .withReadWriteTimeout(readWriteTimeout)
-            .withKeepAliveTimeout(KEEP_ALIVE)
-            .withMaxBodySize(MAX_BODY_BYTES)
-            .build();
+    return on(loop, builder(loop, readWriteTimeout).build());
+  }
+
+  /**
+   * Creates a client like {@link #onEventLoop} for calls that wait for long: the kernel probes its
+   * connections, so that a call whose server's host is gone fails within some two seconds. Not for
+   * calls that change something, as a probe may stay unanswered on a crowded link.
+   *
+   * @param loop the event loop; results are completed on its thread
+   * @param readWriteTimeout the maximum time without data during a request
+   * @return the client
+   */
+  public static JsonHttpClient probingOnEventLoop(Eventloop loop, Duration readWriteTimeout) {
+    return on(
+        loop, builder(loop, readWriteTimeout).withSocketInspector(new KeepAliveProbes()).build());
+  }
+
+  private static JsonHttpClient on(Eventloop loop, HttpClient client) {
     return new JsonHttpClient(List.of(loop), List.of(client), List.of());
   }
 
+  private static HttpClient.Builder builder(Eventloop loop, Duration readWriteTimeout) {
+    return HttpClient.builder(loop, new IpAddressResolver())
+        .withSocketSettings(SocketSettings.builder().withLingerTimeout(Duration.ZERO).build())
+        .withConnectTimeout(CONNECT_TIMEOUT)
+        .withReadWriteTimeout(readWriteTimeout)
+        .withKeepAliveTimeout(KEEP_ALIVE)
+        .withMaxBodySize(MAX_BODY_BYTES);
+  }
+
   /**
    * Returns a client that uses the same connections and also reads headers of the responses.
    *
