--- a/ctl/src/main/java/org/sardinebay/ctl/internal/request/CauseFinder.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/request/CauseFinder.java
@@ -30,6 +30,18 @@
   }
 
   private static Optional<String> busyCause(RequestHistory history, LogLine failed) {
+    Optional<LogLine> rejected =
+        history
+            .requestLine("statement_rejected_on_arrival")
+            .or(() -> history.requestLine("statement_rejected_waiting"));
+    if (rejected.isPresent()) {
+      return Optional.of(
+          "it would have waited "
+              + rejected.get().field("expected_millis")
+              + " ms for a connection, beyond its deadline, and was rejected after "
+              + rejected.get().field("elapsed_millis")
+              + " ms");
+    }
     Optional<LogLine> placeNotFound = history.requestLine("place_not_found");
     if (placeNotFound.isEmpty()) {
       if (failed.field("text").contains("overloaded")) {
--- a/ctl/src/test/java/org/sardinebay/ctl/internal/request/CauseFinderTest.java
+++ b/ctl/src/test/java/org/sardinebay/ctl/internal/request/CauseFinderTest.java
@@ -35,6 +35,20 @@
           .contains("the caller's host was late with its own work and did not begin it");
     }
 
+    @Test
+    void should_report_the_expected_wait_of_a_rejected_statement() {
+      line(
+          20,
+          "host-1",
+          "event=statement_rejected_on_arrival request=r1 expected_millis=900 elapsed_millis=2");
+      line(20, "host-1", "event=statement_failed request=r1 service=s code=BUSY");
+
+      assertThat(cause())
+          .contains(
+              "it would have waited 900 ms for a connection, beyond its deadline, and was rejected"
+                  + " after 2 ms");
+    }
+
     @Test
     void should_report_why_the_primary_was_replaced() {
       line(18, "host-1", "event=primary_change_needed service=s primary=m-1 cause=REFUSED");
