--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -278,6 +278,15 @@
         view.member(member).map(this::roundTripMillis).orElse(0L));
   }
 
+  /**
+   * Returns what places this service's statements.
+   *
+   * @return the placer
+   */
+  public StatementPlacer placer() {
+    return placer;
+  }
+
   private long roundTripMillis(MemberView member) {
     return distances.roundTripMillis(ownDomain, member.entry().failureDomain());
   }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatementPlacer.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatementPlacer.java
@@ -1,30 +1,28 @@
 package org.sardinebay.gateway.internal.version;
 
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Function;
+import java.util.Set;
 import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
 import org.sardinebay.Clock;
 import org.sardinebay.MemberId;
 import org.sardinebay.WorkspaceId;
 import org.sardinebay.gateway.internal.connection.MemberConnection;
 import org.sardinebay.gateway.internal.connection.MemberPool;
-import org.sardinebay.gateway.internal.connection.Opening;
 import org.sardinebay.gateway.internal.request.PlacementRequest;
-import org.sardinebay.internal.connection.ConnectionOpening;
-import org.sardinebay.internal.connection.IdleConnections;
 import org.sardinebay.internal.request.DispatchPass;
-import org.sardinebay.internal.request.Placement;
-import org.sardinebay.internal.request.PlacementCandidate;
 import org.sardinebay.internal.request.PlacementRequirement;
-import org.sardinebay.internal.request.StatementQueue;
+import org.sardinebay.internal.request.StatementDemand;
+import org.sardinebay.internal.request.StatementDurations;
+import org.sardinebay.internal.request.StatementScheduler;
+import org.sardinebay.internal.request.WaitEstimate;
 import org.sardinebay.internal.version.MemberView;
 import org.sardinebay.internal.version.MembersPerformance;
 import org.sardinebay.internal.version.ServiceView;
+import org.sardinebay.session.RouteTable;
+import org.sardinebay.session.SessionLimits;
 
 /**
  * Places the statements of one service on connections to its members, and keeps those that have to
@@ -35,35 +33,16 @@
  * placer.tick(now);
  * }</pre>
  */
-final class StatementPlacer {
+public final class StatementPlacer {
   private final ServiceView view;
   private final Map<MemberId, MemberPool> pools;
-  private final ToLongFunction<MemberView> roundTripMillis;
-  private final StatusPoller statusPoller;
   private final MembersPerformance performance;
+  private final ConnectionChooser chooser;
   private final Clock clock;
-  private final StatementQueue<PlacementRequest> waiting = new StatementQueue<>();
-  private final Map<PlacementRequest, Wait> waits = new HashMap<>();
-  private final Map<Optional<WorkspaceId>, Integer> waitingByWorkspace = new HashMap<>();
-  private Optional<Wait> starvedWait = Optional.empty();
-  private boolean workspacesInForce;
+  private final StatementScheduler<PlacementRequest> scheduler = new StatementScheduler<>();
+  private final IdleTransactions transactions = new IdleTransactions();
+  private long transactionIdleMillis = SessionLimits.DEFAULT.transactionIdleMillis();
   private boolean dispatching;
-  private long replaced;
-
-  /** What is known of a statement that waits. */
-  private static final class Wait {
-    private final long since;
-    private Optional<Opening> opening = Optional.empty();
-    private boolean lacksConnections;
-
-    private Wait(long since) {
-      this.since = since;
-    }
-
-    private boolean opens() {
-      return opening.filter(Opening::inProgress).isPresent();
-    }
-  }
 
   /**
    * Creates a placer without waiting statements.
@@ -84,61 +63,90 @@
       Clock clock) {
     this.view = view;
     this.pools = pools;
-    this.roundTripMillis = roundTripMillis;
-    this.statusPoller = statusPoller;
     this.performance = performance;
     this.clock = clock;
+    this.chooser =
+        new ConnectionChooser(view, pools, roundTripMillis, statusPoller, performance, clock);
+  }
+
+  /** Applies the workspaces and the limits of a configuration. */
+  void configure(RouteTable table) {
+    scheduler.workspaces(table.workspaces());
+    transactionIdleMillis = table.limits().transactionIdleMillis();
+  }
+
+  /**
+   * Returns the observed durations of the service's statements.
+   *
+   * @return the durations, to be updated with each statement
+   */
+  public StatementDurations durations() {
+    return scheduler.durations();
+  }
+
+  /**
+   * Returns the transactions that hold connections of this host.
+   *
+   * @return the transactions, to be updated when one begins at a member
+   */
+  public IdleTransactions transactions() {
+    return transactions;
   }
 
   /**
    * Places a statement on a connection, at once or as soon as a suitable one becomes idle. If none
-   * does before its deadline, {@link PlacementRequest#onNotPlaced} is called.
+   * does before its deadline, {@link PlacementRequest#onNotPlaced} is called. If none is expected
+   * to and workspaces are in force, {@link PlacementRequest#onRejected} is called.
    *
    * @param request the statement's request
    */
   void place(PlacementRequest request) {
-    workspacesInForce |= request.workspace().isPresent();
-    Wait wait = new Wait(clock.millis());
-    if (!tryPlace(request, wait)) {
-      waits.put(request, wait);
-      waitingByWorkspace.merge(request.workspace(), 1, Integer::sum);
-      waiting.add(request, request.priority(), request.placementDeadline());
+    if (tryPlace(request)) {
+      return;
+    }
+    long now = clock.millis();
+    StatementDemand demand = request.demand(scheduler.workMillis(request.kind()));
+    chooser.onWaiting(request, demand.giveUpAt());
+    WaitEstimate.Expected<PlacementRequest> expected =
+        scheduler.add(request, demand, capacity(now), chooser::mayBePlaced, now);
+    if (expected.inTime()) {
+      request.onWaiting(expected.waitMillis());
+    } else {
+      chooser.forget(request);
+      request.onRejected(expected, true);
     }
   }
 
   /** Places a statement only if a suitable connection is idle; returns whether it was placed. */
   boolean placeOnIdle(PlacementRequest request) {
     PlacementRequirement requirement = request.requirement();
-    Optional<MemberId> best =
-        choose(
-            request,
-            requirement,
-            clock.millis(),
-            pool -> Access.free(pool.hasIdle(request.workspace())));
-    best.ifPresent(member -> assign(request, requirement, member));
-    return best.isPresent();
+    Optional<MemberId> member = chooser.chooseIdle(request, requirement);
+    member.ifPresent(chosen -> assign(request, requirement, chosen));
+    return member.isPresent();
   }
 
-  private void forget(PlacementRequest request) {
-    if (waits.remove(request) != null) {
-      waitingByWorkspace.computeIfPresent(
-          request.workspace(), (workspace, count) -> count == 1 ? null : count - 1);
+  private WaitEstimate.Capacity capacity(long now) {
+    int primary = 0;
+    int replicas = 0;
+    for (MemberView member : view.members()) {
+      if (isLeasedPrimary(member.id(), now)) {
+        primary += pools.get(member.id()).working();
+      } else if (!member.unreachable() && !member.entry().draining()) {
+        replicas += pools.get(member.id()).working();
+      }
     }
+    return new WaitEstimate.Capacity(primary, replicas, scheduler.durations().meanMillis());
   }
 
-  private boolean tryPlace(PlacementRequest request, Wait wait) {
+  private boolean tryPlace(PlacementRequest request) {
     PlacementRequirement requirement = request.requirement();
-    long now = clock.millis();
-    Optional<MemberId> best =
-        workspacesInForce
-            ? chooseForWorkspace(request, requirement, wait, now)
-            : chooseForHost(request, requirement, now);
-    if (best.isEmpty()) {
-      return false;
-    }
-    forget(request);
-    assign(request, requirement, best.get());
-    return true;
+    Optional<MemberId> member = chooser.choose(request, requirement);
+    member.ifPresent(
+        chosen -> {
+          chooser.forget(request);
+          assign(request, requirement, chosen);
+        });
+    return member.isPresent();
   }
 
   private void assign(PlacementRequest request, PlacementRequirement requirement, MemberId member) {
@@ -149,204 +157,60 @@
     request.onConnection(pool, connection, requirement, isLeasedPrimary(member, now));
   }
 
-  /** Chooses a member with an idle connection, where all connections carry the host's name. */
-  private Optional<MemberId> chooseForHost(
-      PlacementRequest request, PlacementRequirement requirement, long now) {
-    Optional<MemberId> best =
-        choose(request, requirement, now, pool -> Access.free(pool.hasIdle() || pool.mayOpen(1)));
-    if (best.isPresent() && !pools.get(best.get()).hasIdle()) {
-      pools.get(best.get()).open();
-      best = choose(request, requirement, now, pool -> Access.free(pool.hasIdle()));
-    }
-    return best;
-  }
-
-  /**
-   * Chooses a member with an idle connection of the statement's workspace. If another member is
-   * better, although a connection to it has to be opened, that is done and the statement waits.
-   */
-  private Optional<MemberId> chooseForWorkspace(
-      PlacementRequest request, PlacementRequirement requirement, Wait wait, long now) {
-    Optional<WorkspaceId> workspace = request.workspace();
-    if (ConnectionOpening.takesAnyIdle(now - wait.since)) {
-      Optional<MemberId> idle =
-          choose(request, requirement, now, pool -> Access.free(pool.hasIdle(workspace)));
-      if (idle.isPresent()) {
-        return idle;
-      }
-    }
-    Optional<MemberId> best =
-        choose(request, requirement, now, pool -> access(pool, request, wait, now));
-    if (best.isEmpty()) {
-      wait.lacksConnections = true;
-      return best;
-    }
-    MemberPool pool = pools.get(best.get());
-    if (pool.hasIdle(workspace)) {
-      return best;
-    }
-    wait.lacksConnections = false;
-    if (!wait.opens()) {
-      open(pool, request, wait, now);
-    }
-    return Optional.empty();
-  }
-
-  private void open(MemberPool pool, PlacementRequest request, Wait wait, long now) {
-    ConnectionOpening.Decision decision = decide(pool, request, wait, now);
-    if (decision == ConnectionOpening.Decision.OPEN) {
-      wait.opening = Optional.of(pool.open(request.workspace()));
-    } else if (decision == ConnectionOpening.Decision.REPLACE) {
-      replaced++;
-      wait.opening = Optional.of(pool.replace(claim(pool, request, wait, now)));
-    }
-  }
-
-  private Access access(MemberPool pool, PlacementRequest request, Wait wait, long now) {
-    if (pool.hasIdle(request.workspace())) {
-      return Access.free(true);
-    }
-    boolean available =
-        wait.opens() || decide(pool, request, wait, now) != ConnectionOpening.Decision.NONE;
-    return new Access(available, ConnectionOpening.costMillis(roundTripMillis(pool)));
-  }
-
-  private ConnectionOpening.Decision decide(
-      MemberPool pool, PlacementRequest request, Wait wait, long now) {
-    Optional<WorkspaceId> workspace = request.workspace();
-    int ownWaiting = waits.containsKey(request) ? 1 : 0;
-    int waitingBefore = waitingByWorkspace.getOrDefault(workspace, 0) - ownWaiting;
-    return ConnectionOpening.decide(
-        new ConnectionOpening.Demand(waitingBefore, now - wait.since),
-        new ConnectionOpening.Supply(
-            pool.serving(workspace),
-            pool.mayOpen(maxOpening()),
-            pool.mayReplace(claim(pool, request, wait, now), maxOpening()),
-            ConnectionOpening.openMillis(roundTripMillis(pool))));
-  }
-
-  private IdleConnections.Claim claim(
-      MemberPool pool, PlacementRequest request, Wait wait, long now) {
-    return new IdleConnections.Claim(
-        request.workspace(),
-        waitingByWorkspace::containsKey,
-        ConnectionOpening.starved(pool.serving(request.workspace()), now - wait.since));
-  }
-
-  private int maxOpening() {
-    return workspacesInForce ? ConnectionOpening.MAX_OPENING : 1;
-  }
-
-  private long roundTripMillis(MemberPool pool) {
-    return view.member(pool.entry().id()).map(roundTripMillis::applyAsLong).orElse(0L);
-  }
-
-  /** How a statement gets a connection to a member. */
-  private record Access(boolean available, long openCostMillis) {
-    private static Access free(boolean available) {
-      return new Access(available, 0);
-    }
-  }
-
-  private Optional<MemberId> choose(
-      PlacementRequest request,
-      PlacementRequirement requirement,
-      long now,
-      Function<MemberPool, Access> accessTo) {
-    List<PlacementCandidate> candidates = new ArrayList<>();
-    for (MemberView member : view.members()) {
-      MemberPool pool = pools.get(member.id());
-      boolean draining = member.entry().draining() && !isLeasedPrimary(member.id(), now);
-      Access access = accessTo.apply(pool);
-      candidates.add(
-          new PlacementCandidate(
-              member.id(),
-              isLeasedPrimary(member.id(), now),
-              access.available(),
-              roundTripMillis.applyAsLong(member),
-              access.openCostMillis(),
-              statusPoller.slotsBusyElsewhere(member.id()) + pool.inUse(),
-              member.entry().slots(),
-              member.applied(),
-              member.lagging(now),
-              performance.excessMillis(member.id(), request.statementClass(), now),
-              draining
-                  || member.unreachable()
-                  || performance.setAside(member.id(), now)
-                  || request.excluded().contains(member.id())));
-    }
-    return Placement.choose(requirement, candidates);
-  }
-
   private boolean isLeasedPrimary(MemberId member, long now) {
     return view.leasedPrimary(now).filter(m -> m.id().equals(member)).isPresent();
   }
 
   /** Places waiting statements in order, as far as connections are available. */
   void dispatchWaiting() {
-    if (dispatching || waiting.size() == 0) {
+    if (dispatching || scheduler.size() == 0) {
       return;
     }
     dispatching = true;
     try {
-      placeStarved();
-      DispatchPass pass = new DispatchPass(this::freeCapacity);
-      waiting.dispatch(
-          request -> pass.test(request.primaryOnly(), () -> tryPlace(request, waits.get(request))));
+      chooser.openForStarved();
+      DispatchPass pass = new DispatchPass(chooser::freeCapacity);
+      scheduler.dispatch(
+          clock.millis(), request -> pass.test(request.primaryOnly(), () -> tryPlace(request)));
     } finally {
       dispatching = false;
     }
   }
 
-  /** Opens a connection for a workspace that has none and waits for long, before all others. */
-  private void placeStarved() {
-    boolean idle = pools.values().stream().anyMatch(MemberPool::hasIdle);
-    if (!workspacesInForce || !idle || starvedWait.filter(Wait::opens).isPresent()) {
-      return;
-    }
-    long now = clock.millis();
-    waits.entrySet().stream()
-        .filter(entry -> !entry.getValue().opens() && goesFirst(entry, now))
-        .min(Comparator.comparingLong(entry -> entry.getValue().since))
-        .ifPresent(
-            entry -> {
-              starvedWait = Optional.of(entry.getValue());
-              chooseForWorkspace(
-                  entry.getKey(), entry.getKey().requirement(), entry.getValue(), now);
-            });
+  /**
+   * Fails the statements that have waited too long or would, places others, and preempts an idle
+   * transaction if statements wait for its connection.
+   */
+  void tick(long now) {
+    expire(now);
+    dispatchWaiting();
+    scheduler.shed(capacity(now), chooser::mayBePlaced, now).forEach(this::reject);
+    transactions.tick(now, transactionIdleMillis, awaited(now));
   }
 
-  private boolean goesFirst(Map.Entry<PlacementRequest, Wait> waiter, long now) {
-    PlacementRequest request = waiter.getKey();
-    long waited = now - waiter.getValue().since;
-    long remaining = request.placementDeadline() - now;
-    return ConnectionOpening.goesFirst(0, waited, remaining)
-        && pools.values().stream().allMatch(pool -> pool.serving(request.workspace()) == 0);
+  /** The members whose connections statements wait for; none without workspaces. */
+  private Set<MemberId> awaited(long now) {
+    return scheduler.fair() && scheduler.size() > 0
+        ? view.members().stream()
+            .map(MemberView::id)
+            .filter(member -> awaited(member, isLeasedPrimary(member, now)))
+            .collect(Collectors.toSet())
+        : Set.of();
   }
 
-  private DispatchPass.Capacity freeCapacity() {
-    long now = clock.millis();
-    boolean primary = false;
-    boolean any = false;
-    for (MemberView member : view.members()) {
-      MemberPool pool = pools.get(member.id());
-      if (!member.unreachable() && (pool.hasIdle() || pool.mayOpen(maxOpening()))) {
-        any = true;
-        primary |= isLeasedPrimary(member.id(), now);
-      }
-    }
-    return new DispatchPass.Capacity(any, primary);
+  private boolean awaited(MemberId member, boolean primary) {
+    return scheduler.anyWaits(
+        request -> !request.excluded().contains(member) && (primary || !request.primaryOnly()));
   }
 
-  /** Fails the statements that have waited too long, and places others. */
-  void tick(long now) {
-    expire(now);
-    dispatchWaiting();
+  private void reject(WaitEstimate.Expected<PlacementRequest> expected) {
+    chooser.forget(expected.item());
+    expected.item().onRejected(expected, false);
   }
 
   private void expire(long now) {
-    List<PlacementRequest> expired = waiting.expire(now);
-    expired.forEach(this::forget);
+    List<PlacementRequest> expired = scheduler.expire(now);
+    expired.forEach(chooser::forget);
     expired.forEach(PlacementRequest::onNotPlaced);
   }
 
@@ -357,22 +221,17 @@
 
   /** Returns how many idle connections were closed in favour of another workspace. */
   long replaced() {
-    return replaced;
+    return chooser.replaced();
   }
 
-  /**
-   * Whether statements wait that neither an idle connection nor one being opened will serve, so
-   * that a fresh status of the members may help: it may permit more connections.
-   */
+  /** Whether statements wait for which a fresh status of the members may permit connections. */
   boolean lacksConnections() {
-    return workspacesInForce
-        ? waits.values().stream().anyMatch(wait -> wait.lacksConnections)
-        : waiting.size() > 0;
+    return chooser.lacksConnections();
   }
 
   /** Returns the number of statements that wait. */
   int waiting() {
-    return waiting.size();
+    return scheduler.size();
   }
 
   /**
@@ -380,17 +239,6 @@
    * open.
    */
   boolean hasCapacity(boolean primaryOnly, Optional<WorkspaceId> workspace) {
-    long now = clock.millis();
-    IdleConnections.Claim claim = new IdleConnections.Claim(workspace, other -> false, false);
-    return waiting.size() == 0
-        && view.members().stream()
-            .filter(member -> !member.unreachable())
-            .filter(member -> !primaryOnly || isLeasedPrimary(member.id(), now))
-            .map(member -> pools.get(member.id()))
-            .anyMatch(
-                pool ->
-                    pool.hasIdle(workspace)
-                        || pool.mayOpen(maxOpening())
-                        || pool.mayReplace(claim, maxOpening()));
+    return scheduler.size() == 0 && chooser.hasCapacity(primaryOnly, workspace);
   }
 }
--- a/gateway/src/test/java/org/sardinebay/gateway/internal/process/HostRegistrationTest.java
+++ b/gateway/src/test/java/org/sardinebay/gateway/internal/process/HostRegistrationTest.java
@@ -17,6 +17,7 @@
 import org.sardinebay.gateway.internal.version.StoreFeeds;
 import org.sardinebay.internal.process.DomainDistances;
 import org.sardinebay.internal.process.StoreEra;
+import org.sardinebay.internal.version.QuotaRule;
 import org.sardinebay.net.http.Json;
 import org.sardinebay.platform.ObjectKey;
 import org.sardinebay.platform.PlatformClient;
@@ -54,7 +55,8 @@
             any,
             any,
             0,
-            0);
+            0,
+            QuotaRule.DEFAULT);
     StoreEra era = new StoreEra(Clock.system());
     new HostRegistration(settings, store, era, new IgnoringListener(), loop).start();
     // Ends when the listing has been handled: a delayed task doesn't keep the loop running here.
--- a/standins/src/test/java/org/sardinebay/standins/impeller/GatewayTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/GatewayTest.java
@@ -148,6 +148,30 @@
       assertThat(platform.group().commitsOf("i1")).isZero();
     }
 
+    /** Guards against callers that hold every connection without using it. */
+    @Test
+    void should_be_rolled_back_sooner_while_statements_wait_for_its_connection() throws Exception {
+      platform.configureWorkspaces(PlatformWorkspace.of("acme", "acme-key"));
+      platform.limitConnections(1);
+      await(() -> runsForWorkspace());
+      try (LineCaller holder = LineCaller.open(callers, "strict", "acme-key");
+          LineCaller other = LineCaller.open(callers, "strict", "acme-key")) {
+        holder.query("BEGIN");
+        holder.query("WRITE p1 a");
+        Thread.sleep(350);
+        assertThat(other.query("WRITE p2 b").get(0)).isEqualTo("DONE sig.p2");
+        assertThat(holder.query("COMMIT").get(0)).startsWith("ERR ABORTED");
+      }
+      assertThat(platform.group().commitsOf("p1")).isZero();
+    }
+
+    private boolean runsForWorkspace() throws IOException {
+      try (LineCaller caller = LineCaller.open(callers, "strict", "acme-key")) {
+        return caller.query("READ a").get(0).startsWith("ROW")
+            && platform.member(0).recording().starts().contains("acme");
+      }
+    }
+
     @Test
     void should_accept_only_the_end_of_a_failed_transaction() throws Exception {
       try (LineCaller caller = LineCaller.open(callers, "aged")) {
