Tests of withdrawn keys don't pass by the idle limit of transactions

Cause: HomesTest.should_roll_back_at_the_home_when_the_key_is_withdrawn passed without the change that it guards, since the transaction was also rolled back for being idle.

Change: the stand-in platform's idle limit can be set; the two tests raise it beyond their time limit.

Result: both pass (13 cases); with the gateway from before the change, the one of HomesTest fails (seen: no rollback within 20 s).

--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
@@ -43,6 +43,7 @@
   private final List<LineMember> members = new ArrayList<>();
   private int version;
   private int maxConnections = MAX_CONNECTIONS;
+  private long transactionIdleMillis = TIMEOUT_MILLIS;
   private Optional<List<PlatformWorkspace>> workspaces = Optional.empty();
 
   private LineProtocolPlatform(MemberGroup group, MetadataStore store, Address address) {
@@ -86,6 +87,11 @@
     configure("strict", "aged", "own");
   }
 
+  /** Sets how long a transaction may be idle, from the next configuration on. */
+  void transactionIdleMillis(long millis) {
+    transactionIdleMillis = millis;
+  }
+
   /** Writes a configuration with the given databases, whose names determine the kind of route. */
   void configure(String... databases) {
     version += 3;
@@ -110,7 +116,7 @@
           entries.forEach(entry -> tenants.add(entry.toJson()));
         });
     spec.putArray("backends").addObject().put("name", SERVICE).put("maxConns", maxConnections);
-    spec.putObject("limits").put("txIdleMs", TIMEOUT_MILLIS);
+    spec.putObject("limits").put("txIdleMs", transactionIdleMillis);
     store.put("config", "main", spec);
   }
 
--- a/standins/src/test/java/org/sardinebay/standins/impeller/HomesTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/HomesTest.java
@@ -20,6 +20,7 @@
  */
 class HomesTest {
   private static final int TOO_FEW_CONNECTIONS = 4;
+  private static final long LONGER_THAN_ANY_TEST_MILLIS = 120_000;
 
   private record Host(Address callers, RunningProcess process) {}
 
@@ -176,6 +177,7 @@
   /** A withdrawn key must not keep a transaction open at another host than the caller's. */
   @Test
   void should_roll_back_at_the_home_when_the_key_is_withdrawn() throws Exception {
+    platform.transactionIdleMillis(LONGER_THAN_ANY_TEST_MILLIS);
     platform.configureWorkspaces(PlatformWorkspace.of("acme", "test"));
     GatewayFleet.await(() -> firstLine("START strict bogus").startsWith("ERR"), this::dumps);
     try (LineCaller caller = LineCaller.open(other.callers(), "strict")) {
--- a/standins/src/test/java/org/sardinebay/standins/impeller/WorkspaceKeysTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/WorkspaceKeysTest.java
@@ -151,6 +151,10 @@
         strings = {"WRITE t 2", "READ t", "SET a b", "PREPARE s READ q", "COMMIT", "BEGIN"})
     void should_roll_back_an_open_transaction_and_abort_its_next_statement(String statement)
         throws Exception {
+      // Otherwise the transaction would also be rolled back for being idle.
+      platform.transactionIdleMillis(120_000);
+      platform.configureWorkspaces(ACME, BETA, PlatformWorkspace.of("gamma", "Kx2gammakey"));
+      await(() -> answer(callers, "strict", "Kx2gammakey", "READ a").startsWith("ROW"));
       try (LineCaller caller = LineCaller.open(callers, "strict", KEY)) {
         caller.query("BEGIN");
         caller.query("WRITE t 1");
