--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
@@ -43,6 +43,7 @@
   private final Supplier<ForwardedStatements> statements;
   private final Function<ReachCall, CompletableFuture<Frame>> reachHandler;
   private final Function<QuotaCall, Frame> quotaHandler;
+  private final Runnable onFeedReply;
   private final Clock clock;
   private final MeterRegistry registry;
   private final ScheduledExecutorService timer =
@@ -58,6 +59,7 @@
       Supplier<ForwardedStatements> statements,
       Function<ReachCall, CompletableFuture<Frame>> reachHandler,
       Function<QuotaCall, Frame> quotaHandler,
+      Runnable onFeedReply,
       Clock clock,
       MeterRegistry registry) {
     this.settings = settings;
@@ -67,6 +69,7 @@
     this.statements = statements;
     this.reachHandler = reachHandler;
     this.quotaHandler = quotaHandler;
+    this.onFeedReply = onFeedReply;
     this.clock = clock;
     this.registry = registry;
   }
@@ -82,15 +85,17 @@
                 () -> new Connection(feedServer, statements, reachHandler, quotaHandler)));
     PeerClient peerClient = client();
     for (Nearness nearness : Nearness.values()) {
-      new ConfigFeedClient(
+      ConfigFeedClient feedClient =
+          new ConfigFeedClient(
               settings.host().value(),
               peerClient,
               storeAdapter,
               () -> watchers(nearness),
               this::otherPeers,
               clock,
-              timer)
-          .start();
+              timer);
+      feedClient.onReply(onFeedReply);
+      feedClient.start();
     }
   }
 
--- a/standins/src/test/java/org/sardinebay/standins/impeller/WorkspaceConnectionsTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/WorkspaceConnectionsTest.java
@@ -161,6 +161,8 @@
 
     @BeforeEach
     void start() throws Exception {
+      // Idle transactions are preempted after a tenth of this, later than statements wait here.
+      platform.transactionIdleMillis(10_000);
       platform.limitConnections(1);
       host = startHost("host-1");
     }
