Quotas: tests of the settings

Cause: the optional settings of the quota rule had no test.

Change: defaults, fractions and values out of range in GatewaySettingsTest.

--- a/gateway/src/test/java/org/sardinebay/gateway/internal/process/GatewaySettingsTest.java
+++ b/gateway/src/test/java/org/sardinebay/gateway/internal/process/GatewaySettingsTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.sardinebay.Address;
+import org.sardinebay.internal.version.QuotaRule;
 import org.sardinebay.net.http.Json;
 import org.sardinebay.record.FieldReader;
 
@@ -34,6 +35,32 @@
     return settings;
   }
 
+  @Nested
+  class Quota {
+    @Test
+    void should_have_defaults() {
+      assertThat(read(complete()).quotaRule()).isEqualTo(new QuotaRule(5_000, 0.1, 20));
+    }
+
+    @Test
+    void should_be_read_from_whole_numbers_and_fractions() {
+      ObjectNode settings = complete().put("quotaWindowSeconds", 2.5);
+      settings.put("quotaOverrun", 0.25).put("quotaSlack", 7);
+
+      assertThat(read(settings).quotaRule()).isEqualTo(new QuotaRule(2_500, 0.25, 7));
+    }
+
+    /** Guards against a rule that permits nothing or everything because of a wrong setting. */
+    @Test
+    void should_refuse_values_out_of_range() {
+      ObjectNode settings = complete().put("quotaWindowSeconds", 0).put("quotaOverrun", -1);
+      FieldReader reader = FieldReader.of(settings.put("quotaSlack", "20"));
+      GatewaySettings unused = GatewaySettings.read(reader);
+
+      assertThat(reader.problems()).hasSize(3);
+    }
+  }
+
   @Nested
   class Reloaded {
     @Test
