Quotas: shorter tests of sharing

Cause: the three tests of QuotaSharingTest repeated the same loops.

Change: one loop collects the samples, one method prints a figure. The given part must also be above that of equal shares at its best.

--- a/core/src/test/java/org/sardinebay/internal/process/QuotaFleetRun.java
+++ b/core/src/test/java/org/sardinebay/internal/process/QuotaFleetRun.java
@@ -1,6 +1,7 @@
 package org.sardinebay.internal.process;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -101,10 +102,7 @@
 
   /** Adds statements with random intervals, on average {@code perSecond} in all. */
   void demand(double perSecond, double[] weights, long from, long until) {
-    double total = 0;
-    for (double weight : weights) {
-      total += weight;
-    }
+    double total = Arrays.stream(weights).sum();
     double time = from;
     while (time < until) {
       time += -Math.log(1 - random.nextDouble()) * 1_000 / perSecond;
@@ -148,14 +146,10 @@
 
     private Host(int index, List<RegisteredHost> fleet, Workspace workspace) {
       this.index = index;
-      this.view = view(fleet, workspace);
+      this.view = QuotaView.of(RULE, fleet, true, workspaces(workspace));
       start();
     }
 
-    private static QuotaView view(List<RegisteredHost> fleet, Workspace workspace) {
-      return QuotaView.of(RULE, fleet, true, workspaces(workspace));
-    }
-
     void start() {
       dead = false;
       starts++;
@@ -187,7 +181,7 @@
     }
 
     void fleet(List<RegisteredHost> fleet, Workspace workspace) {
-      apply(view(fleet, workspace));
+      apply(QuotaView.of(RULE, fleet, true, workspaces(workspace)));
     }
 
     /** Starts a process that knows no hosts. */
--- a/core/src/test/java/org/sardinebay/internal/process/QuotaRuleRandomTest.java
+++ b/core/src/test/java/org/sardinebay/internal/process/QuotaRuleRandomTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -38,10 +39,7 @@
     double laterRate = rate * laterRatePercent / 100.0;
     Workspace after = QuotaFleetRun.workspace(laterRate, laterRate);
     QuotaFleetRun run = new QuotaFleetRun(size, before, seed);
-    double[] weights = new double[size];
-    for (int i = 0; i < size; i++) {
-      weights[i] = Math.pow(random.nextDouble(), 3);
-    }
+    double[] weights = random.doubles(size).map(w -> Math.pow(w, 3)).toArray();
     run.demand(rate * (1 + 4 * random.nextDouble()), weights, 0, END_MILLIS);
     addFaults(run, size, random);
     // With fewer hosts than shards, one shard counted twice is more than the rule tolerates.
@@ -71,10 +69,8 @@
     Random random = new Random(seed);
     Workspace workspace = QuotaFleetRun.workspace(rate, rate);
     QuotaFleetRun run = new QuotaFleetRun(size, workspace, seed);
-    double[] weights = new double[size];
     List<RegisteredHost> registered = new ArrayList<>();
     for (int i = 0; i < size; i++) {
-      weights[i] = 0.2 + random.nextDouble();
       RegisteredHost entry = QuotaFleetRun.host(i);
       QuotaFleetRun.Host host = run.at(i);
       host.kill();
@@ -95,7 +91,7 @@
         run.at(startAt + tick, () -> host.listed(known, listings.get(0), workspace));
       }
     }
-    run.demand(rate * 5.0, weights, 0, END_MILLIS);
+    run.demand(rate * 5.0, random.doubles(size, 0.2, 1.2).toArray(), 0, END_MILLIS);
     run.run(END_MILLIS);
 
     assertWithinRule(run, workspace, workspace);
@@ -119,11 +115,7 @@
   }
 
   private static List<RegisteredHost> largerFleet(int size) {
-    List<RegisteredHost> fleet = new ArrayList<>();
-    for (int i = 0; i <= size; i++) {
-      fleet.add(QuotaFleetRun.host(i));
-    }
-    return fleet;
+    return IntStream.rangeClosed(0, size).mapToObj(QuotaFleetRun::host).toList();
   }
 
   private static void addFaults(QuotaFleetRun run, int size, Random random) {
--- a/core/src/test/java/org/sardinebay/internal/process/QuotaSharingTest.java
+++ b/core/src/test/java/org/sardinebay/internal/process/QuotaSharingTest.java
@@ -2,11 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.DoubleSummaryStatistics;
+import java.util.List;
 import java.util.Random;
+import java.util.function.ToDoubleFunction;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.sardinebay.session.Workspace;
 
 /**
  * Guards against refusals below a workspace's limit when its demand is spread unevenly over the
@@ -33,116 +37,75 @@
     return weights;
   }
 
-  private static QuotaFleetRun run(int hosts, double rate, double demand, long seed) {
-    Workspace workspace = QuotaFleetRun.workspace(rate, rate);
-    QuotaFleetRun run = new QuotaFleetRun(hosts, workspace, seed);
-    run.demand(demand * rate, uneven(hosts, seed), 0, END_MILLIS);
-    run.run(WARM_MILLIS);
-    run.resetCounts();
-    run.run(END_MILLIS);
-    return run;
-  }
+  /** What one run gave; the equal shares serve at each host at most its share of the rate. */
+  private record Sample(QuotaFleetRun run, double given, double givenByEqualShares) {}
 
-  private static double given(QuotaFleetRun run, double rate) {
-    return run.runAt().size() / (rate * (END_MILLIS - WARM_MILLIS) / 1_000);
+  /** Runs all rates and spreads of demand; hosts of a failure domain may be down. */
+  private static List<Sample> samples(int hosts, double demand, boolean domainDown) {
+    List<Sample> samples = new ArrayList<>();
+    for (double rate : RATES) {
+      for (long seed = 0; seed < SEEDS; seed++) {
+        QuotaFleetRun run = new QuotaFleetRun(hosts, QuotaFleetRun.workspace(rate, rate), seed);
+        double[] weights = uneven(hosts, seed);
+        for (int i = (int) seed % 6; domainDown && i < hosts; i += 6) {
+          weights[i] = 0;
+          run.at(i).kill();
+        }
+        run.demand(demand * rate, weights, 0, END_MILLIS);
+        run.run(WARM_MILLIS);
+        run.resetCounts();
+        run.run(END_MILLIS);
+        double total = Arrays.stream(weights).sum();
+        double equal =
+            Arrays.stream(weights).map(w -> Math.min(demand * w / total, 1.0 / hosts)).sum();
+        double given = run.runAt().size() / (rate * (END_MILLIS - WARM_MILLIS) / 1_000);
+        samples.add(new Sample(run, given, equal));
+      }
+    }
+    return samples;
   }
 
-  /** What equal shares for each host give out: each host serves at most its share of the rate. */
-  private static double givenByEqualShares(int hosts, double demand, long seed) {
-    double[] weights = uneven(hosts, seed);
-    double total = 0;
-    for (double weight : weights) {
-      total += weight;
-    }
-    double given = 0;
-    for (double weight : weights) {
-      given += Math.min(demand * weight / total, 1.0 / hosts);
-    }
-    return given;
+  private static DoubleSummaryStatistics figure(
+      int hosts, String name, List<Sample> samples, ToDoubleFunction<Sample> value) {
+    DoubleSummaryStatistics figure = samples.stream().mapToDouble(value).summaryStatistics();
+    System.out.printf(
+        "hosts=%d %s: min=%.4f mean=%.4f max=%.4f%n",
+        hosts, name, figure.getMin(), figure.getAverage(), figure.getMax());
+    return figure;
   }
 
   @ParameterizedTest
   @ValueSource(ints = {18, 95, 300})
   void should_give_out_most_of_the_limit_when_demand_exceeds_it(int hosts) {
-    double worst = 1;
-    double sum = 0;
-    double calls = 0;
-    double equalWorst = 1;
-    double equalSum = 0;
-    for (double rate : RATES) {
-      for (long seed = 0; seed < SEEDS; seed++) {
-        QuotaFleetRun run = run(hosts, rate, 2, seed);
-        double given = given(run, rate);
-        calls += run.callsPerStatement();
-        double equal = givenByEqualShares(hosts, 2, seed);
-        worst = Math.min(worst, given);
-        sum += given;
-        equalWorst = Math.min(equalWorst, equal);
-        equalSum += equal;
-      }
-    }
-    int runs = RATES.length * SEEDS;
-    System.out.printf(
-        "hosts=%d demand=2 given worst=%.3f mean=%.3f, calls per statement=%.2f, equal shares"
-            + " worst=%.3f mean=%.3f%n",
-        hosts, worst, sum / runs, calls / runs, equalWorst, equalSum / runs);
-    assertThat(worst).isGreaterThan(0.95);
+    List<Sample> samples = samples(hosts, 2, false);
+    figure(hosts, "beyond the limit, calls", samples, s -> s.run().callsPerStatement());
+    var equal =
+        figure(hosts, "beyond the limit, equal shares", samples, Sample::givenByEqualShares);
+    var given = figure(hosts, "beyond the limit, given", samples, Sample::given);
+
+    assertThat(given.getMin()).isGreaterThan(0.95).isGreaterThan(equal.getMax());
   }
 
   @ParameterizedTest
   @ValueSource(ints = {18, 95, 300})
   void should_refuse_nearly_nothing_when_demand_is_usual(int hosts) {
-    double worst = 0;
-    double sum = 0;
-    double equalSum = 0;
-    double calls = 0;
-    double waits = 0;
-    for (double rate : RATES) {
-      for (long seed = 0; seed < SEEDS; seed++) {
-        QuotaFleetRun run = run(hosts, rate, USUAL_DEMAND, seed);
-        double part = run.refusedPart();
-        worst = Math.max(worst, part);
-        sum += part;
-        calls += run.callsPerStatement();
-        waits += run.meanWaitMillis();
-        equalSum += 1 - givenByEqualShares(hosts, USUAL_DEMAND, seed) / USUAL_DEMAND;
-      }
-    }
-    int runs = RATES.length * SEEDS;
-    System.out.printf(
-        "hosts=%d demand=0.625 refused worst=%.4f mean=%.4f wait mean=%.1f ms, calls"
-            + " per statement=%.2f, equal shares refused mean=%.3f%n",
-        hosts, worst, sum / runs, waits / runs, calls / runs, equalSum / runs);
-    assertThat(worst).isLessThan(0.02);
-    assertThat(sum / runs).isLessThan(0.003);
+    List<Sample> samples = samples(hosts, USUAL_DEMAND, false);
+    figure(hosts, "usual, calls", samples, s -> s.run().callsPerStatement());
+    figure(hosts, "usual, wait in ms", samples, s -> s.run().meanWaitMillis());
+    ToDoubleFunction<Sample> refusedByEqualShares = s -> 1 - s.givenByEqualShares() / USUAL_DEMAND;
+    figure(hosts, "usual, refused by equal shares", samples, refusedByEqualShares);
+    var refused = figure(hosts, "usual, refused", samples, s -> s.run().refusedPart());
+
+    assertThat(refused.getMax()).isLessThan(0.02);
+    assertThat(refused.getAverage()).isLessThan(0.003);
   }
 
   /** The callers of the domain that is down have moved to the other hosts. */
   @Test
   void should_refuse_little_when_the_hosts_of_a_failure_domain_are_down() {
-    int hosts = 95;
-    double worst = 0;
-    double sum = 0;
-    for (double rate : RATES) {
-      for (long seed = 0; seed < SEEDS; seed++) {
-        QuotaFleetRun run = new QuotaFleetRun(hosts, QuotaFleetRun.workspace(rate, rate), seed);
-        double[] weights = uneven(hosts, seed);
-        for (int i = (int) seed % 6; i < hosts; i += 6) {
-          weights[i] = 0;
-          run.at(i).kill();
-        }
-        run.demand(USUAL_DEMAND * rate, weights, 0, END_MILLIS);
-        run.run(WARM_MILLIS);
-        run.resetCounts();
-        run.run(END_MILLIS);
-        worst = Math.max(worst, run.refusedPart());
-        sum += run.refusedPart();
-      }
-    }
-    int runs = RATES.length * SEEDS;
-    System.out.printf(
-        "hosts=%d, a sixth down, demand=0.625 refused worst=%.3f mean=%.4f%n",
-        hosts, worst, sum / runs);
-    assertThat(sum / runs).isLessThan(0.05);
+    List<Sample> samples = samples(95, USUAL_DEMAND, true);
+    var refused = figure(95, "usual, a sixth down, refused", samples, s -> s.run().refusedPart());
+
+    assertThat(refused.getAverage()).isLessThan(0.05);
   }
 }
