--- a/core/src/test/java/org/sardinebay/internal/process/QuotaFleetRun.java
+++ b/core/src/test/java/org/sardinebay/internal/process/QuotaFleetRun.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -9,6 +10,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.sardinebay.Address;
 import org.sardinebay.FailureDomain;
 import org.sardinebay.HostId;
@@ -39,22 +41,15 @@
   private long calls;
   private long now;
   private final Random random;
-  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
   private long scheduled;
 
-  private record Event(long at, long number, Runnable task) implements Comparable<Event> {
-    @Override
-    public int compareTo(Event other) {
-      return at != other.at ? Long.compare(at, other.at) : Long.compare(number, other.number);
-    }
-  }
+  private record Event(long at, long number, Runnable task) {}
 
   QuotaFleetRun(int size, Workspace workspace, long seed) {
     random = new Random(seed);
-    List<RegisteredHost> fleet = new ArrayList<>();
-    for (int i = 0; i < size; i++) {
-      fleet.add(host(i));
-    }
+    List<RegisteredHost> fleet = IntStream.range(0, size).mapToObj(QuotaFleetRun::host).toList();
     for (int i = 0; i < size; i++) {
       hosts.add(new Host(i, fleet, workspace));
     }
@@ -217,10 +212,10 @@
 
     private void act(Runnable task) {
       int start = starts;
-      if (now < pausedUntil) {
-        at(pausedUntil, () -> resume(start, task));
-      } else if (!dead) {
+      if (answersNow()) {
         task.run();
+      } else if (!dead) {
+        at(pausedUntil, () -> resume(start, task));
       }
     }
 
@@ -268,14 +263,17 @@
 
     private void probe(HostId keeper) {
       int to = indexOf(keeper);
-      boolean answers = to < hosts.size() && !unreachable.contains(to) && !hosts.get(to).dead;
-      if (answers && now >= hosts.get(to).pausedUntil) {
+      if (to < hosts.size() && !unreachable.contains(to) && hosts.get(to).answersNow()) {
         health.onAnswer(keeper);
       } else {
         probeLater(keeper);
       }
     }
 
+    private boolean answersNow() {
+      return !dead && now >= pausedUntil;
+    }
+
     private void answer(Host caller, int start, QuotaStep.Ask<Long> ask, boolean[] ended) {
       QuotaKeeper.Grant grant = keeper.grant(WORKSPACE, ask.wanted(), now);
       if (!unreachable.contains(caller.index)) {
--- a/core/src/test/java/org/sardinebay/internal/process/QuotaRuleRandomTest.java
+++ b/core/src/test/java/org/sardinebay/internal/process/QuotaRuleRandomTest.java
@@ -3,10 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -136,16 +137,16 @@
   }
 
   private static void cutOff(QuotaFleetRun run, int size, long at, long millis, Random random) {
-    Set<Integer> side = new HashSet<>();
-    Set<Integer> otherSide = new HashSet<>();
-    for (int i = 0; i < size; i++) {
-      (random.nextBoolean() ? side : otherSide).add(i);
-    }
-    side.forEach(i -> run.at(at, () -> run.at(i).cutOff(otherSide)));
-    otherSide.forEach(i -> run.at(at, () -> run.at(i).cutOff(side)));
-    for (int i = 0; i < size; i++) {
-      QuotaFleetRun.Host host = run.at(i);
-      run.at(at + millis, host::reconnect);
-    }
+    Map<Boolean, Set<Integer>> sides =
+        IntStream.range(0, size)
+            .boxed()
+            .collect(Collectors.partitioningBy(i -> random.nextBoolean(), Collectors.toSet()));
+    sides.forEach(
+        (side, members) ->
+            members.forEach(
+                i -> {
+                  run.at(at, () -> run.at(i).cutOff(sides.get(!side)));
+                  run.at(at + millis, run.at(i)::reconnect);
+                }));
   }
 }
--- a/core/src/test/java/org/sardinebay/internal/process/QuotaTokensTest.java
+++ b/core/src/test/java/org/sardinebay/internal/process/QuotaTokensTest.java
@@ -23,7 +23,7 @@
     tokens.setKeepers(List.of(FAR, MIDDLE, NEAR), List.of(NEAR, MIDDLE, FAR));
   }
 
-  private QuotaStep.Ask<String> asked(List<QuotaStep<String>> steps) {
+  private static QuotaStep.Ask<String> asked(List<QuotaStep<String>> steps) {
     return (QuotaStep.Ask<String>) steps.get(steps.size() - 1);
   }
 
@@ -115,17 +115,13 @@
 
   @Nested
   class Refusals {
-    private void exhaustAll() {
+    /** Guards against callers beyond the limit that wait for calls which can't succeed. */
+    @Test
+    void should_refuse_at_once_when_no_keeper_has_tokens() {
       QuotaStep.Ask<String> ask = asked(tokens.onStatement("first", 0));
       ask = asked(tokens.onReply(ask, 0, 300, 0));
       ask = asked(tokens.onReply(ask, 0, 200, 0));
       tokens.onReply(ask, 0, 100, 0);
-    }
-
-    /** Guards against callers beyond the limit that wait for calls which can't succeed. */
-    @Test
-    void should_refuse_at_once_when_no_keeper_has_tokens() {
-      exhaustAll();
 
       assertThat(tokens.onStatement("a", 10)).containsExactly(new QuotaStep.Refuse<>("a", 90));
     }
--- a/core/src/test/java/org/sardinebay/internal/version/QuotaHostsTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/QuotaHostsTest.java
@@ -2,8 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.sardinebay.Address;
 import org.sardinebay.FailureDomain;
@@ -22,11 +22,7 @@
   }
 
   private static List<RegisteredHost> fleet(int size) {
-    List<RegisteredHost> fleet = new ArrayList<>();
-    for (int i = 0; i < size; i++) {
-      fleet.add(host(i));
-    }
-    return fleet;
+    return IntStream.range(0, size).mapToObj(QuotaHostsTest::host).toList();
   }
 
   private double shardRate() {
--- a/standins/src/test/java/org/sardinebay/standins/impeller/QuotaTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/QuotaTest.java
@@ -5,9 +5,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -75,10 +75,7 @@
   private record Outcomes(List<Long> ranAt, List<String> refusals) {}
 
   private static Outcomes sendFor(long millis, List<Address> gateways) {
-    Outcomes outcomes =
-        new Outcomes(
-            Collections.synchronizedList(new ArrayList<>()),
-            Collections.synchronizedList(new ArrayList<>()));
+    Outcomes outcomes = new Outcomes(new CopyOnWriteArrayList<>(), new CopyOnWriteArrayList<>());
     long end = Clock.system().millis() + millis;
     CompletableFuture<?>[] senders =
         gateways.stream()
@@ -99,24 +96,17 @@
         }
         Thread.sleep(5);
       }
-    } catch (IOException e) {
+    } catch (IOException | InterruptedException e) {
       throw new AssertionError(e);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
     }
   }
 
   private static int mostInOneWindow(List<Long> ranAt) {
-    List<Long> sorted = ranAt.stream().sorted().toList();
-    int most = 0;
-    int first = 0;
-    for (int last = 0; last < sorted.size(); last++) {
-      while (sorted.get(first) <= sorted.get(last) - WINDOW_MILLIS) {
-        first++;
-      }
-      most = Math.max(most, last - first + 1);
-    }
-    return most;
+    return ranAt.stream()
+        .mapToInt(
+            end -> (int) ranAt.stream().filter(at -> at > end - WINDOW_MILLIS && at <= end).count())
+        .max()
+        .orElse(0);
   }
 
   @Test
