Test of preempted idle transactions with a real gateway

A holder of the only connection to a member is rolled back after 300 ms while another caller's write waits, instead of the write being refused after 480 ms. The weight of a workspace counts at most three steps of its priority, since the decoder's default of 9 would leave one without a share. GatewayTest$Transactions passes (6 tests).

Seen failing first on a scratch copy: without preemption the waiting write gets "BUSY nothing was kept: no member had a place in time". With StatementQueue in place of FairStatementQueue, the tests of starvation (2) and of one workspace at ten times its rate (2) fail.

--- a/core/src/main/java/org/sardinebay/internal/request/WorkspaceWeights.java
+++ b/core/src/main/java/org/sardinebay/internal/request/WorkspaceWeights.java
@@ -16,6 +16,9 @@
   /** Keeps the work of a workspace whose rate is lowered to 0 finite. */
   private static final double MIN_RATE = 1;
 
+  /** The number of steps of priority that count, so that no workspace is left without a share. */
+  private static final int MAX_PRIORITY_STEPS = 3;
+
   private WorkspaceWeights() {}
 
   /**
@@ -31,6 +34,7 @@
 
   private static double of(Workspace workspace) {
     double rate = workspace.limited() ? workspace.operationsPerSecond() : DEFAULT_RATE;
-    return Math.max(MIN_RATE, rate) / Math.scalb(1.0, Math.max(0, workspace.priority()));
+    int steps = Math.min(MAX_PRIORITY_STEPS, Math.max(0, workspace.priority()));
+    return Math.max(MIN_RATE, rate) / Math.scalb(1.0, steps);
   }
 }
--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
@@ -38,6 +38,7 @@
   private final List<LineMember> members = new ArrayList<>();
   private int version;
   private int maxConnections = MAX_CONNECTIONS;
+  private boolean workspaces;
 
   private LineProtocolPlatform(MemberGroup group, MetadataStore store, Address address) {
     this.group = group;
@@ -80,6 +81,12 @@
     configure("strict", "aged", "own");
   }
 
+  /** Writes a configuration with one workspace and routes that need no key. */
+  void configureWorkspaces() {
+    workspaces = true;
+    configure("strict", "aged", "own");
+  }
+
   /** Writes a configuration with the given databases, whose names determine the kind of route. */
   void configure(String... databases) {
     version += 3;
@@ -95,9 +102,17 @@
           .put("targetLatencyMs", TIMEOUT_MILLIS)
           .put("priority", 1)
           .put("backend", SERVICE)
+          .put("public", workspaces)
           .put("maxStalenessMs", MAX_STALENESS_MILLIS);
     }
     spec.putArray("backends").addObject().put("name", SERVICE).put("maxConns", maxConnections);
+    if (workspaces) {
+      spec.putArray("tenants")
+          .addObject()
+          .put("name", "w")
+          .put("ratePerS", 100)
+          .putArray("apiKeys");
+    }
     spec.putObject("limits").put("txIdleMs", TIMEOUT_MILLIS);
     store.put("config", "main", spec);
   }
--- a/standins/src/test/java/org/sardinebay/standins/impeller/GatewayTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/GatewayTest.java
@@ -148,6 +148,23 @@
       assertThat(platform.group().commitsOf("i1")).isZero();
     }
 
+    /** Guards against callers that hold every connection without using it. */
+    @Test
+    void should_be_rolled_back_sooner_while_statements_wait_for_its_connection() throws Exception {
+      platform.configureWorkspaces();
+      platform.limitConnections(1);
+      Thread.sleep(300);
+      try (LineCaller holder = LineCaller.open(callers, "strict");
+          LineCaller other = LineCaller.open(callers, "strict")) {
+        holder.query("BEGIN");
+        holder.query("WRITE p1 a");
+        Thread.sleep(350);
+        assertThat(other.query("WRITE p2 b").get(0)).isEqualTo("DONE sig.p2");
+        assertThat(holder.query("COMMIT").get(0)).startsWith("ERR ABORTED");
+      }
+      assertThat(platform.group().commitsOf("p1")).isZero();
+    }
+
     @Test
     void should_accept_only_the_end_of_a_failed_transaction() throws Exception {
       try (LineCaller caller = LineCaller.open(callers, "aged")) {
