--- a/core/src/test/java/org/sardinebay/internal/request/ArrivalLoop.java
+++ b/core/src/test/java/org/sardinebay/internal/request/ArrivalLoop.java
@@ -17,7 +17,6 @@
   /** Connections; with the kinds' mean work of 14.6 ms, they carry 548 statements a second. */
   private static final int CONNECTIONS = 8;
 
-  private static final double MEAN_MILLIS = 14.6;
   private static final int TICK_MILLIS = 10;
 
   private final Map<Sender, Tally> tallies = new HashMap<>();
@@ -101,7 +100,7 @@
   }
 
   static WaitEstimate.Capacity capacity() {
-    return new WaitEstimate.Capacity(0, CONNECTIONS, OptionalDouble.of(MEAN_MILLIS));
+    return new WaitEstimate.Capacity(0, CONNECTIONS, OptionalDouble.of(14.6));
   }
 
   static List<Arrival> arrivals(List<Load> loads, long seed) {
@@ -121,8 +120,7 @@
 
   ArrivalLoop run(List<Arrival> arrivals, Policy policy) {
     int next = 0;
-    long end = arrivals.get(arrivals.size() - 1).at + 2_000;
-    for (long t = 0; t < end; t++) {
+    for (long t = 0; t < arrivals.get(arrivals.size() - 1).at + 2_000; t++) {
       long now = t;
       while (!busyUntil.isEmpty() && busyUntil.peek() <= now) {
         busyUntil.poll();
--- a/core/src/test/java/org/sardinebay/internal/request/SchedulingPolicies.java
+++ b/core/src/test/java/org/sardinebay/internal/request/SchedulingPolicies.java
@@ -46,82 +46,73 @@
 
   /** The queue of deployments without workspaces: priority, then deadline. */
   static ArrivalLoop.Policy strictPriority() {
-    return new Ordered(new StatementQueue<>(), 1, a -> a.demand().giveUpAt(), false);
+    return ordered(new StatementQueue<>(), 1, a -> a.demand().giveUpAt(), false);
   }
 
   /** Fair over the workspaces by work, regardless of priority. */
   static ArrivalLoop.Policy weightedFair(Workspaces workspaces) {
     FairStatementQueue<Arrival> queue =
         new FairStatementQueue<>(id -> WorkspaceWeights.of(workspaces, id));
-    return new Ordered(queue, 0, a -> a.demand().giveUpAt(), false);
+    return ordered(queue, 0, a -> a.demand().giveUpAt(), false);
   }
 
   static ArrivalLoop.Policy earliestDeadline() {
-    return new Ordered(new StatementQueue<>(), 0, a -> a.demand().targetAt(), false);
+    return ordered(new StatementQueue<>(), 0, a -> a.demand().targetAt(), false);
   }
 
   static ArrivalLoop.Policy leastSlack() {
-    return new Ordered(new StatementQueue<>(), 0, a -> a.demand().latestStartInTarget(), false);
+    return ordered(new StatementQueue<>(), 0, a -> a.demand().latestStartInTarget(), false);
   }
 
   /** First in, first out; sheds while the wait has stayed above its bound for an interval. */
   static ArrivalLoop.Policy codel() {
-    return new Ordered(new StatementQueue<>(), 0, Arrival::at, true);
+    return ordered(new StatementQueue<>(), 0, Arrival::at, true);
   }
 
   /** A queue ordered by a key, with or without the priorities, without early rejection. */
-  private static final class Ordered implements ArrivalLoop.Policy {
-    private final WaitingStatements<Arrival> queue;
-    private final int priorities;
-    private final ToLongFunction<Arrival> key;
-    private final boolean sheds;
-    private long belowBoundAt;
-
-    private Ordered(
-        WaitingStatements<Arrival> queue,
-        int priorities,
-        ToLongFunction<Arrival> key,
-        boolean sheds) {
-      this.queue = queue;
-      this.priorities = priorities;
-      this.key = key;
-      this.sheds = sheds;
-    }
-
-    @Override
-    public boolean add(Arrival arrival, long now) {
-      StatementDemand d = arrival.demand();
-      int priority = d.priority() * priorities;
-      long at = key.applyAsLong(arrival);
-      queue.add(
-          arrival,
-          new StatementDemand(
-              d.workspace(), priority, d.workMillis(), false, d.arrivedAt(), d.targetAt(), at));
-      return true;
-    }
-
-    @Override
-    public List<Arrival> removeHopeless(long now) {
-      List<Arrival> order =
-          queue.inOrder(now).stream().map(WaitingStatements.Waiting::item).toList();
-      if (!sheds || order.isEmpty() || now - order.get(0).at() < SHED_BOUND_MILLIS) {
-        belowBoundAt = now;
+  private static ArrivalLoop.Policy ordered(
+      WaitingStatements<Arrival> queue,
+      int priorities,
+      ToLongFunction<Arrival> key,
+      boolean sheds) {
+    return new ArrivalLoop.Policy() {
+      private long belowBoundAt;
+
+      @Override
+      public boolean add(Arrival arrival, long now) {
+        StatementDemand d = arrival.demand();
+        int priority = d.priority() * priorities;
+        long at = key.applyAsLong(arrival);
+        queue.add(
+            arrival,
+            new StatementDemand(
+                d.workspace(), priority, d.workMillis(), false, d.arrivedAt(), d.targetAt(), at));
+        return true;
+      }
+
+      @Override
+      public List<Arrival> removeHopeless(long now) {
+        List<Arrival> order =
+            queue.inOrder(now).stream().map(WaitingStatements.Waiting::item).toList();
+        if (!sheds || order.isEmpty() || now - order.get(0).at() < SHED_BOUND_MILLIS) {
+          belowBoundAt = now;
+        }
+        boolean shedding = now - belowBoundAt >= SHED_INTERVAL_MILLIS;
+        List<Arrival> removed =
+            order.stream()
+                .filter(
+                    a ->
+                        a.demand().giveUpAt() <= now
+                            || (shedding && now - a.at() >= SHED_BOUND_MILLIS))
+                .toList();
+        removed.forEach(queue::remove);
+        return removed;
       }
-      boolean shedding = now - belowBoundAt >= SHED_INTERVAL_MILLIS;
-      List<Arrival> removed =
-          order.stream()
-              .filter(
-                  a ->
-                      a.demand().giveUpAt() <= now
-                          || (shedding && now - a.at() >= SHED_BOUND_MILLIS))
-              .toList();
-      removed.forEach(queue::remove);
-      return removed;
-    }
-
-    @Override
-    public void dispatch(long now, Predicate<Arrival> place) {
-      queue.dispatch(now, place);
-    }
+
+      @Override
+      public void dispatch(long now, Predicate<Arrival> place) {
+        queue.dispatch(now, place);
+      }
+    };
   }
 }
