--- a/core/src/main/java/org/sardinebay/internal/request/FinalAnswers.java
+++ b/core/src/main/java/org/sardinebay/internal/request/FinalAnswers.java
@@ -41,6 +41,15 @@
     return answer(ErrorCode.ABORTED, "rolled back: the connection to the member was lost");
   }
 
+  /**
+   * The caller's key belongs to another workspace than when the transaction began.
+   *
+   * @return the answer
+   */
+  public static RetryPolicy.Step.GiveUp workspaceChanged() {
+    return answer(ErrorCode.ABORTED, "rolled back: the key belongs to another workspace now");
+  }
+
   /**
    * The connection to the host that runs the transaction was lost before the commit was sent.
    *
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
@@ -89,8 +89,12 @@
       place();
       return;
     }
-    attempts++;
     MemberPin held = pin.get();
+    if (!held.connection().workspace().equals(workspace())) {
+      giveUp(FinalAnswers.workspaceChanged());
+      return;
+    }
+    attempts++;
     PlacementRequirement requirement = new PlacementRequirement(held.asPrimary(), Optional.empty());
     prepare(
         new Attempt(held.pool(), held.connection(), requirement, held.asPrimary(), held.term()));
--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
@@ -5,7 +5,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.sardinebay.Address;
 import org.sardinebay.Clock;
@@ -36,7 +39,7 @@
   private final MetadataStore store;
   private final Address address;
   private final List<LineMember> members = new ArrayList<>();
-  private List<String> workspaces = List.of();
+  private final Map<String, String> workspaceByKey = new LinkedHashMap<>();
   private int version;
   private int maxConnections = MAX_CONNECTIONS;
 
@@ -86,10 +89,23 @@
    * database "aged" is open to callers without a key.
    */
   void configureWorkspaces(String... names) {
-    workspaces = List.of(names);
+    for (String name : names) {
+      workspaceByKey.put(name + "-key", name);
+    }
+    configure("strict", "aged", "own");
+  }
+
+  /** Writes a configuration in which a key belongs to another workspace. */
+  void moveKey(String key, String workspace) {
+    workspaceByKey.put(key, workspace);
     configure("strict", "aged", "own");
   }
 
+  /** Returns the version of the last configuration. */
+  int version() {
+    return version;
+  }
+
   /** Writes a configuration with the given databases, whose names determine the kind of route. */
   void configure(String... databases) {
     version += 3;
@@ -108,10 +124,13 @@
           .put("maxStalenessMs", MAX_STALENESS_MILLIS)
           .put("public", database.equals("aged"));
     }
-    if (!workspaces.isEmpty()) {
+    if (!workspaceByKey.isEmpty()) {
       ArrayNode tenants = spec.putArray("tenants");
-      for (String name : workspaces) {
-        tenants.addObject().put("name", name).putArray("apiKeys").add(name + "-key");
+      for (String name : Set.copyOf(workspaceByKey.values())) {
+        ArrayNode keys = tenants.addObject().put("name", name).putArray("apiKeys");
+        workspaceByKey.entrySet().stream()
+            .filter(entry -> entry.getValue().equals(name))
+            .forEach(entry -> keys.add(entry.getKey()));
       }
     }
     spec.putArray("backends").addObject().put("name", SERVICE).put("maxConns", maxConnections);
--- a/standins/src/test/java/org/sardinebay/standins/impeller/WorkspaceConnectionsTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/WorkspaceConnectionsTest.java
@@ -136,6 +136,20 @@
       assertUsersMatchItems();
     }
 
+    /** Guards against a transaction that goes on in the name of a former workspace. */
+    @Test
+    void should_abort_a_transaction_whose_key_moves_to_another_workspace() throws Exception {
+      try (LineCaller caller = open(host, "gozi")) {
+        caller.query("BEGIN");
+        assertThat(caller.query("WRITE gozi 1").get(0)).startsWith("DONE");
+        platform.moveKey("gozi-key", "wadi");
+        await(() -> hosts.get(0).dump().path("configuration").asInt() == platform.version());
+        assertThat(caller.query("WRITE gozi 2").get(0)).startsWith("ERR ABORTED");
+      }
+      assertThat(platform.group().commitsOf("gozi")).isZero();
+      assertUsersMatchItems();
+    }
+
     @Test
     void should_run_statements_without_a_key_in_the_name_of_the_host() throws Exception {
       try (LineCaller caller = LineCaller.open(host, "aged", "unknown")) {
