Tests of idle times and of the cost of opening; build of the stand-ins

Change: split with a limit. Unit tests of ConnectionQuota.maxIdleMillis and of PlacementCandidate.openCostMillis.

Result: the build with all checks passes for all modules (verify without tests); ConnectionQuotaTest and PlacementTest pass.

--- a/core/src/test/java/org/sardinebay/internal/connection/ConnectionQuotaTest.java
+++ b/core/src/test/java/org/sardinebay/internal/connection/ConnectionQuotaTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class ConnectionQuotaTest {
@@ -95,4 +97,44 @@
     assertThat(quota.mayOpen(1, 1, 0)).isTrue();
     assertThat(quota.mayOpen(1, 3, 0)).isFalse();
   }
+
+  @Nested
+  class IdleConnectionsOfWorkspaces {
+    @BeforeEach
+    void shareWithSixHosts() {
+      quota.hosts(6);
+    }
+
+    @Test
+    void should_stay_while_there_are_enough_connections_for_all_hosts() {
+      quota.onTotalReported(14);
+
+      assertThat(quota.maxIdleMillis(9, true)).isEmpty();
+    }
+
+    /** Guards against homes that keep a share of connections which other homes would use. */
+    @Test
+    void should_be_closed_when_unused_for_long_while_few_remain() {
+      quota.onTotalReported(15);
+
+      assertThat(quota.maxIdleMillis(2, true)).hasValue(5_000);
+      assertThat(quota.maxIdleMillis(2, false)).isEmpty();
+    }
+
+    @Test
+    void should_be_closed_sooner_beyond_the_fair_share_when_none_remain() {
+      quota.onTotalReported(19);
+
+      assertThat(quota.maxIdleMillis(9, true)).hasValue(1_000);
+      assertThat(quota.maxIdleMillis(3, true)).hasValue(5_000);
+      assertThat(quota.maxIdleMillis(9, false)).hasValue(1_000);
+    }
+
+    @Test
+    void should_keep_the_last_connection() {
+      quota.onTotalReported(LIMIT);
+
+      assertThat(quota.maxIdleMillis(1, true)).isEmpty();
+    }
+  }
 }
--- a/core/src/test/java/org/sardinebay/internal/request/PlacementTest.java
+++ b/core/src/test/java/org/sardinebay/internal/request/PlacementTest.java
@@ -135,4 +135,37 @@
           .contains("primary");
     }
   }
+
+  /** Guards against connections that are opened although another member near by has an idle one. */
+  @Nested
+  class OpeningConnections {
+    private static PlacementCandidate replica(String id, long roundTrip, long openCost) {
+      return new PlacementCandidate(
+          new MemberId(id),
+          false,
+          true,
+          roundTrip,
+          openCost,
+          0,
+          3,
+          new Position(1, 9),
+          false,
+          false);
+    }
+
+    @Test
+    void should_cost_more_than_a_member_in_the_same_region() {
+      assertThat(choose(READ_REQUIREMENT, replica("near", 1, 26), replica("next", 3, 0)))
+          .contains("next");
+    }
+
+    @Test
+    void should_cost_less_than_waiting_for_many_statements_at_the_other_member() {
+      PlacementCandidate busy =
+          new PlacementCandidate(
+              new MemberId("busy"), false, true, 1, 0, 9, 3, new Position(1, 9), false, false);
+
+      assertThat(choose(READ_REQUIREMENT, replica("near", 1, 26), busy)).contains("near");
+    }
+  }
 }
--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
@@ -95,7 +95,8 @@
         return;
       }
       send(out, "READY I " + group.position(id) + "\r\n");
-      serveStatements(in, out, start.split(" ")[2], new LineMemberSession(id, group));
+      String user = start.split(" ", 4)[2];
+      serveStatements(in, out, user, new LineMemberSession(id, group));
     } catch (IOException e) {
       // The peer closed the connection, which ends the session.
     } finally {
