--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
@@ -107,6 +107,11 @@
     transactionIdleMillis = millis;
   }
 
+  /** Returns the version of the last configuration. */
+  int version() {
+    return version;
+  }
+
   /** Writes a configuration with the given databases, whose names determine the kind of route. */
   void configure(String... databases) {
     version += 3;
