--- a/standins/src/main/java/org/sardinebay/standins/impeller/PlatformWorkspace.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/PlatformWorkspace.java
@@ -13,20 +13,18 @@
  * @param keys the keys of its callers
  */
 record PlatformWorkspace(String name, int operationsPerSecond, int burst, List<String> keys) {
-  private static final int AMPLE_RATE = 10_000;
+  private static final int UNLIMITED = -1;
 
-  /** Returns a workspace whose quota no test reaches. */
+  /** Returns a workspace without a quota. */
   static PlatformWorkspace of(String name, String... keys) {
-    return new PlatformWorkspace(name, AMPLE_RATE, AMPLE_RATE, List.of(keys));
+    return new PlatformWorkspace(name, UNLIMITED, UNLIMITED, List.of(keys));
   }
 
   ObjectNode toJson() {
-    ObjectNode node =
-        Json.newObject()
-            .put("name", name)
-            .put("priority", 1)
-            .put("ratePerS", operationsPerSecond)
-            .put("burst", burst);
+    ObjectNode node = Json.newObject().put("name", name).put("priority", 1);
+    if (operationsPerSecond != UNLIMITED) {
+      node.put("ratePerS", operationsPerSecond).put("burst", burst);
+    }
     node.putArray("apiKeys");
     keys.forEach(key -> node.withArray("apiKeys").add(key));
     return node;
