--- a/core/src/main/java/org/sardinebay/internal/process/QuotaTokens.java
+++ b/core/src/main/java/org/sardinebay/internal/process/QuotaTokens.java
@@ -29,9 +29,8 @@
  */
 public final class QuotaTokens<S> {
   /**
-   * How many keepers without a token are asked for one statement before it is refused. With 3,
-   * workspaces with unevenly spread demand at 0.63 of their limit had up to 5.5 % refused, with 5
-   * up to 2.5 % (QuotaSharingTest).
+   * How many keepers without a token are asked for one statement before it is refused. With fewer,
+   * statements are refused below the limit when demand is spread unevenly over the hosts.
    */
   private static final int MAX_ASKED = 6;
 
