A read that has been answered is neither placed again nor rejected

Cause, by reading: when the first member of a hedged read failed while the second connection was being prepared, the read was queued again. If the second member answered meanwhile, a rejection from the queue ended the statement twice, which throws in the tick of its service.

Change: StatementRun ignores a rejection and a retry after it has ended, as it does for a wait that has run out.

No test brings the case about.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
@@ -106,6 +106,10 @@
   }
 
   private void place() {
+    if (finished) {
+      // The other attempt of a hedged read was answered before this one was retried.
+      return;
+    }
     placingSince = context.clock().millis();
     expectedWaitMillis = OptionalLong.empty();
     service.place(this);
@@ -178,6 +182,9 @@
 
   @Override
   public void onRejected(WaitEstimate.Expected<PlacementRequest> expected, boolean onArrival) {
+    if (finished) {
+      return;
+    }
     long retryMillis = RetryAfter.millis(expected.drainMillis(), route.priority(), request.id());
     context.log().rejected(request, route, expected, retryMillis, onArrival);
     // A read may have run for another home whose answer was lost; a write is not forwarded again.
