Shorter start: no JFR events and file reads of Netty, class list with calls between hosts

Cause: after a loss of power of all hosts the event loop stood still for 350 to 430 ms while it loaded some 500 classes (-Xlog:class+load): Netty registered events of JFR, and protobuf and the peers' classes were not in the class archive, since the training run had a single gateway. Ruled out: collections (26 ms), quota of connections.

--- a/standins/src/main/java/org/sardinebay/standins/impeller/TrainingRun.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/TrainingRun.java
@@ -14,8 +14,9 @@
 import org.sardinebay.standins.platform.FreePorts;
 
 /**
- * Runs a gateway process against the platform stand-in, with callers, a primary change and a
- * shutdown, so that its JVM records the classes that a gateway loads in operation.
+ * Runs two gateway processes against the platform stand-in, with callers, a primary change and a
+ * shutdown, so that the JVM of the first records the classes that a gateway loads in operation. The
+ * second one is there for the calls between hosts.
  *
  * <pre>{@code
  * java -cp ... org.sardinebay.standins.impeller.TrainingRun target/sardinebay-gateway.jar out.list
@@ -28,7 +29,13 @@
   private static final int TRAFFIC_ROUNDS = 20;
   private static final int SHUTDOWN_SECONDS = 3;
 
+  /** As in the deploy file; they decide which classes Netty loads at a start. */
+  private static final List<String> NETTY_OPTIONS =
+      List.of("-Dio.netty.jfr.enabled=false", "-Dio.netty.osClassifiers=");
+
   private final Address callers = FreePorts.next();
+  private final Address peers = FreePorts.next();
+  private final Address otherPeers = FreePorts.next();
   private final LineProtocolPlatform platform;
 
   private TrainingRun(LineProtocolPlatform platform) {
@@ -52,53 +59,74 @@
   }
 
   private void run(String jar, String classList) throws IOException, InterruptedException {
-    Path settings = Files.createTempFile("gateway", ".json");
-    Files.writeString(settings, settings().toString());
-    List<String> command = new ArrayList<>();
-    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(
-        List.of("-Xshare:off", "-XX:+UseSerialGC", "-XX:DumpLoadedClassList=" + classList));
-    command.addAll(List.of("-Dsardinebay.logging=gateway", "-jar", jar));
-    command.addAll(List.of("--settings", settings.toString()));
-    Process gateway =
-        new ProcessBuilder(command)
-            .redirectErrorStream(true)
-            .redirectOutput(new File(classList + ".log"))
-            .start();
+    List<String> recording =
+        List.of("-Xshare:off", "-XX:+UseSerialGC", "-XX:DumpLoadedClassList=" + classList);
+    Address otherCallers = FreePorts.next();
+    Process other =
+        start(jar, List.of(), settings("host-2", otherCallers, otherPeers, peers), "host-2.log");
+    try {
+      // The first gateway must find a peer that answers, or it records no calls between hosts.
+      awaitWrite(otherCallers, START_TIMEOUT_MILLIS);
+      record(start(jar, recording, settings("host-1", callers, peers, otherPeers), "host-1.log"));
+    } finally {
+      stop(other);
+    }
+  }
+
+  private void record(Process gateway) throws IOException, InterruptedException {
     try {
-      awaitWrite(START_TIMEOUT_MILLIS);
+      awaitWrite(callers, START_TIMEOUT_MILLIS);
       runTraffic();
       platform.member(0).crash();
-      awaitWrite(PRIMARY_CHANGE_TIMEOUT_MILLIS);
+      awaitWrite(callers, PRIMARY_CHANGE_TIMEOUT_MILLIS);
       runTraffic();
     } finally {
-      gateway.destroy();
-      gateway.waitFor(2 * SHUTDOWN_SECONDS, TimeUnit.SECONDS);
-      gateway.destroyForcibly();
-      Files.delete(settings);
+      stop(gateway);
     }
   }
 
-  private ObjectNode settings() {
+  private static Process start(
+      String jar, List<String> options, ObjectNode settings, String logFile) throws IOException {
+    Path file = Files.createTempFile("gateway", ".json");
+    file.toFile().deleteOnExit();
+    Files.writeString(file, settings.toString());
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(options);
+    command.addAll(NETTY_OPTIONS);
+    command.addAll(List.of("-Dsardinebay.logging=gateway", "-jar", jar));
+    command.addAll(List.of("--settings", file.toString()));
+    File log = new File(new File(jar).getAbsoluteFile().getParentFile(), logFile);
+    return new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log).start();
+  }
+
+  private static void stop(Process gateway) throws InterruptedException {
+    gateway.destroy();
+    gateway.waitFor(2 * SHUTDOWN_SECONDS, TimeUnit.SECONDS);
+    gateway.destroyForcibly();
+  }
+
+  private ObjectNode settings(String host, Address listen, Address ownPeers, Address seed) {
     ObjectNode settings =
         Json.newObject()
-            .put("host", "host-1")
+            .put("host", host)
             .put("failureDomain", "hall-m-1")
             .put("ip", "127.0.0.1")
             .put("metricsPort", FreePorts.next().port())
-            .put("callers", callers.toString())
+            .put("callers", listen.toString())
             .put("readiness", FreePorts.next().toString())
-            .put("peers", FreePorts.next().toString())
+            .put("peers", ownPeers.toString())
             .put("store", platform.address().toString())
             .put("promotions", platform.address().toString())
             .put("shutdownSeconds", SHUTDOWN_SECONDS);
     settings.putObject("regions").put("hall-m-1", "r1");
-    settings.putArray("seeds").add(FreePorts.next().toString());
+    settings.putArray("seeds").add(seed.toString());
     return settings;
   }
 
   /** Retries a write until it succeeds, also while the gateway is still starting. */
-  private void awaitWrite(long timeoutMillis) throws IOException, InterruptedException {
+  private static void awaitWrite(Address callers, long timeoutMillis)
+      throws IOException, InterruptedException {
     long end = Clock.system().millis() + timeoutMillis;
     while (Clock.system().millis() < end) {
       try (LineCaller caller = LineCaller.open(callers, "strict")) {
