Peers start before the event loop

Ruled out: os-release alone; with the options of Netty that skip it one process crashed in net.properties. Change: the peer server and the feed start on the main thread before the event loop runs, so no other thread reads files while it reads its first sockets.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -240,6 +240,9 @@
     Eventloop loop = loop(loopClock);
     loop.keepAlive(true);
     GatewayProcess process = new GatewayProcess(settings, loop, loopClock, clock);
+    // Before the event loop runs: Netty and the JDK read files when they are first used, and a
+    // process crashed in read() when two threads were in it during the start.
+    process.startPeers();
     Thread thread = new Thread(loop, "gateway");
     thread.setDaemon(true);
     thread.start();
@@ -261,7 +264,6 @@
     PlatformClient watched = storeClient(StoreWatches.client(loop));
     new StoreWatches(settings.host(), feeds, watched, loop, clock, registry).start();
     new HostRegistration(settings, store, storeEra, feeds.listener(StoreFeeds.HOSTS), loop).start();
-    startPeersInBackground();
     promotions =
         new PromotionCoordinator(
             services,
@@ -312,16 +314,7 @@
         .log();
   }
 
-  /**
-   * Starts the peer server and the feed between hosts on a thread of its own: loading their classes
-   * would hold up the event loop for longer than callers wait.
-   */
-  private void startPeersInBackground() {
-    Thread thread = new Thread(this::startPeers, "peers-start");
-    thread.setDaemon(true);
-    thread.start();
-  }
-
+  /** Starts the peer server and the feed between hosts; without them the host serves alone. */
   private void startPeers() {
     try {
       peers.start();
