Writes wait at a host that has the primary while theirs has none

Cause: after a loss of power members keep the connections of the dead hosts for 3 s. Two of seven hosts were refused by one replica, so they had no lease: 700 statements were rejected in 1.8 s with the primary idle. Offers to other hosts came back at once because something waited there (33 to 40 taken, 51 to 61 refused). The same while a cut separates hosts from the primary. Change: a write offered for want of a primary may wait at the other host, which declines it if it has no primary either (OverflowPolicy.mayWaitThere).

--- a/core/src/main/java/org/sardinebay/internal/request/OverflowPolicy.java
+++ b/core/src/main/java/org/sardinebay/internal/request/OverflowPolicy.java
@@ -34,7 +34,21 @@
    * @return true if the statement should be offered to another host first
    */
   public static boolean shouldOffer(int waiting, boolean needsPrimary, long millisWithoutPrimary) {
-    return waiting >= QUEUE_THRESHOLD
-        || (needsPrimary && millisWithoutPrimary >= NO_PRIMARY_THRESHOLD_MILLIS);
+    return waiting >= QUEUE_THRESHOLD || mayWaitThere(needsPrimary, millisWithoutPrimary);
+  }
+
+  /**
+   * Decides whether an offered statement may wait at the other host if that one has a usable
+   * primary but no idle connection. Here it would wait in vain. Covers a host that lacks a
+   * connection to one member, so that it can't rely on the primary, while other hosts are loaded
+   * but can.
+   *
+   * @param needsPrimary whether only the primary can run the statement
+   * @param millisWithoutPrimary for how many milliseconds this host has had no reliable primary, 0
+   *     if it has one
+   * @return true if the statement may wait there, false if it should run at once or come back
+   */
+  public static boolean mayWaitThere(boolean needsPrimary, long millisWithoutPrimary) {
+    return needsPrimary && millisWithoutPrimary >= NO_PRIMARY_THRESHOLD_MILLIS;
   }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardedRun.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardedRun.java
@@ -13,6 +13,7 @@
 import org.sardinebay.gateway.internal.version.Overflow;
 import org.sardinebay.gateway.internal.version.ServiceRuntime;
 import org.sardinebay.internal.request.ForwardPolicy;
+import org.sardinebay.internal.request.OverflowPolicy;
 import org.sardinebay.net.peer.PeerResult;
 import org.sardinebay.net.peer.generated.StatementCall;
 import org.sardinebay.net.peer.generated.StatementReply;
@@ -84,7 +85,7 @@
 
   private Optional<HomeClient> choose() {
     return offeredTo.isPresent()
-        ? offeredTo.filter(client -> attempts == 0)
+        ? offeredTo.filter(client -> !excluded.contains(client.host().id()))
         : chooseHome().or(this::chooseAmongDeclined);
   }
 
@@ -115,10 +116,11 @@
     attempts++;
     long now = clock.millis();
     StatementCall.Builder call = StatementCodec.call(request, route, now - startedAt);
-    call.setOnlyAtOnce(offeredTo.isPresent());
+    boolean offeredAtOnce = offeredTo.isPresent() && !mayWaitThere(now);
+    call.setOnlyAtOnce(offeredAtOnce);
     call.setDeclineWithoutPrimary(
         mayDecline
-            && offeredTo.isEmpty()
+            && !offeredAtOnce
             && pinned().isEmpty()
             && !homes.reportedWithoutPrimary(service, home.host().id(), now));
     long transactionNumber = pinned().map(HomePin::number).orElse(newTransactionNumber);
@@ -134,6 +136,12 @@
         result -> onResult(home, transactionNumber, result));
   }
 
+  private boolean mayWaitThere(long now) {
+    return OverflowPolicy.mayWaitThere(
+        ForwardingRunner.needsPrimary(request, transaction, route),
+        service.view().millisWithoutPrimary(now));
+  }
+
   private long timeoutMillis(long now) {
     long remainingMillis = startedAt + route.timeoutMillis() - now;
     return Math.max(remainingMillis, route.timeoutMillis() / 2) + ANSWER_MARGIN_MILLIS;
