JSON is read and written without Jackson's object mapper

Cause: at a start the object mapper loaded some 300 classes and the locale data, 60 of 414 ms until 'started' by the list of loaded classes. Ruled out: lazy creation, since settings are JSON. Change: JsonTree reads and writes trees by the streaming parser and generator; nesting is limited to 100, since the recursion runs on stacks of 256 KB.

--- a/net/src/main/java/org/sardinebay/net/http/Json.java
+++ b/net/src/main/java/org/sardinebay/net/http/Json.java
@@ -1,10 +1,12 @@
 package org.sardinebay.net.http;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.util.Optional;
@@ -17,9 +19,21 @@
  * }</pre>
  */
 public final class Json {
-  private static final ObjectMapper STRICT = new ObjectMapper();
-  private static final ObjectMapper WITH_COMMENTS =
-      JsonMapper.builder()
+  /**
+   * Deepest nesting that is read. The recursion of {@link JsonTree} must fit into the small stacks
+   * that processes run with, whatever an endpoint sends.
+   */
+  private static final int MAX_NESTING = 100;
+
+  private static final StreamReadConstraints CONSTRAINTS =
+      StreamReadConstraints.builder().maxNestingDepth(MAX_NESTING).build();
+
+  private static final JsonFactory STRICT =
+      JsonFactory.builder().streamReadConstraints(CONSTRAINTS).build();
+
+  private static final JsonFactory WITH_COMMENTS =
+      JsonFactory.builder()
+          .streamReadConstraints(CONSTRAINTS)
           .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
           .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
           .build();
@@ -32,7 +46,7 @@
    * @return the new object
    */
   public static ObjectNode newObject() {
-    return STRICT.createObjectNode();
+    return JsonNodeFactory.instance.objectNode();
   }
 
   /**
@@ -42,9 +56,9 @@
    * @return the tree, or empty if the text is not JSON
    */
   public static Optional<JsonNode> parse(byte[] bytes) {
-    try {
-      JsonNode tree = STRICT.readTree(bytes);
-      return tree == null || tree.isMissingNode() ? Optional.empty() : Optional.of(tree);
+    try (JsonParser parser = STRICT.createParser(bytes)) {
+      JsonNode tree = JsonTree.read(parser);
+      return tree.isMissingNode() ? Optional.empty() : Optional.of(tree);
     } catch (IOException e) {
       return Optional.empty();
     }
@@ -58,7 +72,13 @@
    * @throws JsonProcessingException with line and column, if the text is not JSON
    */
   public static JsonNode parseWithComments(String text) throws JsonProcessingException {
-    return WITH_COMMENTS.readTree(text);
+    try (JsonParser parser = WITH_COMMENTS.createParser(text)) {
+      return JsonTree.read(parser);
+    } catch (JsonProcessingException e) {
+      throw e;
+    } catch (IOException e) {
+      throw new IllegalStateException("reading a text in memory failed", e);
+    }
   }
 
   /**
@@ -69,8 +89,8 @@
    */
   public static byte[] bytes(JsonNode tree) {
     try {
-      return STRICT.writeValueAsBytes(tree);
-    } catch (JsonProcessingException e) {
+      return JsonTree.bytes(STRICT, tree);
+    } catch (IOException e) {
       throw new IllegalStateException("JSON serialization failed", e);
     }
   }
