Rendezvous orders and digests of versions by a cheap hash

Change: Hash64 (FNV-1a with MurmurHash3's final mix). Hosts of the build before and of this one order differently, so quotas may be granted twice while a fleet is upgraded.

--- a/core/src/main/java/org/sardinebay/internal/version/ConfigStore.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ConfigStore.java
@@ -1,7 +1,5 @@
 package org.sardinebay.internal.version;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -9,7 +7,7 @@
 import java.util.TreeMap;
 import org.sardinebay.DatabaseId;
 import org.sardinebay.HostId;
-import org.sardinebay.internal.process.Sha256;
+import org.sardinebay.internal.process.Hash64;
 import org.sardinebay.platform.HostEntry;
 import org.sardinebay.platform.ObjectKey;
 import org.sardinebay.record.DatabaseRecord;
@@ -196,10 +194,7 @@
   }
 
   private static long hash(VersionedRecord record) {
-    byte[] kind = record.key().kind().getBytes(StandardCharsets.UTF_8);
-    byte[] name = record.key().name().getBytes(StandardCharsets.UTF_8);
-    ByteBuffer input = ByteBuffer.allocate(Integer.BYTES + kind.length + name.length + Long.BYTES);
-    input.putInt(kind.length).put(kind).put(name).putLong(record.version());
-    return ByteBuffer.wrap(Sha256.create().digest(input.array())).getLong();
+    ObjectKey key = record.key();
+    return Hash64.of(key.kind(), key.name(), Long.toString(record.version()));
   }
 }
--- a/core/src/main/java/org/sardinebay/internal/version/RendezvousOrder.java
+++ b/core/src/main/java/org/sardinebay/internal/version/RendezvousOrder.java
@@ -1,13 +1,10 @@
 package org.sardinebay.internal.version;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.Function;
-import org.sardinebay.internal.process.Sha256;
+import org.sardinebay.internal.process.Hash64;
 
 /**
  * Orders candidates for a key by rendezvous hashing. Every process with the same candidates
@@ -40,14 +37,7 @@
 
   private record Ranked<T>(T candidate, String name, long score) {
     Ranked(T candidate, String name, String key) {
-      this(candidate, name, hash(key, name));
+      this(candidate, name, Hash64.of(key, name));
     }
   }
-
-  private static long hash(String key, String candidate) {
-    MessageDigest sha = Sha256.create();
-    sha.update(key.getBytes(StandardCharsets.UTF_8));
-    sha.update((byte) 0);
-    return ByteBuffer.wrap(sha.digest(candidate.getBytes(StandardCharsets.UTF_8))).getLong();
-  }
 }
