Store watches that fail in a row are retried ever later, up to a second

Cause: a host that the store rejects called it eight times a second (two watches, 250 ms); rejected calls are counted too. Change: RetryBackoff, 250 ms to 1 s, which stays well below the time within which a configuration must be in force.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 import org.sardinebay.Clock;
+import org.sardinebay.internal.process.RetryBackoff;
 import org.sardinebay.platform.ObjectVersion;
 import org.sardinebay.platform.PlatformClient;
 import org.sardinebay.platform.PlatformFailure;
@@ -27,6 +28,12 @@
   /** Delay after a failed call, in milliseconds. */
   static final long RETRY_MILLIS = 250;
 
+  /**
+   * Longest delay between calls that fail in a row, in milliseconds. A change of the configuration
+   * must be in force some seconds after the store answers again.
+   */
+  private static final long MAX_RETRY_MILLIS = 1_000;
+
   /** Delay before objects that could not be applied are listed again, in milliseconds. */
   private static final long APPLY_AGAIN_MILLIS = 2_000;
 
@@ -64,6 +71,7 @@
   private final Listener listener;
   private final Eventloop loop;
   private final Clock clock;
+  private final RetryBackoff backoff = new RetryBackoff(RETRY_MILLIS, MAX_RETRY_MILLIS);
   private long revision;
   private long answeredAt;
   private boolean lost;
@@ -123,6 +131,7 @@
   private void onResult(boolean listing, PlatformResult result) {
     if (result instanceof PlatformResult.Listing page) {
       answeredAt = clock.millis();
+      backoff.onSuccess();
       markRecovered();
       onPage(listing, page);
       return;
@@ -141,7 +150,7 @@
       return;
     }
     markLost(result);
-    loop.delay(RETRY_MILLIS, this::start);
+    loop.delay(backoff.onFailure(), this::start);
   }
 
   private void onPage(boolean listing, PlatformResult.Listing page) {
