Consecutive changes from the store are merged as one

Change: records up to the next deletion are merged as one change; a deletion's version depends on the record that it follows.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
@@ -94,15 +94,29 @@
 
       @Override
       public void onChanges(List<PlatformObject> objects) {
-        objects.forEach(
-            object ->
-                merge(
-                    kind,
-                    versionTombstone(object).flatMap(StoreFeeds.this::toRecord).stream().toList()));
+        mergeInOrder(kind, objects);
       }
     };
   }
 
+  /**
+   * Merges changes in the order of their events. Consecutive records are merged as one change,
+   * because each change is applied to all records and sent to all peers that wait for one. The
+   * version of a deletion depends on the record that it follows, so those before it are merged
+   * first.
+   */
+  private void mergeInOrder(String kind, List<PlatformObject> objects) {
+    List<PlatformObject> pending = new ArrayList<>();
+    for (PlatformObject object : objects) {
+      if (object.deleted()) {
+        merge(kind, pending);
+        pending = new ArrayList<>();
+      }
+      versionTombstone(object).flatMap(this::toRecord).ifPresent(pending::add);
+    }
+    merge(kind, pending);
+  }
+
   private Optional<PlatformObject> toRecord(PlatformObject object) {
     if (!object.key().equals(PlatformKeys.CONFIGURATION)) {
       return Optional.of(object);
@@ -117,6 +131,9 @@
   }
 
   private void merge(String kind, List<PlatformObject> objects) {
+    if (objects.isEmpty()) {
+      return;
+    }
     storeAdapter.mergeAll(objects);
     List<PlatformObject> older =
         objects.stream()
