Callers refused by a late host return when its work is done, spread out

Cause: all of them were told 500 ms, also when the host was seconds late after a loss of power, so they returned together to a host that could not serve them yet. Change: AdmissionControl gives the lateness, 500 ms at least, and spreads the times over as long again by the request's id; AdmissionControlTest plays a thousand refused callers.

--- a/core/src/main/java/org/sardinebay/internal/request/AdmissionControl.java
+++ b/core/src/main/java/org/sardinebay/internal/request/AdmissionControl.java
@@ -1,5 +1,7 @@
 package org.sardinebay.internal.request;
 
+import org.sardinebay.internal.process.Hash64;
+
 /**
  * Decides whether a host takes on another statement, by how late it runs its own work. Covers a
  * fleet that starts again under full load: each host gets more statements than its processor can
@@ -8,7 +10,7 @@
  *
  * <pre>{@code
  * admission.onTick(lateMillis);
- * if (!admission.admits()) { return FinalAnswers.hostOverloaded(); }
+ * if (!admission.admits()) { return FinalAnswers.hostOverloaded(admission.retryAfterMillis(id)); }
  * }</pre>
  *
  * <p>Not thread-safe: use it only from the event loop that it measures.
@@ -29,8 +31,12 @@
   /** Growth of the share with each tick that is not late. */
   private static final double GROWTH = 0.05;
 
+  /** The shortest time after which a refused caller should return, in milliseconds. */
+  private static final long MIN_RETRY_MILLIS = 500;
+
   private double share = 1;
   private double credit;
+  private long lateMillis;
 
   /**
    * Adjusts the share.
@@ -38,6 +44,7 @@
    * @param lateMillis how late the event loop ran the present tick, in milliseconds
    */
   public void onTick(long lateMillis) {
+    this.lateMillis = lateMillis;
     if (lateMillis <= TARGET_MILLIS) {
       share = Math.min(1, share + GROWTH);
     } else {
@@ -60,6 +67,19 @@
     return true;
   }
 
+  /**
+   * Returns when a refused caller should return: once the work that made the host late is done. The
+   * times are spread over as long again, so that callers who were refused together don't return
+   * together.
+   *
+   * @param requestId the statement's id, which determines its place in the spread
+   * @return milliseconds from now
+   */
+  public long retryAfterMillis(String requestId) {
+    long drained = Math.max(MIN_RETRY_MILLIS, lateMillis);
+    return drained + Math.floorMod(Hash64.of(requestId), drained);
+  }
+
   /**
    * Returns the share of statements that are admitted.
    *
--- a/core/src/main/java/org/sardinebay/internal/request/FinalAnswers.java
+++ b/core/src/main/java/org/sardinebay/internal/request/FinalAnswers.java
@@ -98,10 +98,13 @@
   /**
    * The host is too late with its own work to take on the statement.
    *
+   * @param retryAfterMillis when to retry, in milliseconds
    * @return the answer
    */
-  public static RetryPolicy.Step.GiveUp hostOverloaded() {
-    return answer(ErrorCode.BUSY, "nothing was kept: this host is overloaded; retry in 500 ms");
+  public static RetryPolicy.Step.GiveUp hostOverloaded(long retryAfterMillis) {
+    return answer(
+        ErrorCode.BUSY,
+        "nothing was kept: this host is overloaded; retry in " + retryAfterMillis + " ms");
   }
 
   /**
--- a/core/src/test/java/org/sardinebay/internal/request/AdmissionControlTest.java
+++ b/core/src/test/java/org/sardinebay/internal/request/AdmissionControlTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -54,6 +55,36 @@
     assertThat(admitted(100)).isEqualTo(100);
   }
 
+  /** Guards against callers that are refused together and then return together. */
+  @Nested
+  class RefusedCallers {
+    private long[] returnTimes(long lateMillis) {
+      admission.onTick(lateMillis);
+      return IntStream.range(0, 1_000)
+          .mapToLong(id -> admission.retryAfterMillis("request" + id))
+          .sorted()
+          .toArray();
+    }
+
+    @Test
+    void should_return_when_the_work_before_them_is_done() {
+      assertThat(returnTimes(1_200)[0]).isBetween(1_200L, 1_250L);
+    }
+
+    @Test
+    void should_return_evenly_over_as_long_as_the_host_was_late() {
+      long[] times = returnTimes(1_200);
+
+      assertThat(times[499]).isBetween(1_700L, 1_900L);
+      assertThat(times[999]).isBetween(2_300L, 2_399L);
+    }
+
+    @Test
+    void should_not_return_at_once_to_a_host_that_is_on_time_again() {
+      assertThat(returnTimes(0)[0]).isGreaterThanOrEqualTo(500);
+    }
+  }
+
   /**
    * Plays a host that gets three times the statements that its processor can carry. A refusal costs
    * a fifth of a statement. Callers give up after a second. The event loop runs its ticks behind
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardingRunner.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardingRunner.java
@@ -70,7 +70,8 @@
       Consumer<SessionReply> done) {
     Optional<Transaction.Pin> pin = transaction.flatMap(Transaction::pin);
     if (pin.isEmpty() && !context.admission().admits()) {
-      refuse(FinalAnswers.hostOverloaded(), request, route, done);
+      long retryAfter = context.admission().retryAfterMillis(request.id());
+      refuse(FinalAnswers.hostOverloaded(retryAfter), request, route, done);
       return;
     }
     Optional<WorkspaceId> toCount = request.workspace().filter(id -> startsOperation(transaction));
