--- a/core/src/main/java/org/sardinebay/internal/process/Hash64.java
+++ b/core/src/main/java/org/sardinebay/internal/process/Hash64.java
@@ -4,9 +4,9 @@
 
 /**
  * A 64-bit hash for orders and comparisons that all processes must compute alike: FNV-1a with the
- * final mix of MurmurHash3, which spreads names that differ in one character. It costs about a
- * hundredth of SHA-256 in a process that has just started and is not compiled yet. It is no
- * protection against chosen input.
+ * final mix of MurmurHash3, which spreads names that differ in one character. Unlike SHA-256 it is
+ * cheap enough for a process that has just started and is not compiled yet. It is no protection
+ * against chosen input.
  *
  * <pre>{@code
  * long score = Hash64.of(service, host);
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayMetrics.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayMetrics.java
@@ -16,8 +16,8 @@
 
 /**
  * Gauges of this host's view of the services and of its connections. They are refreshed on the
- * event loop when the metrics are read, because registering them anew costs a host more processor
- * time than all its other periodic work.
+ * event loop when the metrics are read, because registering them anew was an eighth of the periodic
+ * work of an idle host.
  */
 final class GatewayMetrics {
   private static final double MILLIS_PER_SECOND = 1_000;
