Placing and opening connections use the observed service time

Cause: 24 ms is the mean of the old work; statements now take 11, 55 and 33 ms, and those of other deployments 5 to 40. Ways: the constant (standing); the mean that a host observes of each service's statements.

--- a/core/src/main/java/org/sardinebay/internal/connection/ConnectionOpening.java
+++ b/core/src/main/java/org/sardinebay/internal/connection/ConnectionOpening.java
@@ -21,15 +21,13 @@
   /** Opening a connection takes one round trip to connect and one to start the session. */
   private static final int ROUND_TRIPS = 2;
 
-  /** The service time of a statement in milliseconds: the mean over all kinds of requests. */
-  private static final long SERVICE_TIME_MILLIS = 24;
-
   /**
-   * How long a statement waits for the connections of its workspace at most before it may cause
-   * another one to be opened, in milliseconds: twice the service time, since connections that are
-   * not idle by then are held by statements that take longer than usual.
+   * How many service times a statement waits for the connections of its workspace at most before it
+   * may cause another one to be opened. Connections that are not idle by then are held by
+   * statements that take longer than usual. Never longer than {@link #STARVED_MILLIS}, because a
+   * member that hangs makes the observed service time long.
    */
-  private static final long MAX_WAIT_MILLIS = 50;
+  private static final int MAX_WAIT_SERVICE_TIMES = 2;
 
   /**
    * How long a statement of a workspace without connections waits before it may replace one that is
@@ -57,8 +55,9 @@
    *
    * @param waitingBefore the number of the workspace's other statements that wait
    * @param waitedMillis how long the statement has waited
+   * @param serviceMillis the mean service time of the service's statements, in milliseconds
    */
-  public record Demand(int waitingBefore, long waitedMillis) {}
+  public record Demand(int waitingBefore, long waitedMillis, long serviceMillis) {}
 
   /**
    * The connections to the member.
@@ -97,10 +96,11 @@
    * a new one: the new one was expected to be open by then.
    *
    * @param waitedMillis how long the statement has waited, in milliseconds
+   * @param serviceMillis the mean service time of the service's statements, in milliseconds
    * @return true if it has waited for long
    */
-  public static boolean takesAnyIdle(long waitedMillis) {
-    return waitedMillis >= MAX_WAIT_MILLIS;
+  public static boolean takesAnyIdle(long waitedMillis, long serviceMillis) {
+    return waitedMillis >= Math.min(MAX_WAIT_SERVICE_TIMES * serviceMillis, STARVED_MILLIS);
   }
 
   /**
@@ -111,8 +111,8 @@
    * @return the decision
    */
   public static Decision decide(Demand demand, Supply supply) {
-    if (supply.serving() > 0 && demand.waitedMillis() < MAX_WAIT_MILLIS) {
-      long expectedWait = (demand.waitingBefore() + 1) * SERVICE_TIME_MILLIS / supply.serving();
+    if (supply.serving() > 0 && !takesAnyIdle(demand.waitedMillis(), demand.serviceMillis())) {
+      long expectedWait = (demand.waitingBefore() + 1) * demand.serviceMillis() / supply.serving();
       if (expectedWait <= supply.openMillis()) {
         return Decision.AWAIT;
       }
--- a/core/src/main/java/org/sardinebay/internal/request/Placement.java
+++ b/core/src/main/java/org/sardinebay/internal/request/Placement.java
@@ -10,13 +10,10 @@
  * free for statements that only the primary may run.
  *
  * <pre>{@code
- * Optional<MemberId> member = Placement.choose(requirement, candidates);
+ * Optional<MemberId> member = Placement.choose(requirement, candidates, serviceMillis);
  * }</pre>
  */
 public final class Placement {
-  /** The service time of a statement in milliseconds: the mean over all kinds of requests. */
-  private static final long SERVICE_TIME_MILLIS = 24;
-
   /**
    * The cost added to the primary for reads, in milliseconds: a read goes there only if that saves
    * more time than this.
@@ -35,17 +32,20 @@
    *
    * @param requirement the statement's requirements
    * @param candidates the members to choose from
+   * @param serviceMillis the mean service time of the service's statements, in milliseconds
    * @return the member, empty if none can run the statement now
    */
   public static Optional<MemberId> choose(
-      PlacementRequirement requirement, Collection<PlacementCandidate> candidates) {
+      PlacementRequirement requirement,
+      Collection<PlacementCandidate> candidates,
+      long serviceMillis) {
     PlacementCandidate best = null;
     long bestCost = Long.MAX_VALUE;
     for (PlacementCandidate candidate : candidates) {
       if (!eligible(requirement, candidate)) {
         continue;
       }
-      long cost = cost(requirement, candidate);
+      long cost = cost(requirement, candidate, serviceMillis);
       if (cost < bestCost) {
         best = candidate;
         bestCost = cost;
@@ -69,13 +69,14 @@
         .orElse(true);
   }
 
-  private static long cost(PlacementRequirement requirement, PlacementCandidate candidate) {
+  private static long cost(
+      PlacementRequirement requirement, PlacementCandidate candidate, long serviceMillis) {
     long queued = Math.max(0, candidate.busySlots() + 1 - candidate.slots());
     long cost =
         candidate.roundTripMillis()
             + candidate.openCostMillis()
             + candidate.excessMillis()
-            + queued * SERVICE_TIME_MILLIS / candidate.slots();
+            + queued * serviceMillis / candidate.slots();
     if (requirement.primaryOnly()) {
       return cost;
     }
--- a/core/src/main/java/org/sardinebay/internal/request/StatementScheduler.java
+++ b/core/src/main/java/org/sardinebay/internal/request/StatementScheduler.java
@@ -70,6 +70,15 @@
     return durations;
   }
 
+  /**
+   * Returns the mean work of the recent statements of all kinds.
+   *
+   * @return whole milliseconds, at least 1
+   */
+  public long meanWorkMillis() {
+    return Math.max(1, Math.round(durations.meanMillis().orElse(DEFAULT_WORK_MILLIS)));
+  }
+
   /**
    * Returns how long a statement is expected to occupy a connection.
    *
--- a/core/src/test/java/org/sardinebay/internal/connection/ConnectionOpeningTest.java
+++ b/core/src/test/java/org/sardinebay/internal/connection/ConnectionOpeningTest.java
@@ -9,16 +9,39 @@
 import org.junit.jupiter.api.Test;
 
 class ConnectionOpeningTest {
+  private static final long SERVICE_MILLIS = 24;
+
   private static final long NEAR_MILLIS = ConnectionOpening.openMillis(1);
   private static final long FAR_MILLIS = ConnectionOpening.openMillis(16);
 
   private static ConnectionOpening.Decision decide(
       int waitingBefore, long waited, int serving, boolean open, boolean replace, long millis) {
     return ConnectionOpening.decide(
-        new ConnectionOpening.Demand(waitingBefore, waited),
+        new ConnectionOpening.Demand(waitingBefore, waited, SERVICE_MILLIS),
         new ConnectionOpening.Supply(serving, open, replace, millis));
   }
 
+  private static ConnectionOpening.Decision decide(long waited, long serviceMillis) {
+    return ConnectionOpening.decide(
+        new ConnectionOpening.Demand(0, waited, serviceMillis),
+        new ConnectionOpening.Supply(1, true, true, FAR_MILLIS));
+  }
+
+  /** Guards against decisions for the work of another time: statements of 11 and of 55 ms. */
+  @Test
+  void should_wait_for_short_statements_and_open_beside_long_ones() {
+    assertThat(decide(0, 11)).isEqualTo(AWAIT);
+    assertThat(decide(0, 55)).isEqualTo(OPEN);
+    assertThat(decide(22, 11)).isEqualTo(OPEN);
+  }
+
+  /** Guards against waits that grow with the answers of a member that hangs. */
+  @Test
+  void should_take_any_idle_connection_after_a_tenth_of_a_second_at_the_latest() {
+    assertThat(ConnectionOpening.takesAnyIdle(99, 1_000)).isFalse();
+    assertThat(ConnectionOpening.takesAnyIdle(100, 1_000)).isTrue();
+  }
+
   @Test
   void should_open_before_it_replaces() {
     assertThat(decide(0, 0, 0, true, true, NEAR_MILLIS)).isEqualTo(OPEN);
--- a/core/src/test/java/org/sardinebay/internal/connection/WorkspaceDemandTest.java
+++ b/core/src/test/java/org/sardinebay/internal/connection/WorkspaceDemandTest.java
@@ -107,7 +107,7 @@
           (int) waiting.stream().filter(w -> !w.equals(statement) && same(w, statement)).count();
       ConnectionOpening.Decision decision =
           ConnectionOpening.decide(
-              new ConnectionOpening.Demand(before, waited),
+              new ConnectionOpening.Demand(before, waited, SERVICE_MILLIS + ROUND_TRIP_MILLIS),
               new ConnectionOpening.Supply(
                   own,
                   size < connections && opening < ConnectionOpening.MAX_OPENING,
--- a/core/src/test/java/org/sardinebay/internal/request/PlacementTest.java
+++ b/core/src/test/java/org/sardinebay/internal/request/PlacementTest.java
@@ -10,6 +10,8 @@
 import org.sardinebay.Position;
 
 class PlacementTest {
+  private static final long SERVICE_MILLIS = 24;
+
   private static final PlacementRequirement READ_REQUIREMENT =
       new PlacementRequirement(false, Optional.of(new Position(1, 5)));
 
@@ -51,7 +53,7 @@
 
   private static Optional<String> choose(
       PlacementRequirement requirement, PlacementCandidate... members) {
-    return Placement.choose(requirement, List.of(members)).map(MemberId::value);
+    return Placement.choose(requirement, List.of(members), SERVICE_MILLIS).map(MemberId::value);
   }
 
   @Nested
--- a/core/src/test/java/org/sardinebay/internal/version/MembersPerformanceTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/MembersPerformanceTest.java
@@ -16,6 +16,8 @@
 import org.sardinebay.session.RouteKind;
 
 class MembersPerformanceTest {
+  private static final long SERVICE_MILLIS = 24;
+
   private static final StatementClass READS =
       new StatementClass(RouteKind.BOUNDED_STALENESS, false);
   private static final MemberId NEAR = new MemberId("near");
@@ -98,7 +100,8 @@
     private MemberId choose() {
       return Placement.choose(
               new PlacementRequirement(false, Optional.empty()),
-              List.of(candidate(NEAR, false, 1), candidate(FAR, false, 17)))
+              List.of(candidate(NEAR, false, 1), candidate(FAR, false, 17)),
+              SERVICE_MILLIS)
           .orElseThrow();
     }
 
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ConnectionChooser.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ConnectionChooser.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 import java.util.function.ToLongFunction;
 import org.sardinebay.Clock;
 import org.sardinebay.MemberId;
@@ -39,6 +40,7 @@
   private final ToLongFunction<MemberView> roundTripMillis;
   private final StatusPoller statusPoller;
   private final MembersPerformance performance;
+  private final LongSupplier serviceMillis;
   private final Clock clock;
   private final Map<PlacementRequest, Wait> waits = new HashMap<>();
   private final Map<Optional<WorkspaceId>, Integer> waitingByWorkspace = new HashMap<>();
@@ -70,6 +72,7 @@
    * @param roundTripMillis the round-trip time to a member, in milliseconds
    * @param statusPoller knows the members' load from other hosts
    * @param performance what is known of the members' speed and errors
+   * @param serviceMillis the mean service time of the service's statements, in milliseconds
    * @param clock the clock
    */
   ConnectionChooser(
@@ -78,12 +81,14 @@
       ToLongFunction<MemberView> roundTripMillis,
       StatusPoller statusPoller,
       MembersPerformance performance,
+      LongSupplier serviceMillis,
       Clock clock) {
     this.view = view;
     this.pools = pools;
     this.roundTripMillis = roundTripMillis;
     this.statusPoller = statusPoller;
     this.performance = performance;
+    this.serviceMillis = serviceMillis;
     this.clock = clock;
   }
 
@@ -177,7 +182,7 @@
   private Optional<MemberId> chooseForWorkspace(
       PlacementRequest request, PlacementRequirement requirement, Wait wait, long now) {
     Optional<WorkspaceId> workspace = request.workspace();
-    if (ConnectionOpening.takesAnyIdle(now - wait.since)) {
+    if (ConnectionOpening.takesAnyIdle(now - wait.since, serviceMillis.getAsLong())) {
       Optional<MemberId> idle =
           choose(request, requirement, now, pool -> Access.free(pool.hasIdle(workspace)));
       if (idle.isPresent()) {
@@ -226,7 +231,7 @@
     int ownWaiting = waits.containsKey(request) ? 1 : 0;
     int waitingBefore = waitingByWorkspace.getOrDefault(workspace, 0) - ownWaiting;
     return ConnectionOpening.decide(
-        new ConnectionOpening.Demand(waitingBefore, now - wait.since),
+        new ConnectionOpening.Demand(waitingBefore, now - wait.since, serviceMillis.getAsLong()),
         new ConnectionOpening.Supply(
             pool.serving(workspace),
             pool.mayOpen(maxOpening()),
@@ -284,7 +289,7 @@
                   || performance.setAside(member.id(), now)
                   || request.excluded().contains(member.id())));
     }
-    return Placement.choose(requirement, candidates);
+    return Placement.choose(requirement, candidates, serviceMillis.getAsLong());
   }
 
   private boolean isLeasedPrimary(MemberId member, long now) {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatementPlacer.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatementPlacer.java
@@ -66,7 +66,14 @@
     this.performance = performance;
     this.clock = clock;
     this.chooser =
-        new ConnectionChooser(view, pools, roundTripMillis, statusPoller, performance, clock);
+        new ConnectionChooser(
+            view,
+            pools,
+            roundTripMillis,
+            statusPoller,
+            performance,
+            scheduler::meanWorkMillis,
+            clock);
   }
 
   /** Applies the workspaces and the limits of a configuration. */
