--- a/standins/src/test/java/org/sardinebay/standins/impeller/GatewayTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/GatewayTest.java
@@ -151,8 +151,9 @@
     /** Guards against callers that hold every connection without using it. */
     @Test
     void should_be_rolled_back_sooner_while_statements_wait_for_its_connection() throws Exception {
-      platform.configureWorkspaces(PlatformWorkspace.of("acme", "acme-key"));
+      // The later version brings the workspaces, so the limit is in force once they are.
       platform.limitConnections(1);
+      platform.configureWorkspaces(PlatformWorkspace.of("acme", "acme-key"));
       await(() -> runsForWorkspace());
       try (LineCaller holder = LineCaller.open(callers, "strict", "acme-key");
           LineCaller other = LineCaller.open(callers, "strict", "acme-key")) {
