Test of withdrawn keys counts no session of a probe

The test waited for the withdrawal by opening sessions with the withdrawn key; a session that was opened before the gateway noticed, and whose end it had not read yet, was counted too. The gateway's count was right. Ruled out: a session counted twice (applyConfiguration reports each once). Change: the test waits until exactly its two sessions are open, and no session is opened with the key after that. The assertions are unchanged.

--- a/standins/src/test/java/org/sardinebay/standins/impeller/WorkspaceKeysTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/WorkspaceKeysTest.java
@@ -136,10 +136,13 @@
     void should_be_logged_with_its_workspace_and_the_number_of_sessions() throws Exception {
       try (LineCaller one = LineCaller.open(callers, "strict", KEY);
           LineCaller two = LineCaller.open(callers, "own", KEY)) {
-        withdrawKey();
+        // A probe's session that the gateway has not seen end yet would be counted as well.
+        await(() -> gateway.dump().path("sessions").asInt() == 2);
+        platform.configureWorkspaces(PlatformWorkspace.of("acme"), BETA);
         assertThat(one.readLine()).isNull();
         assertThat(two.readLine()).isNull();
       }
+      await(() -> !log.events("key_withdrawn").isEmpty());
       List<LogLine> events = log.events("key_withdrawn");
       assertThat(events).hasSize(1);
       assertThat(events.get(0).field("workspace")).isEqualTo("acme");
