--- a/standins/src/main/java/org/sardinebay/standins/impeller/TrainingRun.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/TrainingRun.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.File;
 import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.URL;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -10,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import org.sardinebay.Address;
 import org.sardinebay.Clock;
+import org.sardinebay.impeller.PlatformKeys;
 import org.sardinebay.net.http.Json;
 import org.sardinebay.standins.platform.FreePorts;
 
@@ -33,7 +36,11 @@
   private static final List<String> NETTY_OPTIONS =
       List.of("-Dio.netty.jfr.enabled=false", "-Dio.netty.osClassifiers=");
 
+  /** The key that {@link LineCaller} sends unless it is given another one. */
+  private static final String KEY = "test";
+
   private final Address callers = FreePorts.next();
+  private final Address readiness = FreePorts.next();
   private final Address peers = FreePorts.next();
   private final Address otherPeers = FreePorts.next();
   private final LineProtocolPlatform platform;
@@ -67,7 +74,9 @@
     try {
       // The first gateway must find a peer that answers, or it records no calls between hosts.
       awaitWrite(otherCallers, START_TIMEOUT_MILLIS);
-      record(start(jar, recording, settings("host-1", callers, peers, otherPeers), "host-1.log"));
+      ObjectNode settings = settings("host-1", callers, peers, otherPeers);
+      settings.put("readiness", readiness.toString());
+      record(start(jar, recording, settings, "host-1.log"));
     } finally {
       stop(other);
     }
@@ -77,6 +86,9 @@
     try {
       awaitWrite(callers, START_TIMEOUT_MILLIS);
       runTraffic();
+      askReadiness();
+      platform.configureWorkspaces(PlatformWorkspace.of("training", KEY));
+      runTraffic();
       platform.member(0).crash();
       awaitWrite(callers, PRIMARY_CHANGE_TIMEOUT_MILLIS);
       runTraffic();
@@ -141,6 +153,14 @@
     throw new IOException("no write succeeded within " + timeoutMillis + " ms");
   }
 
+  private void askReadiness() throws IOException {
+    HttpURLConnection call =
+        (HttpURLConnection)
+            new URL("http://" + readiness + PlatformKeys.READY_PATH).openConnection();
+    call.getResponseCode();
+    call.disconnect();
+  }
+
   private void runTraffic() throws IOException {
     for (int i = 0; i < TRAFFIC_ROUNDS; i++) {
       for (String database : List.of("strict", "aged", "own")) {
