--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/HostClock.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/HostClock.java
@@ -1,7 +1,8 @@
 package org.sardinebay.gateway.internal.process;
 
-import com.sun.jna.Function;
 import com.sun.jna.Memory;
+import com.sun.jna.Native;
+import com.sun.jna.Pointer;
 import org.sardinebay.Clock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -16,9 +17,6 @@
   /** The C library's id of the clock that includes suspensions. */
   private static final int CLOCK_BOOTTIME = 7;
 
-  /** The full name, because a short name is searched for in all library paths of the system. */
-  private static final String C_LIBRARY = "libc.so.6";
-
   private static final long MILLIS_PER_SECOND = 1_000;
 
   /** Size of a {@code timespec}: seconds and nanoseconds, eight bytes each. */
@@ -26,13 +24,10 @@
 
   private static final long NANOS_OFFSET_BYTES = 8;
 
-  private final Function clockGettime;
   private final Memory timespec = new Memory(TIMESPEC_BYTES);
-  private final Object[] arguments = {CLOCK_BOOTTIME, timespec};
+  private final long timespecAddress = Pointer.nativeValue(timespec);
 
-  private HostClock(Function clockGettime) {
-    this.clockGettime = clockGettime;
-  }
+  private HostClock() {}
 
   /**
    * Returns a clock that includes suspensions or, if the C library's clock is not available, the
@@ -42,12 +37,12 @@
    */
   static Clock create() {
     try {
-      HostClock clock = new HostClock(Function.getFunction(C_LIBRARY, "clock_gettime"));
+      HostClock clock = new HostClock();
       if (clock.millis() > 0) {
         return clock;
       }
       LOG.atWarn().setMessage("boot_clock_missing").addKeyValue("cause", "refused").log();
-    } catch (UnsatisfiedLinkError | NoClassDefFoundError e) {
+    } catch (UnsatisfiedLinkError | NoClassDefFoundError | ExceptionInInitializerError e) {
       LOG.atWarn().setMessage("boot_clock_missing").addKeyValue("cause", e.getMessage()).log();
     }
     return Clock.system();
@@ -55,10 +50,28 @@
 
   @Override
   public synchronized long millis() {
-    if (clockGettime.invokeInt(arguments) != 0) {
+    if (CLibrary.clock_gettime(CLOCK_BOOTTIME, timespecAddress) != 0) {
       return 0;
     }
     return timespec.getLong(0) * MILLIS_PER_SECOND
         + timespec.getLong(NANOS_OFFSET_BYTES) / NANOS_PER_MILLI;
   }
+
+  /**
+   * Functions of the C library, bound directly: the clock is read several times for each statement,
+   * and a call by reflection takes many times as long.
+   */
+  private static final class CLibrary {
+    /** The full name, because a short name is searched for in all library paths of the system. */
+    private static final String NAME = "libc.so.6";
+
+    static {
+      Native.register(CLibrary.class, NAME);
+    }
+
+    private CLibrary() {}
+
+    @SuppressWarnings("MethodName")
+    static native int clock_gettime(int clock, long timespecAddress);
+  }
 }
