The gateway binds SLF4J to Logback itself

Cause: 355 of 2,411 samples of the main thread of a start are Logback's own provider: status messages (164), comparing versions (83), the search for a configuration. Change: an SLF4J provider of the gateway, named by the property slf4j.provider; the property sardinebay.logging and the configurator service are gone.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayLogging.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayLogging.java
@@ -3,33 +3,28 @@
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
-import ch.qos.logback.classic.spi.Configurator;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.encoder.LayoutWrappingEncoder;
-import ch.qos.logback.core.spi.ContextAwareBase;
 import java.util.Set;
 import org.sardinebay.net.log.BoundedAppender;
 import org.sardinebay.net.log.KeyValueLayout;
 import org.slf4j.LoggerFactory;
 
 /**
- * Configures the gateway's logging in code, because reading a configuration file would take a third
- * of the startup time. Active only if the system property {@code sardinebay.logging} is {@code
- * gateway}, so that other programs with this class on their class path keep their own
- * configuration.
+ * The gateway's logging, configured in code, because reading a configuration file would take a
+ * third of the startup time.
  */
-public final class GatewayLogging extends ContextAwareBase implements Configurator {
+final class GatewayLogging {
   private static final String APPENDER = "bounded";
 
   /** Events that are dropped first: samples, and changes that the next event supersedes. */
   private static final Set<String> LOW_PRIORITY_EVENTS = Set.of("statement_done", "config_applied");
 
-  @Override
-  public ExecutionStatus configure(LoggerContext context) {
-    if (!"gateway".equals(System.getProperty("sardinebay.logging"))) {
-      return ExecutionStatus.INVOKE_NEXT_IF_ANY;
-    }
+  private GatewayLogging() {}
+
+  /** Adds the gateway's appender and levels to a context without any. */
+  static void configure(LoggerContext context) {
     KeyValueLayout layout = new KeyValueLayout();
     layout.setContext(context);
     layout.start();
@@ -51,7 +46,6 @@
     root.addAppender(bounded);
     context.getLogger("io.activej").setLevel(Level.ERROR);
     context.getLogger("io.netty").setLevel(Level.ERROR);
-    return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
   }
 
   /**
