Session values are repeated messages instead of a map

Cause: 302 of 5,722 samples of the event loop after a start build the descriptors of all messages, which protobuf's map fields need at their first use, in the first forwarded statement. Change: SessionValue, the same on the wire as an entry of the map, so hosts of both builds understand each other.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardedStatements.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardedStatements.java
@@ -85,7 +85,7 @@
     private Optional<Position> position;
 
     private ForwardedSessionState(StatementCall call) {
-      this.values = call.getValuesMap();
+      this.values = StatementCodec.values(call);
       this.position = StatementCodec.position(call.getPositionTerm(), call.getPositionIndex());
     }
 
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementCodec.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementCodec.java
@@ -1,12 +1,15 @@
 package org.sardinebay.gateway.internal.request;
 
 import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Optional;
 import org.sardinebay.Position;
 import org.sardinebay.WorkspaceId;
 import org.sardinebay.gateway.internal.connection.SessionReply;
 import org.sardinebay.gateway.internal.connection.Transaction;
 import org.sardinebay.net.peer.generated.PreparedStatement;
+import org.sardinebay.net.peer.generated.SessionValue;
 import org.sardinebay.net.peer.generated.StatementCall;
 import org.sardinebay.net.peer.generated.StatementReply;
 import org.sardinebay.net.peer.generated.StatementRoute;
@@ -30,8 +33,8 @@
             .setText(request.text())
             .setWrites(request.writes())
             .setCommits(request.commits())
-            .putAllValues(request.session().values())
             .setElapsedMillis(elapsedMillis);
+    request.session().values().forEach((name, value) -> call.addValues(value(name, value)));
     request.shape().ifPresent(shape -> call.setPrepared(prepared(shape)));
     request.workspace().ifPresent(workspace -> call.setWorkspace(workspace.value()));
     request
@@ -41,6 +44,17 @@
     return call;
   }
 
+  private static SessionValue value(String name, String value) {
+    return SessionValue.newBuilder().setName(name).setValue(value).build();
+  }
+
+  /** Returns the session's values in the order in which the caller's host sent them. */
+  static Map<String, String> values(StatementCall call) {
+    Map<String, String> values = new LinkedHashMap<>();
+    call.getValuesList().forEach(value -> values.put(value.getName(), value.getValue()));
+    return values;
+  }
+
   private static StatementRoute route(DatabaseRoute route) {
     return StatementRoute.newBuilder()
         .setDatabase(route.database())
