--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/IdleTransactions.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/IdleTransactions.java
@@ -54,7 +54,7 @@
    */
   void tick(long now, long transactionIdleMillis, Set<MemberId> awaited) {
     held.removeIf(transaction -> !transaction.open());
-    if (held.stream().anyMatch(h -> h.transaction.preempted())) {
+    if (awaited.isEmpty() || held.stream().anyMatch(h -> h.transaction.preempted())) {
       return;
     }
     List<IdleTransactionPreemption.Candidate<Held>> candidates =
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatementPlacer.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatementPlacer.java
@@ -189,9 +189,11 @@
    * transaction if statements wait for its connection.
    */
   void tick(long now) {
-    expire(now);
-    dispatchWaiting();
-    scheduler.shed(capacity(now), chooser::mayBePlaced, now).forEach(this::reject);
+    if (scheduler.size() > 0) {
+      expire(now);
+      dispatchWaiting();
+      scheduler.shed(capacity(now), chooser::mayBePlaced, now).forEach(this::reject);
+    }
     transactions.tick(now, transactionIdleMillis, awaited(now));
   }
 
