--- a/standins/src/main/java/org/sardinebay/standins/impeller/TrainingRun.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/TrainingRun.java
@@ -32,9 +32,14 @@
   private static final int TRAFFIC_ROUNDS = 20;
   private static final int SHUTDOWN_SECONDS = 3;
 
-  /** As in the deploy file; they decide which classes Netty loads at a start. */
-  private static final List<String> NETTY_OPTIONS =
-      List.of("-Dio.netty.jfr.enabled=false", "-Dio.netty.osClassifiers=");
+  /** As in the deploy file; they decide which classes are loaded at a start. */
+  private static final List<String> LIBRARY_OPTIONS =
+      List.of(
+          "-Dslf4j.provider=org.sardinebay.gateway.internal.process.GatewayLoggingProvider",
+          "-Dio.netty.jfr.enabled=false",
+          "-Dio.netty.osClassifiers=",
+          "-Dio.netty.allocator.type=unpooled",
+          "-Dio.netty.leakDetection.level=disabled");
 
   /** The key that {@link LineCaller} sends unless it is given another one. */
   private static final String KEY = "test";
@@ -105,8 +110,8 @@
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(options);
-    command.addAll(NETTY_OPTIONS);
-    command.addAll(List.of("-Dsardinebay.logging=gateway", "-jar", jar));
+    command.addAll(LIBRARY_OPTIONS);
+    command.addAll(List.of("-jar", jar));
     command.addAll(List.of("--settings", file.toString()));
     File log = new File(new File(jar).getAbsoluteFile().getParentFile(), logFile);
     return new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log).start();
