Feed sources are ordered when the list of hosts changes, not for each poll

Cause: the peers' timer used 60 ms of processor time a host in the first 31 s of a process on the shifted twin; each poll ordered all hosts three times, once for a fallback that is seldom used. Change: the ordered sources are kept with the list of hosts and the seeds that they were computed from.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
@@ -2,8 +2,10 @@
 
 import io.micrometer.core.instrument.MeterRegistry;
 import java.io.IOException;
+import java.util.EnumMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -50,6 +52,20 @@
       Executors.newScheduledThreadPool(1, Peers::timerThread);
   private Optional<PeerServer> server = Optional.empty();
   private Optional<PeerClient> client = Optional.empty();
+  private volatile FeedSources feedSources = FeedSources.NONE;
+
+  /**
+   * The hosts that the feeds poll, in order, and the list of hosts that they were computed from.
+   * Ordering a large fleet for each poll would take more time than the poll itself.
+   */
+  private record FeedSources(
+      List<RegisteredHost> hosts,
+      List<Address> seeds,
+      Map<Nearness, List<Address>> watchers,
+      List<Address> others) {
+    private static final FeedSources NONE =
+        new FeedSources(List.of(), List.of(), Map.of(), List.of());
+  }
 
   Peers(
       GatewaySettings settings,
@@ -121,20 +137,40 @@
   }
 
   private List<Address> watchers(Nearness nearness) {
-    List<RegisteredHost> sources =
-        StoreWatchers.sources(
-            settings.host(), settings.failureDomain(), registered.get(), nearness);
-    return sources.stream().map(RegisteredHost::peerAddress).toList();
+    return feedSources().watchers().getOrDefault(nearness, List.of());
   }
 
   /** All known peers, polled while no watcher replies. */
   private List<Address> otherPeers() {
-    Set<Address> addresses = new LinkedHashSet<>();
-    StoreWatchers.spread(settings.host(), registered.get())
-        .forEach(host -> addresses.add(host.peerAddress()));
-    addresses.addAll(seeds.get());
-    addresses.remove(settings.peers());
-    return List.copyOf(addresses);
+    return feedSources().others();
+  }
+
+  /** Returns the sources for the present hosts; the list of hosts is the same until it changes. */
+  private FeedSources feedSources() {
+    List<RegisteredHost> hosts = registered.get();
+    List<Address> currentSeeds = seeds.get();
+    FeedSources current = feedSources;
+    if (current.hosts() != hosts || !current.seeds().equals(currentSeeds)) {
+      current = computeFeedSources(hosts, currentSeeds);
+      feedSources = current;
+    }
+    return current;
+  }
+
+  private FeedSources computeFeedSources(List<RegisteredHost> hosts, List<Address> currentSeeds) {
+    Map<Nearness, List<Address>> watchers = new EnumMap<>(Nearness.class);
+    for (Nearness nearness : Nearness.values()) {
+      watchers.put(
+          nearness,
+          StoreWatchers.sources(settings.host(), settings.failureDomain(), hosts, nearness).stream()
+              .map(RegisteredHost::peerAddress)
+              .toList());
+    }
+    Set<Address> others = new LinkedHashSet<>();
+    StoreWatchers.spread(settings.host(), hosts).forEach(host -> others.add(host.peerAddress()));
+    others.addAll(currentSeeds);
+    others.remove(settings.peers());
+    return new FeedSources(hosts, currentSeeds, watchers, List.copyOf(others));
   }
 
   /** Handles one connection from another host; most connections carry only the feed. */
