--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/HostClock.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/HostClock.java
@@ -1,8 +1,12 @@
 package org.sardinebay.gateway.internal.process;
 
+import com.sun.jna.FunctionMapper;
+import com.sun.jna.Library;
 import com.sun.jna.Memory;
 import com.sun.jna.Native;
+import com.sun.jna.NativeLibrary;
 import com.sun.jna.Pointer;
+import java.util.Map;
 import org.sardinebay.Clock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -50,7 +54,7 @@
 
   @Override
   public synchronized long millis() {
-    if (CLibrary.clock_gettime(CLOCK_BOOTTIME, timespecAddress) != 0) {
+    if (CLibrary.clockGettime(CLOCK_BOOTTIME, timespecAddress) != 0) {
       return 0;
     }
     return timespec.getLong(0) * MILLIS_PER_SECOND
@@ -58,20 +62,23 @@
   }
 
   /**
-   * Functions of the C library, bound directly: the clock is read several times for each statement,
-   * and a call by reflection takes many times as long.
+   * The clock's function of the C library, bound directly: the clock is read several times for each
+   * statement, and a call by reflection takes many times as long.
    */
   private static final class CLibrary {
     /** The full name, because a short name is searched for in all library paths of the system. */
     private static final String NAME = "libc.so.6";
 
+    private static final FunctionMapper CLOCK_GETTIME = (library, method) -> "clock_gettime";
+
     static {
-      Native.register(CLibrary.class, NAME);
+      Native.register(
+          CLibrary.class,
+          NativeLibrary.getInstance(NAME, Map.of(Library.OPTION_FUNCTION_MAPPER, CLOCK_GETTIME)));
     }
 
     private CLibrary() {}
 
-    @SuppressWarnings("MethodName")
-    static native int clock_gettime(int clock, long timespecAddress);
+    static native int clockGettime(int clock, long timespecAddress);
   }
 }
