Read-through: one default key of the test caller, clearer comments, a test of session values

Change: LineCaller.DEFAULT_KEY; comments; StatementCodecTest plays a repeated name, of which the last value counts. The repeated lines in generated protobuf classes are the generator's. No behaviour changes.

--- a/gateway/src/test/java/org/sardinebay/gateway/internal/request/StatementCodecTest.java
+++ b/gateway/src/test/java/org/sardinebay/gateway/internal/request/StatementCodecTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.sardinebay.Position;
 import org.sardinebay.gateway.internal.connection.SessionReply;
+import org.sardinebay.net.peer.generated.SessionValue;
 import org.sardinebay.net.peer.generated.StatementCall;
 import org.sardinebay.net.peer.generated.StatementReply;
 import org.sardinebay.net.peer.generated.StatementRoute;
@@ -60,6 +61,19 @@
     assertThat(failure.text()).isEqualTo(reply.getMessage());
   }
 
+  /** Hosts of earlier builds send the values as a map field, of which the last entry counts. */
+  @Test
+  void should_decode_session_values_like_a_map_field() {
+    StatementCall call =
+        StatementCall.newBuilder()
+            .addValues(SessionValue.newBuilder().setName("zone").setValue("north"))
+            .addValues(SessionValue.newBuilder().setName("unit").setValue("bar"))
+            .addValues(SessionValue.newBuilder().setName("zone").setValue("south"))
+            .build();
+
+    assertThat(StatementCodec.values(call)).isEqualTo(Map.of("zone", "south", "unit", "bar"));
+  }
+
   @Test
   void should_decode_a_failure_of_each_known_code() {
     for (ErrorCode code : ErrorCode.values()) {
--- a/net/src/main/java/org/sardinebay/net/peer/FrameDecoder.java
+++ b/net/src/main/java/org/sardinebay/net/peer/FrameDecoder.java
@@ -35,7 +35,7 @@
     out.add(Frame.parseFrom(body));
   }
 
-  /** Without reading the annotation that Netty looks for. */
+  /** Answers without the reflective lookup of Netty's annotation, which a start would pay for. */
   @Override
   public boolean isSharable() {
     return false;
--- a/net/src/main/java/org/sardinebay/net/peer/FrameEncoder.java
+++ b/net/src/main/java/org/sardinebay/net/peer/FrameEncoder.java
@@ -25,7 +25,7 @@
     out.writeInt(body.length).writeBytes(body);
   }
 
-  /** Without reading the annotation that Netty looks for. */
+  /** Answers without the reflective lookup of Netty's annotation, which a start would pay for. */
   @Override
   public boolean isSharable() {
     return false;
--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineCaller.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineCaller.java
@@ -11,6 +11,9 @@
 
 /** A client of the line protocol, as callers use it. */
 final class LineCaller implements AutoCloseable {
+  /** The key that is sent unless another one is given. */
+  static final String DEFAULT_KEY = "test";
+
   private static final int READ_TIMEOUT_MILLIS = 15_000;
 
   private final Socket socket;
@@ -26,7 +29,7 @@
   }
 
   static LineCaller open(Address gateway, String database) throws IOException {
-    return open(gateway, database, "test");
+    return open(gateway, database, DEFAULT_KEY);
   }
 
   static LineCaller open(Address gateway, String database, String key) throws IOException {
--- a/standins/src/main/java/org/sardinebay/standins/impeller/TrainingRun.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/TrainingRun.java
@@ -41,9 +41,6 @@
           "-Dio.netty.allocator.type=unpooled",
           "-Dio.netty.leakDetection.level=disabled");
 
-  /** The key that {@link LineCaller} sends unless it is given another one. */
-  private static final String KEY = "test";
-
   private final Address callers = FreePorts.next();
   private final Address readiness = FreePorts.next();
   private final Address peers = FreePorts.next();
@@ -92,7 +89,7 @@
       awaitWrite(callers, START_TIMEOUT_MILLIS);
       runTraffic();
       askReadiness();
-      platform.configureWorkspaces(PlatformWorkspace.of("training", KEY));
+      platform.configureWorkspaces(PlatformWorkspace.of("training", LineCaller.DEFAULT_KEY));
       runTraffic();
       platform.member(0).crash();
       awaitWrite(callers, PRIMARY_CHANGE_TIMEOUT_MILLIS);
@@ -158,6 +155,7 @@
     throw new IOException("no write succeeded within " + timeoutMillis + " ms");
   }
 
+  /** Records the classes that serve an HTTP call. */
   private void askReadiness() throws IOException {
     HttpURLConnection call =
         (HttpURLConnection)
