--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** Gateways as processes of their own, started with the command of the deploy file. */
@@ -35,6 +36,8 @@
 
   private static final Set<Integer> USED_PORTS = new HashSet<>();
   private static final int LIMIT_SECONDS = 110;
+  private static final int FIRST_PORT = 12_000;
+  private static final int LAST_PORT = 31_000;
 
   private final Path root;
   private final Path temporary;
@@ -68,14 +71,22 @@
     thread.start();
   }
 
+  /**
+   * Returns a free port below the range from which the system takes the ports of outgoing
+   * connections.
+   */
   static synchronized int freePort() throws IOException {
-    while (true) {
-      try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-        if (USED_PORTS.add(socket.getLocalPort())) {
-          return socket.getLocalPort();
+    for (int i = 0; i < 1_000; i++) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        if (USED_PORTS.add(port)) {
+          return port;
         }
+      } catch (IOException e) {
+        // The port is in use.
       }
     }
+    throw new IOException("no free port");
   }
 
   /** Creates a gateway's settings; its seeds are the gateways created before. */
--- a/review/standins/Members.java
+++ b/review/standins/Members.java
@@ -9,7 +9,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -68,6 +67,19 @@
   /** Called on each control statement of a gateway, on the member's thread. */
   volatile ControlListener onControl = (member, gateway, text) -> {};
 
+  /** Called on each promotion order that is accepted, before it takes effect. */
+  volatile PromotionListener onPromote = (gateway, member) -> {};
+
+  /** The commits at members that were not the newest primary any more, as "request" ids. */
+  private final List<String> formerCommits = new ArrayList<>();
+
+  /** The gateways that the rule ONE excuses, because a link of theirs was disrupted. */
+  final Set<String> excused = ConcurrentHashMap.newKeySet();
+
+  interface PromotionListener {
+    void onPromote(String gateway, Member member);
+  }
+
   interface ControlListener {
     void onControl(Member member, String gateway, String text);
   }
@@ -130,6 +142,40 @@
     record.line("member " + member.id + " crashes; its log stands at " + member.position());
   }
 
+  /** Cuts the path between a member and one gateway for a while, silently. */
+  void cut(Member member, String gateway, long millis) {
+    member.cutFrom.add(gateway);
+    excused.add(gateway);
+    record.line("the path between " + member.id + " and " + gateway + " is cut");
+    Fleet.thread(
+        () -> {
+          Thread.sleep(millis);
+          member.cutFrom.remove(gateway);
+          record.line("the path between " + member.id + " and " + gateway + " is back");
+        });
+  }
+
+  /** A member crashes and its address doesn't respond; connections to it hang. */
+  void darken(Member member) {
+    member.dark = true;
+    record.line("member " + member.id + " is dark");
+  }
+
+  /** A member that was dark starts again with its log. Its former connections are reset. */
+  void startAgain(Member member) throws IOException {
+    for (Socket socket : member.sockets) {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+    member.dark = false;
+    record.line("member " + member.id + " is back as " + (member.leads ? "primary" : "replica"));
+  }
+
+  /** The given requests that were committed at a member after another one had taken over. */
+  synchronized List<String> commitsAtFormerPrimaries(List<String> requests) {
+    return requests.stream().filter(formerCommits::contains).toList();
+  }
+
   void drain(Member member) {
     member.state = "draining";
     register(member);
@@ -174,17 +220,22 @@
     return leader;
   }
 
-  /** Brings the commits of the primary to its replicas. */
+  /**
+   * Brings the commits of the primary to its replicas, also the last ones of a primary that was
+   * demoted.
+   */
   private void replicate() throws InterruptedException {
+    Member last = null;
     while (true) {
       Thread.sleep(5);
       synchronized (this) {
-        Member leader = leader();
-        if (leader == null) {
+        Member leader = leader() == null ? last : leader();
+        if (leader == null || !leader.running || leader.dark) {
           continue;
         }
+        last = leader;
         for (Member member : members.values()) {
-          if (member == leader || !member.running || member.leads || member.deaf
+          if (member == leader || !member.running || member.leads || member.deaf || member.dark
               || member.held > 0) {
             continue;
           }
@@ -228,6 +279,7 @@
         return 200;
       }
     }
+    onPromote.onPromote(gateway, members.get(id));
     Fleet.thread(
         () -> {
           Thread.sleep(promoteMillis);
@@ -448,6 +500,12 @@
         while (syncReplicas > 0 && member.running && !received(last)) {
           Members.this.wait(50);
         }
+        if (member != leader()) {
+          if (!excused.contains(gateway)) {
+            formerCommits.add(id);
+          }
+          record.line("member " + member.id + " is not the newest primary any more");
+        }
         record.line("member " + member.id + " commits " + last.term() + "." + last.number()
             + " of " + id);
       }
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -44,7 +44,7 @@
 
   /** Opens an address for one gateway. */
   int open(String gateway) throws IOException {
-    ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    ServerSocket listener = new ServerSocket(Fleet.freePort(), 50, InetAddress.getByName("127.0.0.1"));
     Fleet.thread(
         () -> {
           while (true) {
