--- a/review/standins/Members.java
+++ b/review/standins/Members.java
@@ -76,6 +76,13 @@
   /** The gateways that the rule ONE excuses, because a link of theirs was disrupted. */
   final Set<String> excused = ConcurrentHashMap.newKeySet();
 
+  /** The statements of callers that members ran, as id and text. */
+  private final List<String> ran = new ArrayList<>();
+
+  synchronized List<String> ran() {
+    return List.copyOf(ran);
+  }
+
   interface PromotionListener {
     void onPromote(String gateway, Member member);
   }
@@ -405,6 +412,9 @@
         }
         default -> {}
       }
+      synchronized (Members.this) {
+        ran.add(id + " " + text);
+      }
       record.line("member " + member.id + " runs " + id + " " + whole + " from " + gateway);
       switch (words[0]) {
         case "BEGIN" -> {
