--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 [ -d "$root/review/target" ] && [ -f "$root/target/sardinebay-gateway.jar" ] || exit 2
-exec java -Xmx256m -cp "$root/review/target" Smuggled "$root" "$here/record.txt"
+exec java -Xmx256m -cp "$root/review/target" CutAtShutdown "$root" "$here/record.txt"
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -14,6 +14,17 @@
 
   Deployment(Path root, Path recordFile, int syncReplicas, long lagMillis, long promoteMillis)
       throws IOException {
+    this(root, recordFile, syncReplicas, lagMillis, promoteMillis, "hall-a", "hall-b", "hall-c");
+  }
+
+  Deployment(
+      Path root,
+      Path recordFile,
+      int syncReplicas,
+      long lagMillis,
+      long promoteMillis,
+      String... zones)
+      throws IOException {
     record = new Record(recordFile);
     Members[] group = new Members[1];
     store =
@@ -27,9 +38,9 @@
     members.add("m-1", "hall-a", true);
     members.add("m-2", "hall-b", false);
     members.add("m-3", "hall-c", false);
-    fleet.create("front-a", "hall-a", store, GRACE_SECONDS);
-    fleet.create("front-b", "hall-b", store, GRACE_SECONDS);
-    fleet.create("front-c", "hall-c", store, GRACE_SECONDS);
+    fleet.create("front-a", zones[0], store, GRACE_SECONDS);
+    fleet.create("front-b", zones[1], store, GRACE_SECONDS);
+    fleet.create("front-c", zones[2], store, GRACE_SECONDS);
   }
 
   /** Writes the operator's configuration. */
--- a/review/standins/Members.java
+++ b/review/standins/Members.java
@@ -473,6 +473,7 @@
         requireLead(!readOnly);
       }
       Thread.sleep(workMillis);
+      record.line("member " + member.id + " has run " + id);
       synchronized (Members.this) {
         for (int i = member.log.size() - 1; i >= 0; i--) {
           if (member.log.get(i).item().equals(item)) {
