--- a/review/standins/DriverWithoutLease.java
+++ b/review/standins/DriverWithoutLease.java
@@ -10,6 +10,9 @@
   private static final long TURNED_AWAY_MILLIS = 5_500;
   private static final long LONGEST_DARK_MILLIS = 7_000;
 
+  /** As the mean of contract-billing on brazos-pumpcare, in milliseconds. */
+  private static final long WORK_MILLIS = 24;
+
   public static void main(String[] args) throws Exception {
     boolean trouble = Deployment.trouble();
     Deployment deployment = new Deployment(Path.of(args[0]), Path.of(args[1]), 0, 20, 600);
@@ -47,10 +50,11 @@
                     members.startAgain(primary);
                   }
                 });
+    members.workMillis = WORK_MILLIS;
     OldPrimaryWrites writes = new OldPrimaryWrites(deployment);
     for (String gateway : List.of("front-a", "front-b", "front-c")) {
       writes.start("c-" + gateway, gateway);
-      writes.startReaders("r-" + gateway, gateway, 4);
+      writes.startReaders("r-" + gateway, gateway, 10);
     }
     Thread.sleep(1_000);
     members.darken(primary);
--- a/review/standins/OldPrimaryWrites.java
+++ b/review/standins/OldPrimaryWrites.java
@@ -4,7 +4,7 @@
 /** Callers that write all the time, and the check of the rule ONE on what they were told. */
 final class OldPrimaryWrites {
   private static final long PAUSE_MILLIS = 20;
-  private static final long READ_PAUSE_MILLIS = 60;
+  private static final long READ_PAUSE_MILLIS = 30;
 
   private final Deployment deployment;
   private final List<String> acknowledged = new CopyOnWriteArrayList<>();
