Log the lease and the newest term with each phase of a change of primary

Cause: the log didn't show whether a driver held the promotion lease when a change ended, nor whether members reported a newer term than the primary that this host knows. Change: primary_change_phase has lease_millis and newest_term. Result: no behaviour changes; not measured.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionCoordinator.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionCoordinator.java
@@ -265,6 +265,8 @@
           .addKeyValue("next_term", change.nextTerm())
           .addKeyValue("target", change.target().map(MemberId::value).orElse("-"))
           .addKeyValue("from", change.takeoverPosition().map(Object::toString).orElse("-"))
+          .addKeyValue("newest_term", view.newestTerm())
+          .addKeyValue("lease_millis", lease.claim().remainingMillis(clock.millis()))
           .log();
     }
   }
