A driver orders one promotion in a change, and asks other hosts first

Cause: a driver that hadn't seen the member that it promoted for 4 s went back to ordering and promoted another one. The accepted order had lifted the fences, and the wait for other hosts' leases belonged to the first order. Change: a takeover that isn't seen in time ends the change. A new change has a higher term, its own fences and its own wait, so two hosts can't use two primaries whatever the driver sees. It doesn't start while at least as many hosts reach an unseen member as don't (so far: a silent primary only). A fence reply counts only if it reports the fence, a newer term at any member ends the change, and fences are checked until the order is sent. Beside an older host: holds, the query between hosts is unchanged; an older driver still orders twice, as before.

--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryChange.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryChange.java
@@ -18,8 +18,9 @@
  * State machine for one change of a service's primary, run by its driver. It fences every other
  * member at the next term, waits until the leases of all hosts on the old primary have expired,
  * orders the promotion of the member that has received the most entries, and checks that this
- * member becomes primary. It has no timers or connections; its owner calls {@link #next} on each
- * tick.
+ * member becomes primary. A change orders one member only: an accepted order lifts the fences, so
+ * the promotion of another member takes a new change. It has no timers or connections; its owner
+ * calls {@link #next} on each tick.
  *
  * <pre>{@code
  * for (PrimaryChange.Step step : change.next(view, now)) { ... }
@@ -49,7 +50,9 @@
    */
   private static final long COMMIT_DELIVERY_MILLIS = 80;
 
-  /** How long a member may take to become primary after the promotion order, in milliseconds. */
+  /**
+   * How long a member may take to be seen as primary after the promotion order, in milliseconds.
+   */
   private static final long TAKEOVER_TIMEOUT_MILLIS = 4_000;
 
   /** An action that the driver has to perform. */
@@ -108,7 +111,16 @@
     /** The selected member is primary. */
     DONE,
     /** The change was abandoned and the old primary stays. */
-    GIVEN_UP
+    GIVEN_UP,
+    /**
+     * The selected member was not seen as primary in time. The order may have taken effect all the
+     * same: another member may only be promoted by a new change, with fences of its own.
+     */
+    UNCONFIRMED,
+    /**
+     * A member reports the new term without this change: another driver has ordered a promotion.
+     */
+    SUPERSEDED
   }
 
   private final MemberId oldPrimary;
@@ -124,7 +136,6 @@
   private long phaseSince;
   private Optional<MemberId> target = Optional.empty();
   private boolean orderPending;
-  private boolean orderMayTakeEffect;
 
   /**
    * Creates a change.
@@ -198,10 +209,15 @@
    */
   public List<Step> next(ServiceView view, long now) {
     List<Step> steps = new ArrayList<>();
+    if (superseded(view)) {
+      enter(Phase.SUPERSEDED, now);
+    }
     if (phase == Phase.DEMOTING) {
       demote(view, now, steps);
     }
-    if (phase == Phase.FENCING || phase == Phase.WAITING) {
+    if (phase == Phase.FENCING
+        || phase == Phase.WAITING
+        || (phase == Phase.ORDERING && !orderPending)) {
       fenceMembers(view, now, steps);
     }
     if (phase == Phase.WAITING && now - phaseSince >= leaseWaitMillis()) {
@@ -216,6 +232,30 @@
     return steps;
   }
 
+  /**
+   * Returns whether this change has ended, with or without a new primary.
+   *
+   * @return true if it has no further steps
+   */
+  public boolean ended() {
+    return phase == Phase.DONE
+        || phase == Phase.GIVEN_UP
+        || phase == Phase.UNCONFIRMED
+        || phase == Phase.SUPERSEDED;
+  }
+
+  /**
+   * Returns whether the new term has begun without this change. Its fences are then void: a member
+   * is fenced only at a term above its own.
+   */
+  private boolean superseded(ServiceView view) {
+    if (phase == Phase.TAKING_OVER) {
+      return view.term() >= nextTerm
+          && view.primary().filter(m -> target.equals(Optional.of(m.id()))).isEmpty();
+    }
+    return !ended() && !orderPending && view.newestTerm() >= nextTerm;
+  }
+
   private static long leaseWaitMillis() {
     return PrimaryLease.DURATION_MILLIS + PrimaryLease.DRIVER_MARGIN_MILLIS;
   }
@@ -253,7 +293,7 @@
         steps.add(new Step.Fence(id, nextTerm));
       }
     }
-    if (!complete && phase == Phase.WAITING) {
+    if (!complete && phase != Phase.FENCING) {
       enter(Phase.FENCING, now);
     } else if (complete && !fenced.isEmpty() && phase == Phase.FENCING) {
       enter(Phase.WAITING, now);
@@ -284,9 +324,6 @@
 
   private void orderPromotion(ServiceView view, long now, List<Step> steps) {
     target = mostAdvanced(view);
-    if (target.isEmpty() && orderMayTakeEffect) {
-      return;
-    }
     if (target.isEmpty()) {
       steps.addAll(giveUp(view, now));
       return;
@@ -316,7 +353,7 @@
     if (view.primary().filter(m -> m.id().equals(id)).isPresent() && view.term() >= nextTerm) {
       enter(Phase.DONE, now);
     } else if (now - phaseSince >= TAKEOVER_TIMEOUT_MILLIS) {
-      enter(Phase.ORDERING, now);
+      enter(Phase.UNCONFIRMED, now);
     } else if (markSentIfDue(id, now)) {
       steps.add(new Step.QueryStatus(id));
     }
@@ -339,7 +376,7 @@
    * @param now the current time in milliseconds
    */
   public void onFenced(MemberId member, MemberStatus status, long now) {
-    if (status.fenceTerm() >= nextTerm || status.term() >= nextTerm) {
+    if (status.fenceTerm() >= nextTerm) {
       fenced.put(member, status);
       fencedAt.put(member, now);
     }
@@ -356,7 +393,6 @@
     if (outcome == PromotionClient.Outcome.MEMBER_DOWN) {
       target.ifPresent(notRunning::add);
     } else if (outcome != PromotionClient.Outcome.REFUSED) {
-      orderMayTakeEffect = true;
       enter(Phase.TAKING_OVER, now);
     }
   }
@@ -372,7 +408,7 @@
    */
   public List<Step> giveUp(ServiceView view, long now) {
     boolean earlierOrder = membersAlreadyFenced && now - startedAt < EARLIER_ORDER_VALID_MILLIS;
-    if (phase == Phase.DONE || orderPending || orderMayTakeEffect || earlierOrder) {
+    if (ended() || orderPending || phase == Phase.TAKING_OVER || earlierOrder) {
       return List.of();
     }
     enter(Phase.GIVEN_UP, now);
--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryChangeNeed.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryChangeNeed.java
@@ -1,6 +1,9 @@
 package org.sardinebay.internal.version;
 
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
+import org.sardinebay.MemberId;
 import org.sardinebay.session.MemberRole;
 
 /**
@@ -69,8 +72,8 @@
     if (view.members().size() < 2) {
       return Optional.empty();
     }
-    if (primary.isEmpty()) {
-      return view.members().stream().allMatch(m -> ruledOutAsPrimary(m, now))
+    if (primary.isEmpty() || view.newestTerm() > view.term()) {
+      return view.members().stream().allMatch(m -> ruledOutAsPrimary(view, m, now))
           ? causeWithoutPrimary(view, now)
           : Optional.empty();
     }
@@ -113,13 +116,35 @@
   }
 
   /**
-   * Returns whether a member reports the replica role or has been unreachable for {@link
-   * #SILENT_MILLIS}. Before that, a member that has never replied may be the primary: perhaps only
-   * this host can't connect to it.
+   * Returns the members that this host can't reach although they may be running. A change of
+   * primary has to fence each of them, or may replace one that is in use: it must not start while
+   * other hosts reach such a member.
+   *
+   * @param view this host's view of the service
+   * @return the known primary and other members without evidence that their processes have ended
    */
-  private static boolean ruledOutAsPrimary(MemberView member, long now) {
-    boolean reportsReplica =
-        member.status().filter(s -> s.role() == MemberRole.REPLICA).isPresent();
-    return reportsReplica || member.unreachableMillis(now) >= SILENT_MILLIS;
+  public static List<MemberId> unseenMembers(ServiceView view) {
+    Optional<MemberView> silentPrimary =
+        view.primary().filter(m -> m.unreachable() && !m.refusing());
+    return Stream.concat(
+            silentPrimary.stream(), view.members().stream().filter(MemberView::possiblyRunning))
+        .map(MemberView::id)
+        .distinct()
+        .toList();
+  }
+
+  /**
+   * Returns whether a member can't be the primary: it replies as a replica or as the primary of an
+   * older term, or it has been unreachable for {@link #SILENT_MILLIS}. Before that, it may have
+   * become primary since its last reply.
+   */
+  private static boolean ruledOutAsPrimary(ServiceView view, MemberView member, long now) {
+    if (member.unreachable()) {
+      return member.unreachableMillis(now) >= SILENT_MILLIS;
+    }
+    return member
+        .status()
+        .filter(s -> s.role() == MemberRole.REPLICA || s.term() < view.newestTerm())
+        .isPresent();
   }
 }
--- a/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeNeedTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeNeedTest.java
@@ -153,4 +153,32 @@
           .isFalse();
     }
   }
+
+  /**
+   * Guards against a change that replaces a primary in use: a replica reports a newer term, and
+   * this host can't reach the primary of that term.
+   */
+  @Nested
+  class WithPrimaryOfNewerTermUnseen {
+    @BeforeEach
+    void reportNewerTerm() {
+      view.onStatus(PRIMARY, ServiceViewTest.primary(1, 5), 0, 0);
+      view.onStatus(REPLICA_2, ServiceViewTest.replica(1, 5, 0), 0, 0);
+      view.onUnreachable(PRIMARY, true, 100);
+      view.onStatus(REPLICA_1, ServiceViewTest.replica(2, 6, 0), 4_000, 4_000);
+      view.onUnreachable(REPLICA_2, false, 4_000);
+    }
+
+    @Test
+    void should_not_exist_while_a_member_may_have_become_primary() {
+      assertThat(PrimaryChangeNeed.of(view, 3_999 + PrimaryChangeNeed.SILENT_MILLIS)).isEmpty();
+      assertThat(PrimaryChangeNeed.of(view, 4_000 + PrimaryChangeNeed.SILENT_MILLIS))
+          .contains(PrimaryChangeNeed.Cause.UNKNOWN);
+    }
+
+    @Test
+    void should_name_the_member_that_other_hosts_may_reach() {
+      assertThat(PrimaryChangeNeed.unseenMembers(view)).containsExactly(REPLICA_2);
+    }
+  }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PeerReachability.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PeerReachability.java
@@ -1,6 +1,7 @@
 package org.sardinebay.gateway.internal.version;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -10,6 +11,7 @@
 import org.sardinebay.gateway.internal.connection.HomeClient;
 import org.sardinebay.gateway.internal.connection.MemberPool;
 import org.sardinebay.internal.version.MemberView;
+import org.sardinebay.internal.version.PrimaryChangeNeed;
 import org.sardinebay.internal.version.ReachabilityReports;
 import org.sardinebay.net.peer.generated.Frame;
 import org.sardinebay.net.peer.generated.ReachCall;
@@ -17,12 +19,12 @@
 import org.sardinebay.session.MemberProtocol;
 
 /**
- * Queries whether the other hosts reach a primary that does not respond to this host, and answers
- * the same query from other hosts.
+ * Queries whether the other hosts reach members that do not respond to this host, and answers the
+ * same query from other hosts.
  *
  * <pre>{@code
  * reachability.queryPeers(service, now);
- * if (reachability.peersReachPrimary(service, now)) { no change }
+ * if (!reachability.reachedElsewhere(service, now).isEmpty()) { no change }
  * }</pre>
  */
 public final class PeerReachability {
@@ -63,23 +65,27 @@
   }
 
   /**
-   * Queries whether the other homes reach the primary, if it has been unreachable from this host
-   * for {@link ReachabilityReports#QUERY_AFTER_MILLIS}.
+   * Queries whether the other homes reach the members that this host has not reached for {@link
+   * ReachabilityReports#QUERY_AFTER_MILLIS}.
    *
    * @param service the service
    * @param now the current time by this host's clock, in milliseconds
    */
   public void queryPeers(ServiceRuntime service, long now) {
-    Optional<MemberView> primary = service.view().primary();
-    if (primary.isEmpty()
-        || primary.get().unreachableMillis(now) < ReachabilityReports.QUERY_AFTER_MILLIS) {
-      return;
-    }
-    MemberId id = primary.get().id();
     ReachabilityReports serviceReports = reportsFor(service);
-    if (!serviceReports.queryDue(id, now)) {
-      return;
+    List<MemberId> unseen = PrimaryChangeNeed.unseenMembers(service.view());
+    serviceReports.retain(unseen);
+    for (MemberId id : unseen) {
+      long unreachableMillis =
+          service.view().member(id).map(m -> m.unreachableMillis(now)).orElse(0L);
+      if (unreachableMillis >= ReachabilityReports.QUERY_AFTER_MILLIS
+          && serviceReports.queryDue(id, now)) {
+        query(service, id, serviceReports);
+      }
     }
+  }
+
+  private void query(ServiceRuntime service, MemberId id, ReachabilityReports serviceReports) {
     ReachCall call =
         ReachCall.newBuilder().setService(service.view().service()).setMember(id.value()).build();
     for (HomeClient client : homes.otherHomes(service)) {
@@ -95,18 +101,18 @@
   }
 
   /**
-   * Whether the other hosts' answers mean that the primary should not be replaced.
+   * Returns the members that other hosts reach and this host doesn't. While there are any, the
+   * fault is in a network path, and this host must not change the primary.
    *
    * @param service the service
    * @param now the current time by this host's clock, in milliseconds
-   * @return true if at least as many hosts reach the primary as do not
+   * @return the members that at least as many hosts reach as do not
    */
-  public boolean peersReachPrimary(ServiceRuntime service, long now) {
-    return service
-        .view()
-        .primary()
-        .filter(primary -> reportsFor(service).primaryReachableElsewhere(primary.id(), now))
-        .isPresent();
+  public List<MemberId> reachedElsewhere(ServiceRuntime service, long now) {
+    ReachabilityReports serviceReports = reportsFor(service);
+    return PrimaryChangeNeed.unseenMembers(service.view()).stream()
+        .filter(id -> serviceReports.reachedElsewhere(id, now))
+        .toList();
   }
 
   /**
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionCoordinator.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionCoordinator.java
@@ -89,7 +89,7 @@
    * Creates a coordinator that does not hold the lease.
    *
    * @param services the services
-   * @param reachability what other hosts report of primaries that this host can't reach
+   * @param reachability what other hosts report of members that this host can't reach
    * @param store the store that holds the lease record
    * @param storeEra the store's era
    * @param orders sends promotion orders to the platform
@@ -140,6 +140,9 @@
         reachability.queryPeers(service, now);
         startChangeIfNeeded(service, now);
       } else if (change != null) {
+        if (change.phase() == PrimaryChange.Phase.TAKING_OVER) {
+          reachability.queryPeers(service, now);
+        }
         advance(service, change, now);
       }
     }
@@ -184,7 +187,7 @@
           .addKeyValue("statuses", statuses(view))
           .log();
     }
-    if (cause.get() == PrimaryChangeNeed.Cause.SILENT && peersReachPrimary(service, now)) {
+    if (reachedElsewhere(service, now)) {
       return;
     }
     if (now < backoffUntil.getOrDefault(view.service(), Long.MIN_VALUE)
@@ -207,17 +210,21 @@
         .log();
   }
 
-  private boolean peersReachPrimary(ServiceRuntime service, long now) {
-    boolean peersReach = reachability.peersReachPrimary(service, now);
+  private boolean reachedElsewhere(ServiceRuntime service, long now) {
+    List<MemberId> reached = reachability.reachedElsewhere(service, now);
     ServiceView view = service.view();
-    if (peersReach && deferredServices.add(view.service())) {
+    if (!reached.isEmpty() && deferredServices.add(view.service())) {
       log("primary_change_held", view)
           .addKeyValue("primary", view.primary().map(m -> m.id().value()).orElse("-"))
+          .addKeyValue(
+              "reached_elsewhere",
+              reached.stream().map(MemberId::value).collect(Collectors.joining(",")))
+          .addKeyValue("newest_term", view.newestTerm())
           .log();
-    } else if (!peersReach) {
+    } else if (reached.isEmpty()) {
       deferredServices.remove(view.service());
     }
-    return peersReach;
+    return !reached.isEmpty();
   }
 
   private static String statuses(ServiceView view) {
@@ -240,10 +247,6 @@
       backoffUntil.put(view.service(), now + BACKOFF_MILLIS);
       perform(service, change, change.giveUp(view, now));
     }
-    if (view.term() >= change.nextTerm() && change.phase() != PrimaryChange.Phase.TAKING_OVER) {
-      changes.remove(view.service());
-      return;
-    }
     boolean promotionDueSoon = change.promotionDueInMillis(now) <= RENEWAL_LEAD_MILLIS;
     boolean leaseHeld =
         lease.ensureHeldFor(promotionDueSoon ? ORDER_LEASE_MILLIS : CHANGE_LEASE_MILLIS);
@@ -251,8 +254,7 @@
       perform(service, change, change.next(view, now));
     }
     logPhase(view, change);
-    if (change.phase() == PrimaryChange.Phase.DONE
-        || change.phase() == PrimaryChange.Phase.GIVEN_UP) {
+    if (change.ended()) {
       changes.remove(view.service());
     }
   }
