A change of primary is bound to the driver lease, also when it is given up

Cause: a driver that had lost the promotion lease to another host saw the old primary again, gave its change up and lifted the fences of its successor, whose order was about to take effect. Hosts then began a new lease on the old primary. Change: each step of a change needs 400 ms of the lease, with the token under which the change began. This is checked in PrimaryChange; the coordinator only renews the lease. Another token ends the change without a step. Cost: while no host reaches the store, fences stay although the primary is back. Beside an older host: no worse than before; an older host without the lease can still lift a new driver's fences.

--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryChange.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryChange.java
@@ -15,12 +15,13 @@
 import org.sardinebay.session.PromotionClient;
 
 /**
- * State machine for one change of a service's primary, run by its driver. It fences every other
- * member at the next term, waits until the leases of all hosts on the old primary have expired,
- * orders the promotion of the member that has received the most entries, and checks that this
- * member becomes primary. A change orders one member only: an accepted order lifts the fences, so
- * the promotion of another member takes a new change. It has no timers or connections; its owner
- * calls {@link #next} on each tick.
+ * State machine for one change of a service's primary, run by its driver while it holds the driver
+ * lease. It fences every other member at the next term, waits until the leases of all hosts on the
+ * old primary have expired, orders the promotion of the member that has received the most entries,
+ * and checks that this member becomes primary. A change orders one member only: an accepted order
+ * lifts the fences, so the promotion of another member takes a new change. A fence names no driver,
+ * so a driver whose lease has ended may not lift one either: it may belong to its successor. The
+ * change has no timers or connections; its owner calls {@link #next} on each tick.
  *
  * <pre>{@code
  * for (PrimaryChange.Step step : change.next(view, now)) { ... }
@@ -50,6 +51,12 @@
    */
   private static final long COMMIT_DELIVERY_MILLIS = 80;
 
+  /**
+   * Time that must be left of the driver lease for a step, in milliseconds, so that the step
+   * reaches its member before another host can take the lease over.
+   */
+  public static final long STEP_LEASE_MILLIS = 400;
+
   /**
    * How long a member may take to be seen as primary after the promotion order, in milliseconds.
    */
@@ -123,6 +130,8 @@
     SUPERSEDED
   }
 
+  private final DriverLease lease;
+  private final long token;
   private final MemberId oldPrimary;
   private final boolean planned;
   private final long nextTerm;
@@ -138,8 +147,9 @@
   private boolean orderPending;
 
   /**
-   * Creates a change.
+   * Creates a change, which is bound to the current token of the driver lease.
    *
+   * @param lease the driver lease
    * @param oldPrimary the primary to replace; an id that no member has if none is known
    * @param planned whether the old primary is leaving and reachable
    * @param membersAlreadyFenced whether members were already fenced by an earlier driver, which may
@@ -148,7 +158,14 @@
    * @param now the current time in milliseconds
    */
   public PrimaryChange(
-      MemberId oldPrimary, boolean planned, boolean membersAlreadyFenced, long nextTerm, long now) {
+      DriverLease lease,
+      MemberId oldPrimary,
+      boolean planned,
+      boolean membersAlreadyFenced,
+      long nextTerm,
+      long now) {
+    this.lease = lease;
+    this.token = lease.token();
     this.oldPrimary = oldPrimary;
     this.planned = planned;
     this.membersAlreadyFenced = membersAlreadyFenced;
@@ -205,13 +222,22 @@
    *
    * @param view this host's view of the service
    * @param now the current time in milliseconds
-   * @return the actions to perform
+   * @return the actions to perform; empty while less than {@link #STEP_LEASE_MILLIS} is left of the
+   *     driver lease, except for the status requests that watch an ordered promotion
    */
   public List<Step> next(ServiceView view, long now) {
     List<Step> steps = new ArrayList<>();
     if (superseded(view)) {
       enter(Phase.SUPERSEDED, now);
+    } else if (phase == Phase.TAKING_OVER) {
+      watchTakeover(view, now, steps);
+    } else if (mayAct(now)) {
+      advance(view, now, steps);
     }
+    return steps;
+  }
+
+  private void advance(ServiceView view, long now, List<Step> steps) {
     if (phase == Phase.DEMOTING) {
       demote(view, now, steps);
     }
@@ -226,10 +252,24 @@
     if (phase == Phase.ORDERING && !orderPending) {
       orderPromotion(view, now, steps);
     }
-    if (phase == Phase.TAKING_OVER) {
-      watchTakeover(view, now, steps);
-    }
-    return steps;
+  }
+
+  private boolean mayAct(long now) {
+    return lease.token() == token && lease.remainingMillis(now) >= STEP_LEASE_MILLIS;
+  }
+
+  /**
+   * Returns whether the old primary can continue: the change was caused by missing replies and not
+   * by a leaving primary, no promotion has been ordered, and the primary replies again.
+   *
+   * @param view this host's view of the service
+   * @return true if the change should be given up
+   */
+  public boolean oldPrimaryBack(ServiceView view) {
+    return !planned
+        && (phase == Phase.FENCING || phase == Phase.WAITING)
+        && view.term() < nextTerm
+        && view.primary().filter(m -> !m.unreachable() && !m.entry().draining()).isPresent();
   }
 
   /**
@@ -245,15 +285,15 @@
   }
 
   /**
-   * Returns whether the new term has begun without this change. Its fences are then void: a member
-   * is fenced only at a term above its own.
+   * Returns whether another driver's change has replaced this one: its fences hold for that driver,
+   * or are void because the new term has begun.
    */
   private boolean superseded(ServiceView view) {
     if (phase == Phase.TAKING_OVER) {
       return view.term() >= nextTerm
           && view.primary().filter(m -> target.equals(Optional.of(m.id()))).isEmpty();
     }
-    return !ended() && !orderPending && view.newestTerm() >= nextTerm;
+    return !ended() && !orderPending && (lease.token() != token || view.newestTerm() >= nextTerm);
   }
 
   private static long leaseWaitMillis() {
@@ -318,6 +358,7 @@
    */
   public boolean stuck(ServiceView view, long now) {
     return phase == Phase.FENCING
+        && mayAct(now)
         && now - phaseSince >= FENCE_TIMEOUT_MILLIS
         && view.members().stream().anyMatch(m -> !m.id().equals(oldPrimary) && m.possiblyRunning());
   }
@@ -404,11 +445,12 @@
    * @param view this host's view of the service
    * @param now the current time in milliseconds
    * @return one step for each fenced member; empty, without abandoning the change, while an order
-   *     may still take effect
+   *     may still take effect or this host may not act
    */
   public List<Step> giveUp(ServiceView view, long now) {
     boolean earlierOrder = membersAlreadyFenced && now - startedAt < EARLIER_ORDER_VALID_MILLIS;
-    if (ended() || orderPending || phase == Phase.TAKING_OVER || earlierOrder) {
+    boolean ordered = orderPending || phase == Phase.TAKING_OVER;
+    if (ended() || ordered || earlierOrder || !mayAct(now)) {
       return List.of();
     }
     enter(Phase.GIVEN_UP, now);
@@ -422,16 +464,6 @@
     return member.status().filter(status -> status.fenceTerm() > term).isPresent();
   }
 
-  /**
-   * Returns whether the old primary could still continue: the change was caused by missing replies
-   * and not by a leaving primary, and no promotion has been ordered.
-   *
-   * @return true if the change may be abandoned
-   */
-  public boolean cancelable() {
-    return !planned && (phase == Phase.FENCING || phase == Phase.WAITING);
-  }
-
   /**
    * Returns the position from which the new primary continues.
    *
--- a/core/src/main/java/org/sardinebay/internal/version/PromotionLeaseClaim.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PromotionLeaseClaim.java
@@ -21,7 +21,7 @@
  * host acquires the lease until all leases of earlier eras have expired, and fencing tokens are
  * taken from versions, which rise across eras, and not from the record alone.
  */
-public final class PromotionLeaseClaim {
+public final class PromotionLeaseClaim implements DriverLease {
   /** How long the holder may act after it sent the renewal, in milliseconds. */
   public static final long LEASE_MILLIS = 1_500;
 
@@ -176,12 +176,7 @@
     known = false;
   }
 
-  /**
-   * Returns the remaining time of this host's lease.
-   *
-   * @param now the current time in milliseconds
-   * @return milliseconds, 0 if this host has no valid lease
-   */
+  @Override
   public long remainingMillis(long now) {
     return leaseUntil.isPresent() ? Math.max(0, leaseUntil.getAsLong() - now) : 0;
   }
@@ -191,6 +186,7 @@
    *
    * @return the token, 0 if there was no record
    */
+  @Override
   public long token() {
     return lastRecord.map(LeaseRecord::token).orElse(0L);
   }
--- a/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeTest.java
@@ -18,6 +18,22 @@
       PrimaryLease.DURATION_MILLIS + PrimaryLease.DRIVER_MARGIN_MILLIS;
 
   private final ServiceView view = new ServiceView("orders", 0);
+  private final FakeDriverLease lease = new FakeDriverLease();
+
+  private static final class FakeDriverLease implements DriverLease {
+    private long token = 7;
+    private long endsAt = Long.MAX_VALUE;
+
+    @Override
+    public long token() {
+      return token;
+    }
+
+    @Override
+    public long remainingMillis(long now) {
+      return Math.max(0, endsAt - now);
+    }
+  }
 
   @BeforeEach
   void addMembers() {
@@ -32,7 +48,7 @@
 
   private PrimaryChange changeFencedAt(long now) {
     view.onUnreachable(PRIMARY, true, 0);
-    PrimaryChange change = new PrimaryChange(PRIMARY, false, false, 2, now);
+    PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 2, now);
     change.next(view, now);
     change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), now);
     change.onFenced(REPLICA_2, ServiceViewTest.replica(1, 8, 2), now);
@@ -52,7 +68,7 @@
   class Fencing {
     @Test
     void should_fence_every_member_except_the_old_primary() {
-      PrimaryChange change = new PrimaryChange(PRIMARY, false, false, 2, 100);
+      PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 2, 100);
 
       assertThat(change.next(view, 100))
           .containsExactly(
@@ -62,7 +78,7 @@
 
     @Test
     void should_wait_for_a_silent_member_that_other_hosts_may_reach() {
-      PrimaryChange change = new PrimaryChange(PRIMARY, false, false, 2, 100);
+      PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 2, 100);
       change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 100);
       view.onUnreachable(REPLICA_2, false, 100);
 
@@ -72,7 +88,7 @@
 
     @Test
     void should_skip_a_silent_member_whose_entry_has_expired() {
-      PrimaryChange change = new PrimaryChange(PRIMARY, false, false, 2, 100);
+      PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 2, 100);
       change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 100);
       view.onUnreachable(REPLICA_2, false, 100);
       expireEntry(REPLICA_2);
@@ -83,7 +99,7 @@
 
     @Test
     void should_skip_a_member_that_refuses_connections() {
-      PrimaryChange change = new PrimaryChange(PRIMARY, false, false, 2, 100);
+      PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 2, 100);
       change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 100);
       view.onUnreachable(REPLICA_2, true, 100);
 
@@ -93,7 +109,7 @@
 
     @Test
     void should_fence_a_member_that_replies_again_before_the_order() {
-      PrimaryChange change = new PrimaryChange(PRIMARY, false, false, 2, 100);
+      PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 2, 100);
       change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 100);
       view.onUnreachable(REPLICA_2, true, 100);
       change.next(view, 200);
@@ -116,7 +132,7 @@
 
     @Test
     void should_be_stuck_when_a_member_stays_unreachable() {
-      PrimaryChange change = new PrimaryChange(PRIMARY, false, false, 2, 100);
+      PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 2, 100);
       change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 100);
       view.onUnreachable(REPLICA_2, false, 100);
       change.next(view, 200);
@@ -127,7 +143,7 @@
 
     @Test
     void should_not_count_a_member_that_did_not_accept_the_fence() {
-      PrimaryChange change = new PrimaryChange(PRIMARY, false, false, 2, 100);
+      PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 2, 100);
       change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 100);
       change.onFenced(REPLICA_2, ServiceViewTest.replica(1, 7, 0), 100);
 
@@ -150,7 +166,7 @@
 
     @Test
     void should_return_the_time_until_the_order_is_due() {
-      PrimaryChange change = new PrimaryChange(PRIMARY, false, false, 2, 100);
+      PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 2, 100);
       assertThat(change.promotionDueInMillis(100)).isGreaterThan(LEASE_WAIT_MILLIS);
 
       PrimaryChange waiting = changeFencedAt(100);
@@ -203,8 +219,9 @@
     @Test
     void should_unfence_every_member() {
       PrimaryChange change = changeFencedAt(100);
+      view.onStatus(PRIMARY, ServiceViewTest.primary(1, 9), 120, 120);
 
-      assertThat(change.cancelable()).isTrue();
+      assertThat(change.oldPrimaryBack(view)).isTrue();
       assertThat(change.giveUp(view, 150))
           .containsExactlyInAnyOrder(
               new PrimaryChange.Step.Unfence(REPLICA_1), new PrimaryChange.Step.Unfence(REPLICA_2));
@@ -214,7 +231,7 @@
     @Test
     void should_unfence_members_that_an_earlier_driver_left_fenced() {
       view.onStatus(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 50, 50);
-      PrimaryChange change = new PrimaryChange(PRIMARY, false, false, 2, 100);
+      PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 2, 100);
 
       assertThat(change.giveUp(view, 100))
           .containsExactly(new PrimaryChange.Step.Unfence(REPLICA_1));
@@ -231,6 +248,73 @@
     }
   }
 
+  /**
+   * Guards against writes at a replaced primary: a driver whose lease had ended saw the old primary
+   * again and lifted the fences of its successor, whose order was about to take effect.
+   */
+  @Nested
+  class WithoutTheDriverLease {
+    private PrimaryChange changeWithPrimaryBackAt(long now) {
+      PrimaryChange change = changeFencedAt(100);
+      change.next(view, 100);
+      view.onStatus(PRIMARY, ServiceViewTest.primary(1, 9), now, now);
+      return change;
+    }
+
+    @Test
+    void should_not_lift_a_fence_after_the_lease_has_ended() {
+      lease.endsAt = 600;
+      PrimaryChange change = changeWithPrimaryBackAt(900);
+
+      assertThat(change.oldPrimaryBack(view)).isTrue();
+      assertThat(change.giveUp(view, 900)).isEmpty();
+      assertThat(change.phase()).isEqualTo(PrimaryChange.Phase.WAITING);
+    }
+
+    @Test
+    void should_lift_the_fences_once_the_lease_was_renewed_with_the_same_token() {
+      lease.endsAt = 600;
+      PrimaryChange change = changeWithPrimaryBackAt(900);
+      change.giveUp(view, 900);
+      lease.endsAt = Long.MAX_VALUE;
+
+      assertThat(change.giveUp(view, 950))
+          .containsExactlyInAnyOrder(
+              new PrimaryChange.Step.Unfence(REPLICA_1), new PrimaryChange.Step.Unfence(REPLICA_2));
+      assertThat(change.phase()).isEqualTo(PrimaryChange.Phase.GIVEN_UP);
+    }
+
+    @Test
+    void should_end_the_change_when_another_host_took_the_lease_over() {
+      PrimaryChange change = changeWithPrimaryBackAt(900);
+      lease.token = 8;
+
+      assertThat(change.giveUp(view, 900)).isEmpty();
+      assertThat(change.next(view, 900)).isEmpty();
+      assertThat(change.phase()).isEqualTo(PrimaryChange.Phase.SUPERSEDED);
+    }
+
+    @Test
+    void should_neither_fence_nor_order() {
+      PrimaryChange change = changeFencedAt(100);
+      change.next(view, 100);
+      lease.endsAt = 0;
+
+      assertThat(change.next(view, 100 + LEASE_WAIT_MILLIS)).isEmpty();
+      assertThat(new PrimaryChange(lease, PRIMARY, false, false, 2, 100).next(view, 100)).isEmpty();
+    }
+
+    @Test
+    void should_not_be_stuck_so_that_the_fences_stay() {
+      PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 2, 100);
+      view.onUnreachable(REPLICA_2, false, 100);
+      change.next(view, 200);
+      lease.endsAt = 0;
+
+      assertThat(change.stuck(view, 60_000)).isFalse();
+    }
+  }
+
   @Nested
   class OrdersOfUnknownOutcome {
     @Test
@@ -250,7 +334,7 @@
     @Test
     void should_keep_fences_of_an_earlier_driver_while_its_order_may_still_take_effect() {
       view.onStatus(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 50, 50);
-      PrimaryChange change = new PrimaryChange(PRIMARY, false, true, 2, 100);
+      PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, true, 2, 100);
 
       assertThat(change.giveUp(view, 2_000)).isEmpty();
       assertThat(change.phase()).isEqualTo(PrimaryChange.Phase.FENCING);
@@ -289,7 +373,7 @@
     @Test
     void should_fence_and_wait_again_when_the_order_had_no_effect() {
       changeWithAcceptedOrder();
-      PrimaryChange next = new PrimaryChange(PRIMARY, false, true, 2, 10_000);
+      PrimaryChange next = new PrimaryChange(lease, PRIMARY, false, true, 2, 10_000);
       next.next(view, 10_000);
       next.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 10_000);
       next.onFenced(REPLICA_2, ServiceViewTest.replica(1, 8, 2), 10_000);
@@ -318,7 +402,7 @@
   class TermsThatBeginWithoutTheDriver {
     @Test
     void should_not_count_a_member_of_the_new_term_as_fenced() {
-      PrimaryChange change = new PrimaryChange(PRIMARY, false, false, 2, 100);
+      PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 2, 100);
       view.onUnreachable(PRIMARY, true, 0);
       change.onFenced(REPLICA_1, ServiceViewTest.replica(2, 9, 0), 100);
       change.onFenced(REPLICA_2, ServiceViewTest.replica(2, 9, 0), 100);
@@ -356,14 +440,14 @@
   class Planned {
     @Test
     void should_demote_the_old_primary_first() {
-      PrimaryChange change = new PrimaryChange(PRIMARY, true, false, 2, 100);
+      PrimaryChange change = new PrimaryChange(lease, PRIMARY, true, false, 2, 100);
 
       assertThat(change.next(view, 100)).containsExactly(new PrimaryChange.Step.Demote(PRIMARY, 2));
     }
 
     @Test
     void should_fence_only_after_a_delay_for_the_last_commits_to_reach_the_replicas() {
-      PrimaryChange change = new PrimaryChange(PRIMARY, true, false, 2, 100);
+      PrimaryChange change = new PrimaryChange(lease, PRIMARY, true, false, 2, 100);
       change.next(view, 100);
       view.onStatus(PRIMARY, ServiceViewTest.replica(1, 9, 0), 110, 110);
 
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionCoordinator.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionCoordinator.java
@@ -54,12 +54,6 @@
    */
   private static final long ORDER_MARGIN_MILLIS = 150;
 
-  /**
-   * Time that must be left of the lease during a change, in milliseconds, so that no other host
-   * starts one.
-   */
-  private static final long CHANGE_LEASE_MILLIS = 400;
-
   /**
    * After a stuck change, how long this host does not start another one of the same service, in
    * milliseconds: longer than another host needs to take over the lease and to fence the members.
@@ -191,7 +185,7 @@
       return;
     }
     if (now < backoffUntil.getOrDefault(view.service(), Long.MIN_VALUE)
-        || !lease.ensureHeldFor(CHANGE_LEASE_MILLIS)) {
+        || !lease.ensureHeldFor(PrimaryChange.STEP_LEASE_MILLIS)) {
       return;
     }
     boolean planned =
@@ -200,7 +194,8 @@
     MemberId oldPrimary = view.primary().map(MemberView::id).orElse(new MemberId("none"));
     boolean inherited = view.fencedAbove(view.term());
     PrimaryChange change =
-        new PrimaryChange(oldPrimary, planned, inherited, view.newestTerm() + 1, now);
+        new PrimaryChange(
+            lease.claim(), oldPrimary, planned, inherited, view.newestTerm() + 1, now);
     changes.put(view.service(), change);
     log("primary_change_started", view)
         .addKeyValue("cause", cause.get())
@@ -235,24 +230,18 @@
 
   private void advance(ServiceRuntime service, PrimaryChange change, long now) {
     ServiceView view = service.view();
-    boolean primaryBack =
-        view.primary()
-            .filter(
-                m -> !m.unreachable() && !m.entry().draining() && view.term() < change.nextTerm())
-            .isPresent();
-    if (change.cancelable() && primaryBack) {
+    boolean promotionDueSoon = change.promotionDueInMillis(now) <= RENEWAL_LEAD_MILLIS;
+    boolean unused =
+        lease.ensureHeldFor(
+            promotionDueSoon ? ORDER_LEASE_MILLIS : PrimaryChange.STEP_LEASE_MILLIS);
+    if (change.oldPrimaryBack(view)) {
       perform(service, change, change.giveUp(view, now));
     } else if (change.stuck(view, now)) {
       log("primary_change_stuck", view).addKeyValue("statuses", statuses(view)).log();
       backoffUntil.put(view.service(), now + BACKOFF_MILLIS);
       perform(service, change, change.giveUp(view, now));
     }
-    boolean promotionDueSoon = change.promotionDueInMillis(now) <= RENEWAL_LEAD_MILLIS;
-    boolean leaseHeld =
-        lease.ensureHeldFor(promotionDueSoon ? ORDER_LEASE_MILLIS : CHANGE_LEASE_MILLIS);
-    if (leaseHeld || lease.claim().remainingMillis(now) >= CHANGE_LEASE_MILLIS) {
-      perform(service, change, change.next(view, now));
-    }
+    perform(service, change, change.next(view, now));
     logPhase(view, change);
     if (change.ended()) {
       changes.remove(view.service());
