Commits that a leaving replica alone has received are kept at a promotion

Cause: a leaving member was never promoted, and the configuration's number of synchronous replicas was not decoded. A commit that only a leaving replica had received was rolled back by the promotion of another one. Change: the number is decoded. Where it is above 0, the most advanced member is promoted also if it is leaving, and none while an acknowledged commit may lie on missing replicas alone; core decides this (FencedMembers). A lease on the old primary then also needs a word from leaving members. Cost: such a service waits for a replica if too many failed together.

--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryChange.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryChange.java
@@ -1,13 +1,10 @@
 package org.sardinebay.internal.version;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.sardinebay.MemberId;
 import org.sardinebay.Position;
 import org.sardinebay.session.MemberRole;
@@ -135,10 +132,8 @@
   private final MemberId oldPrimary;
   private final boolean planned;
   private final long nextTerm;
-  private final Map<MemberId, MemberStatus> fenced = new HashMap<>();
-  private final Map<MemberId, Long> fencedAt = new HashMap<>();
+  private final FencedMembers fenced;
   private final Map<MemberId, Long> lastSentAt = new HashMap<>();
-  private final Set<MemberId> notRunning = new HashSet<>();
   private final boolean membersAlreadyFenced;
   private final long startedAt;
   private Phase phase;
@@ -168,6 +163,7 @@
     this.token = lease.token();
     this.oldPrimary = oldPrimary;
     this.planned = planned;
+    this.fenced = new FencedMembers(oldPrimary, planned, nextTerm);
     this.membersAlreadyFenced = membersAlreadyFenced;
     this.nextTerm = nextTerm;
     this.startedAt = now;
@@ -260,7 +256,8 @@
 
   /**
    * Returns whether the old primary can continue: the change was caused by missing replies and not
-   * by a leaving primary, no promotion has been ordered, and the primary replies again.
+   * by a leaving primary, no promotion has been ordered, and the primary replies again. A primary
+   * that is leaving continues only if no other member may be promoted.
    *
    * @param view this host's view of the service
    * @return true if the change should be given up
@@ -269,7 +266,9 @@
     return !planned
         && (phase == Phase.FENCING || phase == Phase.WAITING)
         && view.term() < nextTerm
-        && view.primary().filter(m -> !m.unreachable() && !m.entry().draining()).isPresent();
+        && view.primary()
+            .filter(m -> !m.unreachable() && (!m.entry().draining() || fenced.mayLackCommits(view)))
+            .isPresent();
   }
 
   /**
@@ -319,10 +318,8 @@
     boolean complete = true;
     for (MemberView member : view.members()) {
       MemberId id = member.id();
-      if (restarted(member)) {
-        fenced.remove(id);
-      }
-      if (id.equals(oldPrimary) || fenced.containsKey(id)) {
+      fenced.removeIfRestarted(member);
+      if (id.equals(oldPrimary) || fenced.contains(id)) {
         continue;
       }
       if (member.unreachable() && !member.possiblyRunning()) {
@@ -335,18 +332,14 @@
     }
     if (!complete && phase != Phase.FENCING) {
       enter(Phase.FENCING, now);
-    } else if (complete && !fenced.isEmpty() && phase == Phase.FENCING) {
+    } else if (complete
+        && !fenced.isEmpty()
+        && !fenced.mayLackCommits(view)
+        && phase == Phase.FENCING) {
       enter(Phase.WAITING, now);
     }
   }
 
-  /** Returns whether the member's process was restarted, which removes its fence. */
-  private boolean restarted(MemberView member) {
-    long statusRequestedAt = member.statusRequestedAt().orElse(Long.MIN_VALUE);
-    return statusRequestedAt > fencedAt.getOrDefault(member.id(), Long.MAX_VALUE)
-        && member.status().filter(s -> s.fenceTerm() < nextTerm && s.term() < nextTerm).isPresent();
-  }
-
   /**
    * Returns whether fencing is blocked by a member that this host can't reach although there is no
    * evidence that its process has ended. Other hosts may reach it and keep their leases through its
@@ -363,8 +356,25 @@
         && view.members().stream().anyMatch(m -> !m.id().equals(oldPrimary) && m.possiblyRunning());
   }
 
+  /**
+   * Returns whether the change waits because the fenced replicas may lack commits that were
+   * acknowledged, as too many other replicas can't be asked.
+   *
+   * @param view this host's view of the service
+   * @return true if no member may be promoted yet
+   */
+  public boolean waitsForReplicas(ServiceView view) {
+    return (phase == Phase.FENCING || phase == Phase.ORDERING)
+        && !fenced.isEmpty()
+        && fenced.mayLackCommits(view);
+  }
+
   private void orderPromotion(ServiceView view, long now, List<Step> steps) {
-    target = mostAdvanced(view);
+    if (fenced.mayLackCommits(view)) {
+      fenced.retryMembersNotRunning();
+      return;
+    }
+    target = fenced.mostAdvanced(view);
     if (target.isEmpty()) {
       steps.addAll(giveUp(view, now));
       return;
@@ -375,20 +385,6 @@
     }
   }
 
-  private Optional<MemberId> mostAdvanced(ServiceView view) {
-    Comparator<Map.Entry<MemberId, MemberStatus>> byReceived =
-        Comparator.comparing(entry -> entry.getValue().received());
-    return fenced.entrySet().stream()
-        .filter(entry -> !notRunning.contains(entry.getKey()))
-        .filter(entry -> view.member(entry.getKey()).filter(PrimaryChange::eligible).isPresent())
-        .max(byReceived.thenComparing(Map.Entry::getKey))
-        .map(Map.Entry::getKey);
-  }
-
-  private static boolean eligible(MemberView member) {
-    return !member.unreachable() && !member.entry().draining();
-  }
-
   private void watchTakeover(ServiceView view, long now, List<Step> steps) {
     MemberId id = target.orElseThrow();
     if (view.primary().filter(m -> m.id().equals(id)).isPresent() && view.term() >= nextTerm) {
@@ -417,10 +413,7 @@
    * @param now the current time in milliseconds
    */
   public void onFenced(MemberId member, MemberStatus status, long now) {
-    if (status.fenceTerm() >= nextTerm) {
-      fenced.put(member, status);
-      fencedAt.put(member, now);
-    }
+    fenced.onReply(member, status, now);
   }
 
   /**
@@ -432,7 +425,7 @@
   public void onPromotionOrdered(PromotionClient.Outcome outcome, long now) {
     orderPending = false;
     if (outcome == PromotionClient.Outcome.MEMBER_DOWN) {
-      target.ifPresent(notRunning::add);
+      target.ifPresent(fenced::onNotRunning);
     } else if (outcome != PromotionClient.Outcome.REFUSED) {
       enter(Phase.TAKING_OVER, now);
     }
@@ -455,7 +448,7 @@
     }
     enter(Phase.GIVEN_UP, now);
     return view.members().stream()
-        .filter(m -> fenced.containsKey(m.id()) || fencedAbove(m, view.term()))
+        .filter(m -> fenced.contains(m.id()) || fencedAbove(m, view.term()))
         .<Step>map(m -> new Step.Unfence(m.id()))
         .toList();
   }
@@ -470,7 +463,7 @@
    * @return the position that it had received when it was fenced, or empty before the selection
    */
   public Optional<Position> takeoverPosition() {
-    return target.map(fenced::get).map(MemberStatus::received);
+    return target.flatMap(fenced::received);
   }
 
   private void enter(Phase next, long now) {
--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryChangeNeed.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryChangeNeed.java
@@ -78,7 +78,7 @@
           : Optional.empty();
     }
     MemberView member = primary.get();
-    if (member.entry().draining()) {
+    if (member.entry().draining() && !awaitsReplicas(view, member)) {
       return Optional.of(Cause.LEAVING);
     }
     long unreachableMillis = member.unreachableMillis(now);
@@ -93,6 +93,18 @@
     return abandoned ? Optional.of(Cause.ABANDONED) : Optional.empty();
   }
 
+  /**
+   * Returns whether a leaving primary has to stay: if it were demoted now, no member could be shown
+   * to have every acknowledged commit.
+   */
+  private static boolean awaitsReplicas(ServiceView view, MemberView primary) {
+    long unseen =
+        view.members().stream().filter(m -> m.unreachable() && !m.id().equals(primary.id())).count()
+            + view.departedReplicas().size();
+    int required = view.synchronousReplicas();
+    return required > 0 && unseen >= required && !primary.unreachable();
+  }
+
   private static Optional<Cause> causeWithoutPrimary(ServiceView view, long now) {
     if (view.millisWithoutPrimary(now) >= UNKNOWN_MILLIS) {
       return Optional.of(Cause.UNKNOWN);
--- a/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.sardinebay.Address;
 import org.sardinebay.MemberId;
 import org.sardinebay.Position;
 import org.sardinebay.session.MemberEntry;
@@ -49,12 +50,19 @@
   private final PrimaryPositions observedPositions = new PrimaryPositions();
 
   private final Map<MemberId, Long> missingSince = new HashMap<>();
+
+  /** Replicas without an entry, which may hold commits that no registered replica has. */
+  private final Map<MemberId, Departure> departures = new HashMap<>();
+
+  private int synchronousReplicas;
   private long singleMemberSince;
   private Optional<MemberId> primary = Optional.empty();
   private long term;
   private long newestTerm;
   private OptionalLong withoutPrimarySince;
 
+  private record Departure(Address address, long at) {}
+
   /**
    * Creates the view of a service of which nothing is known.
    *
@@ -76,6 +84,24 @@
     return service;
   }
 
+  /**
+   * Sets how many replicas have received a commit before it is acknowledged.
+   *
+   * @param count the number of replicas; 0 if commits don't wait for replicas
+   */
+  public void requireReplicas(int count) {
+    synchronousReplicas = count;
+  }
+
+  /**
+   * Returns how many replicas have received a commit before it is acknowledged.
+   *
+   * @return the number of replicas; 0 if commits don't wait for replicas
+   */
+  public int synchronousReplicas() {
+    return synchronousReplicas;
+  }
+
   /**
    * Replaces the registered members.
    *
@@ -90,7 +116,13 @@
       if (!ids.contains(known.id()) && !known.entry().draining() && !replaced) {
         missingSince.put(known.id(), now);
       }
+      if (!ids.contains(known.id()) && !primary.equals(Optional.of(known.id()))) {
+        departures.put(known.id(), new Departure(known.entry().address(), now));
+      }
     }
+    departures.keySet().removeAll(ids);
+    // The log of a member that has left is transferred to the next member at its address.
+    entries.forEach(e -> departures.values().removeIf(d -> d.address().equals(e.address())));
     missingSince.keySet().removeAll(ids);
     if (ids.size() != 1) {
       singleMemberSince = now;
@@ -128,6 +160,16 @@
     return Optional.ofNullable(members.get(id));
   }
 
+  /**
+   * Returns the replicas whose entries have disappeared and whose logs no other member is known to
+   * have: no primary has been usable for {@link #MISSING_GRACE_MILLIS} since.
+   *
+   * @return the ids
+   */
+  public Set<MemberId> departedReplicas() {
+    return Set.copyOf(departures.keySet());
+  }
+
   /**
    * Applies a status reported by a member.
    *
@@ -240,7 +282,8 @@
   /**
    * Starts or extends the lease if all other members that may be primary were observed unfenced or
    * not running. A leaving member that is unreachable is never promoted and therefore doesn't have
-   * to be observed. A member whose entry has just disappeared may still be primary.
+   * to be observed, unless commits wait for replicas. A member whose entry has just disappeared may
+   * still be primary.
    */
   private void establishLease(long now) {
     boolean mayNotBeAlone = members.size() == 1 && now - singleMemberSince < MISSING_GRACE_MILLIS;
@@ -256,7 +299,7 @@
   private List<MemberId> promotableOthers() {
     return members.values().stream()
         .filter(m -> !primary.equals(Optional.of(m.id())))
-        .filter(m -> !(m.entry().draining() && m.unreachable()))
+        .filter(m -> synchronousReplicas > 0 || !(m.entry().draining() && m.unreachable()))
         .filter(m -> !replacedAtSameAddress(m))
         .map(MemberView::id)
         .toList();
@@ -376,6 +419,7 @@
   public void tick(long now) {
     if (leasedPrimary(now).filter(m -> !m.unreachable()).isPresent()) {
       withoutPrimarySince = OptionalLong.empty();
+      departures.values().removeIf(d -> now - d.at() >= MISSING_GRACE_MILLIS);
     } else if (withoutPrimarySince.isEmpty()) {
       withoutPrimarySince = OptionalLong.of(now);
     }
--- a/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeNeedTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeNeedTest.java
@@ -49,6 +49,18 @@
       assertThat(PrimaryChangeNeed.of(view, 1)).contains(PrimaryChangeNeed.Cause.LEAVING);
     }
 
+    @Test
+    void should_not_exist_for_a_leaving_primary_while_a_synchronous_replica_is_unreachable() {
+      view.requireReplicas(1);
+      view.onUnreachable(REPLICA_1, true, 0);
+      setMembers(true);
+      assertThat(PrimaryChangeNeed.of(view, AFTER_ALL_TIMEOUTS_MILLIS)).isEmpty();
+
+      view.onStatus(REPLICA_1, ServiceViewTest.replica(1, 5, 0), 100, 100);
+      assertThat(PrimaryChangeNeed.of(view, AFTER_ALL_TIMEOUTS_MILLIS))
+          .contains(PrimaryChangeNeed.Cause.LEAVING);
+    }
+
     @Test
     void should_exist_once_the_primary_has_exceeded_the_silence_limit() {
       view.onUnreachable(PRIMARY, false, 100);
--- a/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeTest.java
@@ -20,21 +20,6 @@
   private final ServiceView view = new ServiceView("orders", 0);
   private final FakeDriverLease lease = new FakeDriverLease();
 
-  private static final class FakeDriverLease implements DriverLease {
-    private long token = 7;
-    private long endsAt = Long.MAX_VALUE;
-
-    @Override
-    public long token() {
-      return token;
-    }
-
-    @Override
-    public long remainingMillis(long now) {
-      return Math.max(0, endsAt - now);
-    }
-  }
-
   @BeforeEach
   void addMembers() {
     view.setMembers(
@@ -263,7 +248,7 @@
 
     @Test
     void should_not_lift_a_fence_after_the_lease_has_ended() {
-      lease.endsAt = 600;
+      lease.end(600);
       PrimaryChange change = changeWithPrimaryBackAt(900);
 
       assertThat(change.oldPrimaryBack(view)).isTrue();
@@ -273,10 +258,10 @@
 
     @Test
     void should_lift_the_fences_once_the_lease_was_renewed_with_the_same_token() {
-      lease.endsAt = 600;
+      lease.end(600);
       PrimaryChange change = changeWithPrimaryBackAt(900);
       change.giveUp(view, 900);
-      lease.endsAt = Long.MAX_VALUE;
+      lease.renew();
 
       assertThat(change.giveUp(view, 950))
           .containsExactlyInAnyOrder(
@@ -287,7 +272,7 @@
     @Test
     void should_end_the_change_when_another_host_took_the_lease_over() {
       PrimaryChange change = changeWithPrimaryBackAt(900);
-      lease.token = 8;
+      lease.passToAnotherHost();
 
       assertThat(change.giveUp(view, 900)).isEmpty();
       assertThat(change.next(view, 900)).isEmpty();
@@ -298,7 +283,7 @@
     void should_neither_fence_nor_order() {
       PrimaryChange change = changeFencedAt(100);
       change.next(view, 100);
-      lease.endsAt = 0;
+      lease.end(0);
 
       assertThat(change.next(view, 100 + LEASE_WAIT_MILLIS)).isEmpty();
       assertThat(new PrimaryChange(lease, PRIMARY, false, false, 2, 100).next(view, 100)).isEmpty();
@@ -309,7 +294,7 @@
       PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 2, 100);
       view.onUnreachable(REPLICA_2, false, 100);
       change.next(view, 200);
-      lease.endsAt = 0;
+      lease.end(0);
 
       assertThat(change.stuck(view, 60_000)).isFalse();
     }
--- a/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
@@ -183,6 +183,35 @@
       assertThat(view.leasedPrimary(later + 10)).isPresent();
     }
 
+    @Test
+    void should_wait_for_a_leaving_member_that_may_be_promoted_for_its_commits() {
+      view.requireReplicas(1);
+      view.setMembers(
+          List.of(entry(PRIMARY, false), entry(REPLICA_1, false), entry(REPLICA_2, true)), 0);
+      view.onStatus(PRIMARY, primary(1, 5), 0, 0);
+      view.onUnreachable(REPLICA_2, false, 0);
+      view.onStatus(REPLICA_1, replica(1, 5, 0), 10, 10);
+
+      assertThat(view.leasedPrimary(20)).isEmpty();
+    }
+
+    @Test
+    void should_remember_a_departed_replica_until_a_member_at_its_address_has_its_log() {
+      view.onStatus(PRIMARY, primary(1, 5), 0, 0);
+      view.setMembers(List.of(entry(PRIMARY, false), entry(REPLICA_1, false)), 50);
+      view.tick(60_000);
+      assertThat(view.departedReplicas()).containsExactly(REPLICA_2);
+
+      MemberId successor = new MemberId("m-9");
+      view.setMembers(
+          List.of(
+              entry(PRIMARY, false),
+              entry(REPLICA_1, false),
+              entry(successor, false, entry(REPLICA_2, false).address().port())),
+          60_000);
+      assertThat(view.departedReplicas()).isEmpty();
+    }
+
     @Test
     void should_start_although_a_leaving_member_is_unreachable() {
       view.setMembers(
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionCoordinator.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionCoordinator.java
@@ -78,6 +78,7 @@
   private final Map<String, Long> backoffUntil = new HashMap<>();
   private final Map<MemberId, Long> demotedAt = new HashMap<>();
   private final Set<String> deferredServices = new HashSet<>();
+  private final Set<String> waitingServices = new HashSet<>();
 
   /**
    * Creates a coordinator that does not hold the lease.
@@ -243,11 +244,24 @@
     }
     perform(service, change, change.next(view, now));
     logPhase(view, change);
+    logWait(view, change);
     if (change.ended()) {
       changes.remove(view.service());
     }
   }
 
+  private void logWait(ServiceView view, PrimaryChange change) {
+    if (!change.waitsForReplicas(view)) {
+      waitingServices.remove(view.service());
+    } else if (waitingServices.add(view.service())) {
+      log("primary_change_waits_for_replicas", view)
+          .addKeyValue("required", view.synchronousReplicas())
+          .addKeyValue("departed", view.departedReplicas().size())
+          .addKeyValue("statuses", statuses(view))
+          .log();
+    }
+  }
+
   private void logPhase(ServiceView view, PrimaryChange change) {
     if (loggedPhases.put(view.service(), change.phase()) != change.phase()) {
       registry.counter("sardinebay_primary_changes", "phase", change.phase().name()).increment();
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -95,6 +95,7 @@
     this.protocol = protocol;
     this.spec = spec;
     this.view = new ServiceView(spec.name(), clock.millis());
+    view.requireReplicas(spec.synchronousReplicas());
     this.statusPoller = new StatusPoller(view, protocol, this::roundTripMillis, clock);
     this.evidence = new MemberEvidence(spec.name(), view, this::roundTripMillis, clock);
     this.placer =
@@ -188,6 +189,7 @@
    */
   public void configure(ServiceSpec newer) {
     spec = newer;
+    view.requireReplicas(newer.synchronousReplicas());
     pools.values().forEach(pool -> pool.quota().limit(newer.maxConnections()));
   }
 
