A stopping gateway answers every statement before it closes connections

Cause: all sockets were closed then, whatever ran; new sessions and statements were taken on until that moment; and the process didn't wait for its event loop. Change: ShutdownPlan (core) has the times. New sessions and statements are refused as not run 0.5 s before the end. At the end, at five sixths of the time, waiting statements fail as not run and running ones get a final answer; then channels are closed, and the process waits for that. A session whose start message is under way is answered. Cost: a host that stops lives half a second longer. Beside an older host: the change is within one host.

--- a/core/src/main/java/org/sardinebay/internal/request/FinalAnswers.java
+++ b/core/src/main/java/org/sardinebay/internal/request/FinalAnswers.java
@@ -166,6 +166,45 @@
     return answer(ErrorCode.TIMEOUT, "no member answered in time");
   }
 
+  /**
+   * The host is stopping and takes on no further statements.
+   *
+   * @return the answer; the statement was not sent to any member
+   */
+  public static RetryPolicy.Step.GiveUp hostStopping() {
+    return answer(ErrorCode.BUSY, "not run: this host is stopping; retry in 0 ms");
+  }
+
+  /**
+   * The host is stopping and takes on no further statements of an open transaction.
+   *
+   * @return the answer
+   */
+  public static RetryPolicy.Step.GiveUp hostStoppingInTransaction() {
+    return answer(ErrorCode.ABORTED, "rolled back: this host is stopping");
+  }
+
+  /**
+   * The host stops before a running statement was answered.
+   *
+   * @param inTransaction whether the statement belongs to a transaction, which ends with the host
+   * @param writes whether the statement may write
+   * @param commits whether the statement commits the transaction
+   * @return the answer; it promises nothing of a write or commit that may have been sent
+   */
+  public static RetryPolicy.Step.GiveUp hostStopped(
+      boolean inTransaction, boolean writes, boolean commits) {
+    if (commits) {
+      return commitInDoubt();
+    }
+    if (inTransaction) {
+      return hostStoppingInTransaction();
+    }
+    return writes
+        ? writeInDoubt()
+        : answer(ErrorCode.TIMEOUT, "no answer arrived before this host stopped");
+  }
+
   private static RetryPolicy.Step.GiveUp answer(ErrorCode code, String text) {
     return new RetryPolicy.Step.GiveUp(code, text);
   }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/CallerSession.java
@@ -403,10 +403,13 @@
     pin.ifPresent(p -> p.rollBack(memberProtocol, id));
   }
 
-  /** Ends the session as soon as no statement is running and no transaction is open. */
+  /**
+   * Ends the session as soon as no statement is running and no transaction is open. A session that
+   * has not received its start message is answered first, and ends after its next statement.
+   */
   public void closeWhenIdle() {
     closing = true;
-    if (!answering && state == TransactionState.IDLE) {
+    if (!answering && database.isPresent() && state == TransactionState.IDLE) {
       end();
     }
   }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -14,6 +14,8 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.sardinebay.Clock;
 import org.sardinebay.gateway.internal.connection.ConnectionPreparation;
 import org.sardinebay.gateway.internal.connection.HomeClient;
@@ -40,6 +42,7 @@
 import org.sardinebay.impeller.PlatformKeys;
 import org.sardinebay.internal.process.ConfigurationConfirmation;
 import org.sardinebay.internal.process.LoopLag;
+import org.sardinebay.internal.process.ShutdownPlan;
 import org.sardinebay.internal.process.StoreEra;
 import org.sardinebay.internal.request.AdmissionControl;
 import org.sardinebay.internal.request.ReadHedging;
@@ -70,16 +73,8 @@
   /** How long a connection to the store may receive nothing. */
   private static final Duration STORE_SILENCE = Duration.ofSeconds(6);
 
-  /**
-   * During a shutdown, how long the last callers sent by the balancer have for their first
-   * statement before idle sessions are closed, in milliseconds.
-   */
-  private static final long LAST_CALLERS_MILLIS = 1_200;
-
-  /**
-   * Reserved at the end of the shutdown time, in milliseconds, so that the process exits by itself.
-   */
-  private static final long SHUTDOWN_RESERVE_MILLIS = 1_500;
+  /** How long the event loop may take for the last answers of a shutdown, in milliseconds. */
+  private static final long LAST_ANSWERS_MILLIS = 800;
 
   /** When the event loop has not ticked for this long, in milliseconds, it is considered stuck. */
   private static final long UNRESPONSIVE_MILLIS = 1_500;
@@ -388,20 +383,41 @@
   @Override
   public void shutdown() {
     stopping = true;
-    long startedAt = clock.millis();
+    ShutdownPlan plan =
+        new ShutdownPlan(
+            clock.millis(), settings.balancerNoticesMillis(), settings.shutdownMillis());
     LOG.atInfo().setMessage("shutdown_started").addKeyValue("sessions", sessions.size()).log();
-    sleepUntil(startedAt + settings.balancerNoticesMillis());
+    sleepUntil(plan.closeAfterNextAt());
     loop.execute(sessions::closeAfterNext);
-    sleepUntil(startedAt + settings.balancerNoticesMillis() + LAST_CALLERS_MILLIS);
+    sleepUntil(plan.closeIdleAt());
     loop.execute(sessions::closeWhenIdle);
-    sleepUntil(startedAt + settings.shutdownMillis() - SHUTDOWN_RESERVE_MILLIS);
-    LOG.atInfo().setMessage("shutdown_ended").addKeyValue("sessions_left", sessions.size()).log();
-    loop.execute(this::closeChannels);
+    sleepUntil(plan.refuseAt());
+    loop.execute(sessions::refuseFurther);
+    sleepUntil(plan.answerAllAt());
+    awaitLastAnswers(loop.submit(this::endSessionsAndLoop));
     peers.stop();
   }
 
-  /** Closes all sockets and listeners, and stops the event loop. */
-  private void closeChannels() {
+  /** The process must not exit before the event loop has sent the last answers. */
+  private static void awaitLastAnswers(CompletableFuture<Void> sent) {
+    try {
+      sent.get(LAST_ANSWERS_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException | TimeoutException e) {
+      LOG.atError().setMessage("last_answers_not_sent").setCause(e).log();
+    }
+  }
+
+  /** Answers all statements, closes all sockets and listeners, and stops the event loop. */
+  private void endSessionsAndLoop() {
+    services.all().forEach(ServiceRuntime::failWaiting);
+    int sessionsLeft = sessions.size();
+    LOG.atInfo()
+        .setMessage("shutdown_ended")
+        .addKeyValue("sessions_left", sessionsLeft)
+        .addKeyValue("unanswered", sessions.endAll())
+        .log();
     try {
       LoopChannels.closeAll(loop.ensureSelector());
     } catch (IOException e) {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/Sessions.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/Sessions.java
@@ -17,8 +17,10 @@
 import org.sardinebay.gateway.internal.connection.CallerSession;
 import org.sardinebay.gateway.internal.connection.LineChannel;
 import org.sardinebay.gateway.internal.connection.MemberConnection;
+import org.sardinebay.gateway.internal.connection.RefusedSession;
 import org.sardinebay.gateway.internal.connection.SessionRefusals;
 import org.sardinebay.gateway.internal.request.StatementRunner;
+import org.sardinebay.gateway.internal.request.StoppableRunner;
 import org.sardinebay.gateway.internal.version.Services;
 import org.sardinebay.session.CallerProtocol;
 import org.sardinebay.session.MemberProtocol;
@@ -37,13 +39,14 @@
 
   private final Eventloop loop;
   private final Services services;
-  private final StatementRunner runner;
+  private final StoppableRunner runner;
   private final CallerProtocol protocol;
   private final MemberProtocol memberProtocol;
   private final Clock clock;
   private final Set<CallerSession> openSessions = new HashSet<>();
   private final SessionRefusals refusals;
   private boolean closing;
+  private boolean refusing;
 
   Sessions(
       Eventloop loop,
@@ -54,7 +57,7 @@
       Clock clock) {
     this.loop = loop;
     this.services = services;
-    this.runner = runner;
+    this.runner = new StoppableRunner(runner, clock);
     this.protocol = protocol;
     this.memberProtocol = memberProtocol;
     this.clock = clock;
@@ -66,6 +69,11 @@
   }
 
   private void accept(ITcpSocket socket) {
+    if (refusing) {
+      RefusedSession refused = new RefusedSession(protocol);
+      refused.start(new LineChannel((TcpSocket) socket, MemberConnection.MAX_LINE_BYTES, refused));
+      return;
+    }
     CallerSession session =
         new CallerSession(
             services, runner, protocol, memberProtocol, clock, refusals, openSessions::remove);
@@ -152,4 +160,22 @@
     closing = true;
     new ArrayList<>(openSessions).forEach(CallerSession::closeWhenIdle);
   }
+
+  /** Refuses new sessions and further statements, and ends idle sessions. */
+  void refuseFurther() {
+    refusing = true;
+    runner.refuseFurther();
+    closeWhenIdle();
+  }
+
+  /**
+   * Ends all sessions at once, after a final answer to each statement that is running.
+   *
+   * @return the number of statements that ended without a result
+   */
+  int endAll() {
+    int unanswered = runner.answerAll();
+    new ArrayList<>(openSessions).forEach(session -> runGuarded(session::end));
+    return unanswered;
+  }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -360,6 +360,11 @@
     }
   }
 
+  /** Fails all statements that wait for a connection; none of them has been sent. */
+  public void failWaiting() {
+    placer.close();
+  }
+
   /**
    * Sends a control statement; the member replies with its status.
    *
