An entry of the store beyond the limits of JSON is left out alone

What operators saw: one odd entry among those of the members, and the machines stopped following all of them. Cause: the limits on nesting, numbers and names were applied to a response as a whole, so a listing or a watch with one such entry was no listing at all. Evidence: Json.parse returns empty for it and no decoder is reached. Beside an older host: within one host; an older one still drops the listing.

--- a/net/src/main/java/org/sardinebay/net/endpoint/HttpEndpointClient.java
+++ b/net/src/main/java/org/sardinebay/net/endpoint/HttpEndpointClient.java
@@ -1,6 +1,7 @@
 package org.sardinebay.net.endpoint;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.activej.http.HttpMethod;
 import java.util.Optional;
@@ -14,6 +15,7 @@
 import org.sardinebay.net.AddressTranslation;
 import org.sardinebay.net.http.HttpCallResult;
 import org.sardinebay.net.http.HttpServerResponse;
+import org.sardinebay.net.http.Json;
 import org.sardinebay.net.http.JsonHttpClient;
 
 /**
@@ -67,7 +69,8 @@
     }
     if (result instanceof HttpCallResult.Response response
         && response.status() == HttpServerResponse.OK) {
-      return reply(call, correlation, response.body());
+      boolean complete = !Json.hasMissing(response.body());
+      return reply(call, correlation, complete ? response.body() : MissingNode.getInstance());
     }
     return new EndpointReply.NoReply();
   }
--- a/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
+++ b/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
@@ -262,7 +262,7 @@
 
   private static HttpCallResult toResponse(
       int status, ByteBuf body, Map<HttpHeader, String> headers) {
-    JsonNode tree = Json.parse(body.getArray()).orElse(MissingNode.getInstance());
+    JsonNode tree = Json.parseWithinLimits(body.getArray()).orElse(MissingNode.getInstance());
     return new HttpCallResult.Response(status, tree, headers);
   }
 
--- a/net/src/main/java/org/sardinebay/net/http/JsonTree.java
+++ b/net/src/main/java/org/sardinebay/net/http/JsonTree.java
@@ -28,7 +28,7 @@
    * Reads the first value of a document.
    *
    * @param parser the parser; not closed here
-   * @return the tree; missing if the document is empty
+   * @return the tree; missing if the document is empty; a NaN, if the parser accepts it, is missing
    * @throws IOException if the text is not JSON
    */
   static JsonNode read(JsonParser parser) throws IOException {
@@ -42,7 +42,8 @@
       case START_ARRAY -> array(parser);
       case VALUE_STRING -> NODES.textNode(parser.getText());
       case VALUE_NUMBER_INT -> integer(parser);
-      case VALUE_NUMBER_FLOAT -> NODES.numberNode(parser.getDoubleValue());
+      case VALUE_NUMBER_FLOAT ->
+          parser.isNaN() ? MissingNode.getInstance() : NODES.numberNode(parser.getDoubleValue());
       case VALUE_TRUE -> NODES.booleanNode(true);
       case VALUE_FALSE -> NODES.booleanNode(false);
       case VALUE_NULL -> NODES.nullNode();
--- a/net/src/main/java/org/sardinebay/net/platform/PlatformObjectCodec.java
+++ b/net/src/main/java/org/sardinebay/net/platform/PlatformObjectCodec.java
@@ -31,7 +31,8 @@
     if (!tree.path("kind").isTextual()
         || !tree.path("name").isTextual()
         || !tree.path("version").canConvertToLong()
-        || !(body instanceof ObjectNode content)) {
+        || !(body instanceof ObjectNode content)
+        || Json.hasMissing(body)) {
       return Optional.empty();
     }
     ObjectKey key = new ObjectKey(tree.path("kind").textValue(), tree.path("name").textValue());
@@ -39,7 +40,7 @@
   }
 
   /**
-   * Decodes a list of objects.
+   * Decodes a list of objects. Those with values beyond the limits of what is read are left out.
    *
    * @param list the JSON array
    * @return the objects, or empty if the JSON is not an array or an element is invalid
@@ -48,10 +49,11 @@
     List<PlatformObject> objects = new ArrayList<>();
     for (JsonNode element : list) {
       Optional<PlatformObject> object = read(element);
-      if (object.isEmpty()) {
+      if (object.isPresent()) {
+        objects.add(object.get());
+      } else if (!Json.hasMissing(element)) {
         return Optional.empty();
       }
-      objects.add(object.get());
     }
     return list.isArray() ? Optional.of(List.copyOf(objects)) : Optional.empty();
   }
--- a/standins/src/test/java/org/sardinebay/standins/impeller/GatewayTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/GatewayTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.math.BigInteger;
 import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.List;
@@ -328,6 +330,41 @@
     }
   }
 
+  /**
+   * Guards against a host that stops following members, because another writer's entry among theirs
+   * is beyond the limits of what is read.
+   */
+  @Nested
+  class EntriesBeyondTheLimits {
+    @Test
+    void should_not_keep_the_host_from_following_the_others() throws Exception {
+      ObjectNode nested = Json.newObject();
+      ObjectNode inner = nested;
+      for (int i = 0; i < 150; i++) {
+        inner = inner.putObject("n");
+      }
+      platform.store().put("servers", "m-7", nested);
+      platform
+          .store()
+          .put("servers", "m-8", Json.newObject().put("slots", BigInteger.TEN.pow(1_500)));
+      platform.store().put("servers", "m-9", Json.newObject().put("n".repeat(60_000), 1));
+
+      platform.member(0).crash();
+      await(() -> read("own", "a").get(0).startsWith("ROW"));
+      await(() -> write("strict", "after odd entries"));
+      Address other = FreePorts.next();
+      RunningProcess second = startGateway(other, "host-2");
+      await(() -> LineCaller.open(other, "strict").query("READ a").get(0).startsWith("ROW"));
+      second.shutdown();
+    }
+
+    private boolean write(String database, String value) throws IOException {
+      try (LineCaller caller = LineCaller.open(callers, database)) {
+        return caller.query("WRITE a " + value).get(0).startsWith("DONE");
+      }
+    }
+  }
+
   @Nested
   class BadInput {
     private String answerTo(String bytes) throws IOException {
