A stopping host ends as early as before, and refuses for a quarter of a second

Cause: the stop lasted 5 s of 6 instead of 4.5, and refused new callers for its last 0.5 s. Where all hosts are stopped within one stop's time, hosts were back later and callers found none. Change: three quarters of the time, as before, and 0.25 s of refusals.

--- a/core/src/main/java/org/sardinebay/internal/process/ShutdownPlan.java
+++ b/core/src/main/java/org/sardinebay/internal/process/ShutdownPlan.java
@@ -22,12 +22,16 @@
 
   /**
    * How long the last statements have before they are answered without a result, in milliseconds:
-   * several times the duration of an ordinary statement.
+   * several times the duration of an ordinary statement. Callers are refused meanwhile, so it is
+   * short.
    */
-  private static final long LAST_STATEMENTS_MILLIS = 500;
+  private static final long LAST_STATEMENTS_MILLIS = 250;
 
-  /** The share of the time that is kept for the last answers and the end of the process. */
-  private static final int EXIT_SHARE = 6;
+  /**
+   * The share of the time that is kept for the last answers and the end of the process: a quarter,
+   * so that the process exits by itself and its host is back soon.
+   */
+  private static final int EXIT_SHARE = 4;
 
   /**
    * Returns when sessions start to end after their next statement or transaction.
