Log answers that fit no request, and count the connections opened to members

Cause: a member's message that did not fit what was asked closed its connection without a log line, so an answer that came twice could not be told from a lost connection; and what a rule on the reuse of connections costs could not be read from a host.

Change: event member_answer_unexpected (never with the text), metric sardinebay_member_connections_opened by service. No decision is changed.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberConnection.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberConnection.java
@@ -16,6 +16,8 @@
 import org.sardinebay.session.MemberProtocol;
 import org.sardinebay.session.PreparedShape;
 import org.sardinebay.session.TransactionState;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A connection to a member, with the session values and prepared statements that the member holds
@@ -27,6 +29,8 @@
  * }</pre>
  */
 public final class MemberConnection implements LineChannel.Listener {
+  private static final Logger LOG = LoggerFactory.getLogger(MemberConnection.class);
+
   /** The maximum length of a message in bytes, including the terminator. */
   public static final int MAX_LINE_BYTES = (1 << 20) + 2;
 
@@ -43,6 +47,7 @@
   private List<String> rows = new ArrayList<>();
   private Optional<String> signature = Optional.empty();
   private Optional<MemberMessage.Failed> failure = Optional.empty();
+  private int answers;
   private long sentAt;
   private long answerDueAt;
   private TransactionState state = TransactionState.IDLE;
@@ -111,7 +116,7 @@
     onLineReceived.run();
     MemberMessage message = protocol.parse(line);
     if (pendingAnswer.isEmpty()) {
-      abort(LossCause.OUT_OF_STEP);
+      abortOutOfStep(message);
     } else if (message instanceof MemberMessage.Row row) {
       rows.add(row.text());
     } else if (message instanceof MemberMessage.Done done && awaitingOutcome()) {
@@ -121,16 +126,30 @@
     } else if (message instanceof MemberMessage.Ready ready) {
       finish(ready);
     } else {
-      abort(LossCause.OUT_OF_STEP);
+      abortOutOfStep(message);
     }
   }
 
+  /** Logs the message without its text, which may hold a caller's data. */
+  private void abortOutOfStep(MemberMessage message) {
+    LOG.atWarn()
+        .setMessage("member_answer_unexpected")
+        .addKeyValue("member", member.value())
+        .addKeyValue("message", message.getClass().getSimpleName())
+        .addKeyValue("awaited", pendingAnswer.isPresent())
+        .addKeyValue("answers", answers)
+        .addKeyValue("after_millis", clock.millis() - sentAt)
+        .log();
+    abort(LossCause.OUT_OF_STEP);
+  }
+
   private boolean awaitingOutcome() {
     return signature.isEmpty() && failure.isEmpty();
   }
 
   private void finish(MemberMessage.Ready ready) {
     state = ready.state();
+    answers++;
     MemberAnswer answer = new MemberAnswer.Complete(rows, signature, failure, ready, sentAt);
     Consumer<MemberAnswer> callback = pendingAnswer.orElseThrow();
     pendingAnswer = Optional.empty();
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
@@ -44,6 +44,7 @@
   private MemberEntry entry;
   private long reopenAt = Long.MIN_VALUE;
   private final MemberSilence silence = new MemberSilence();
+  private long opened;
   private boolean closed;
 
   /**
@@ -241,6 +242,15 @@
     return connections.size();
   }
 
+  /**
+   * Returns how many connections were opened.
+   *
+   * @return the number since this pool was created, without those that the member refused
+   */
+  public long opened() {
+    return opened;
+  }
+
   /**
    * Returns the number of connections that can run statements.
    *
@@ -306,6 +316,7 @@
     @Override
     public void onEstablished(MemberConnection connection) {
       quota.opened();
+      opened++;
       if (mayBeReused(connection)) {
         idle.addNew(connection, connection.workspace(), clock.millis());
         listener.onConnectionIdle(MemberPool.this);
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayMetrics.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayMetrics.java
@@ -26,6 +26,7 @@
   private final Clock clock;
   private final MultiGauge waiting;
   private final MultiGauge connections;
+  private final MultiGauge opened;
   private final MultiGauge replaced;
   private final MultiGauge term;
   private final MultiGauge lease;
@@ -41,6 +42,7 @@
     this.clock = clock;
     this.waiting = MultiGauge.builder("sardinebay_statements_waiting").register(registry);
     this.connections = MultiGauge.builder("sardinebay_member_connections").register(registry);
+    this.opened = MultiGauge.builder("sardinebay_member_connections_opened").register(registry);
     this.replaced = MultiGauge.builder("sardinebay_connections_replaced").register(registry);
     this.term = MultiGauge.builder("sardinebay_service_term").register(registry);
     this.lease = MultiGauge.builder("sardinebay_service_lease_seconds").register(registry);
@@ -68,6 +70,7 @@
   void refresh() {
     long now = clock.millis();
     waiting.register(rows(ServiceRuntime::waiting), true);
+    opened.register(rows(ServiceRuntime::connectionsOpened), true);
     replaced.register(rows(ServiceRuntime::connectionsReplaced), true);
     term.register(rows(service -> service.view().term()), true);
     lease.register(rows(s -> s.view().leaseMillis(now) / MILLIS_PER_SECOND), true);
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -407,6 +407,15 @@
     return placer.waiting();
   }
 
+  /**
+   * Returns how many connections to members were opened.
+   *
+   * @return the number since this service was configured, for the members that it has now
+   */
+  public long connectionsOpened() {
+    return pools.values().stream().mapToLong(MemberPool::opened).sum();
+  }
+
   /**
    * Returns how many idle connections were closed in favour of another workspace.
    *
