A line ends with CR LF alone, towards callers and members

What callers saw: a part of a value that follows a line feed ran as a statement of its own (UNASKED), and a row that holds "DONE ..." and "READY ..." after line feeds was taken for the end of an answer (MIXED).

Cause: LineChannel.deliverLines ended a line at every LF and only dropped a CR before it.

Change: LineFraming, a class without I/O, splits the received bytes. A line ends with CR LF; CR and LF elsewhere belong to the text.

LineChannel.send refuses a text that holds CR LF, wherever it comes from: nothing is sent, the connection is closed, and line_not_sent is logged. A line of a peer can't hold CR LF, so this concerns names of the configuration and texts of other hosts only.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/LineChannel.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/LineChannel.java
@@ -4,15 +4,13 @@
 import io.activej.net.socket.tcp.TcpSocket;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
-import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * A connection that exchanges lines of text. Each byte is mapped to one character (ISO-8859-1), so
- * bytes pass unchanged.
+ * bytes pass unchanged. See {@link LineFraming} for the end of a line.
  *
  * <pre>{@code
  * LineChannel channel = new LineChannel(socket, maxLineBytes, listener);
@@ -27,8 +25,6 @@
  */
 public final class LineChannel {
   private static final Logger LOG = LoggerFactory.getLogger(LineChannel.class);
-  private static final String TERMINATOR = "\r\n";
-  private static final int INITIAL_BUFFER_BYTES = 512;
 
   /** Receives the lines and the end of the connection. */
   public interface Listener {
@@ -49,8 +45,7 @@
   private final TcpSocket socket;
   private final int maxLineBytes;
   private final Listener listener;
-  private byte[] pending = new byte[INITIAL_BUFFER_BYTES];
-  private int pendingLength;
+  private final LineFraming framing;
   private int unsentBytes;
   private boolean readingPaused;
   private boolean closed;
@@ -66,6 +61,7 @@
     this.socket = socket;
     this.maxLineBytes = maxLineBytes;
     this.listener = listener;
+    this.framing = new LineFraming(maxLineBytes);
   }
 
   /** Starts reading. */
@@ -74,7 +70,8 @@
   }
 
   /**
-   * Sends lines in one write.
+   * Sends lines in one write. If one of them holds a terminator, none is sent and the connection is
+   * closed: the peer would take the rest of that line for a message.
    *
    * @param lines the lines without terminators
    */
@@ -82,11 +79,19 @@
     if (closed) {
       return;
     }
-    StringBuilder text = new StringBuilder();
-    for (String line : lines) {
-      text.append(line).append(TERMINATOR);
+    Optional<byte[]> bytes = LineFraming.encode(lines);
+    if (bytes.isPresent()) {
+      write(bytes.get());
+    } else {
+      LOG.atError()
+          .setMessage("line_not_sent")
+          .addKeyValue("cause", "the text holds a line terminator")
+          .log();
+      onSocketClosed();
     }
-    byte[] bytes = text.toString().getBytes(StandardCharsets.ISO_8859_1);
+  }
+
+  private void write(byte[] bytes) {
     unsentBytes += bytes.length;
     socket
         .write(ByteBuf.wrapForReading(bytes))
@@ -104,7 +109,7 @@
 
   /** Whether a part of a line has been received. */
   boolean hasPartialLine() {
-    return pendingLength > 0;
+    return framing.hasPartialLine();
   }
 
   /** Closes the connection; data already sent is still delivered. */
@@ -161,35 +166,19 @@
       onSocketClosed();
       return false;
     }
-    append(bytes.get());
+    ByteBuf received = bytes.get();
+    framing.append(received.array(), received.head(), received.readRemaining());
+    received.recycle();
     return deliverLines();
   }
 
-  private void append(ByteBuf bytes) {
-    int count = bytes.readRemaining();
-    if (pendingLength + count > pending.length) {
-      pending = Arrays.copyOf(pending, Math.max(pending.length * 2, pendingLength + count));
-    }
-    System.arraycopy(bytes.array(), bytes.head(), pending, pendingLength, count);
-    pendingLength += count;
-    bytes.recycle();
-  }
-
   private boolean deliverLines() {
-    int start = 0;
-    for (int i = 0; i < pendingLength && !closed; i++) {
-      if (pending[i] == '\n') {
-        int end = i > start && pending[i - 1] == '\r' ? i - 1 : i;
-        deliver(new String(pending, start, end - start, StandardCharsets.ISO_8859_1));
-        start = i + 1;
-      }
-    }
-    pendingLength -= start;
-    System.arraycopy(pending, start, pending, 0, pendingLength);
-    if (pendingLength == 0 && pending.length > INITIAL_BUFFER_BYTES) {
-      pending = new byte[INITIAL_BUFFER_BYTES];
+    Optional<String> line = framing.next();
+    while (line.isPresent()) {
+      deliver(line.get());
+      line = closed ? Optional.empty() : framing.next();
     }
-    if (!closed && pendingLength >= maxLineBytes) {
+    if (!closed && framing.tooLong()) {
       listener.onTooLong();
     }
     return !closed;
--- a/gateway/src/test/java/org/sardinebay/gateway/internal/connection/LineChannelTest.java
+++ b/gateway/src/test/java/org/sardinebay/gateway/internal/connection/LineChannelTest.java
@@ -15,14 +15,18 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /**
- * Guards against a peer that fills the memory by sending without reading the answers, and against a
- * listener that fails and leaves its connection open without anybody reading it.
+ * Guards against a peer that fills the memory by sending without reading the answers, against a
+ * listener that fails and leaves its connection open without anybody reading it, and against lines
+ * that are cut or joined between the two ends.
  */
 class LineChannelTest {
   private static final int MAX_LINE_BYTES = 1 << 16;
@@ -34,11 +38,15 @@
 
   private final AtomicInteger received = new AtomicInteger();
   private final AtomicInteger closed = new AtomicInteger();
+  private final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
   private Eventloop loop;
   private Thread thread;
   private InetSocketAddress address;
 
-  /** Answers each line with a long one, and fails on the line "fail". */
+  /**
+   * Answers each line with a long one, fails on the line "fail", and answers "split" with a text
+   * that holds a terminator.
+   */
   private final class Answerer implements LineChannel.Listener {
     private Optional<LineChannel> channel = Optional.empty();
 
@@ -48,6 +56,11 @@
         throw new IllegalStateException("a line that is not expected");
       }
       received.incrementAndGet();
+      lines.add(line);
+      if (line.equals("split")) {
+        channel.orElseThrow().send("DONE a", "ROW b\r\nDONE c");
+        return;
+      }
       channel.orElseThrow().send("x".repeat(ANSWER_BYTES));
     }
 
@@ -138,4 +151,58 @@
       throw new AssertionError("the connection was left open", e);
     }
   }
+
+  private String nextLine() throws InterruptedException {
+    return Optional.ofNullable(lines.poll(10, TimeUnit.SECONDS)).orElse("(no line)");
+  }
+
+  @Test
+  void should_not_run_what_follows_a_line_feed_in_a_text_as_a_message_of_its_own()
+      throws Exception {
+    try (Socket socket = connect()) {
+      send(socket, "QUERY 1 WRITE a b\nQUERY 2 WRITE c d\r\nBYE\r\n");
+
+      assertThat(nextLine()).isEqualTo("QUERY 1 WRITE a b\nQUERY 2 WRITE c d");
+      assertThat(nextLine()).isEqualTo("BYE");
+    }
+  }
+
+  @Test
+  void should_not_take_a_row_that_holds_the_words_of_an_end_for_the_end_of_the_answer()
+      throws Exception {
+    try (Socket socket = connect()) {
+      send(socket, "ROW a\nDONE s\nREADY I 1.2\r\nDONE t\r\n");
+
+      assertThat(nextLine()).isEqualTo("ROW a\nDONE s\nREADY I 1.2");
+      assertThat(nextLine()).isEqualTo("DONE t");
+    }
+  }
+
+  @Test
+  void should_deliver_every_byte_unchanged_except_for_the_end_of_the_line() throws Exception {
+    StringBuilder text = new StringBuilder("\n\r\r");
+    for (char c = 0; c <= 0xff; c++) {
+      text.append(c);
+    }
+    text.append('\r');
+    try (Socket socket = connect()) {
+      send(socket, text + "\r\n");
+
+      assertThat(nextLine()).isEqualTo(text.toString());
+    }
+  }
+
+  @Test
+  void should_close_the_connection_instead_of_sending_a_text_that_holds_a_terminator()
+      throws Exception {
+    try (Socket socket = connect();
+        Socket other = connect()) {
+      send(socket, "split\r\n");
+      assertThat(reader(socket).readLine()).isNull();
+
+      send(other, "q\r\n");
+      assertThat(reader(other).readLine()).hasSize(ANSWER_BYTES);
+      assertThat(closed.get()).isEqualTo(1);
+    }
+  }
 }
