Names that members receive are one word

Cause: the names of services, the ids of members and the name of this host went into the START message as they were. A blank in one of them shifts the fields, and CR LF ends the message early. Only the names of workspaces were checked.

A word is printable ASCII, as for workspaces. The name of a database is not sent to members and is not restricted.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewaySettings.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewaySettings.java
@@ -6,6 +6,7 @@
 import org.sardinebay.Address;
 import org.sardinebay.FailureDomain;
 import org.sardinebay.HostId;
+import org.sardinebay.impeller.LineWord;
 import org.sardinebay.internal.process.DomainDistances;
 import org.sardinebay.internal.version.QuotaRule;
 import org.sardinebay.record.FieldReader;
@@ -59,7 +60,7 @@
     String ip = reader.text("ip");
     int metricsPort = (int) reader.number("metricsPort", 1, MAX_PORT);
     return new GatewaySettings(
-        new HostId(reader.text("host")),
+        host(reader),
         new FailureDomain(reader.text("failureDomain")),
         distances(reader),
         reader.address("callers"),
@@ -78,6 +79,15 @@
         quotaRule(reader));
   }
 
+  /** Members receive the name as one word of a line. */
+  private static HostId host(FieldReader reader) {
+    String name = reader.text("host");
+    if (!LineWord.isValid(name)) {
+      reader.addProblem("host", "one word of printable ASCII characters");
+    }
+    return new HostId(name);
+  }
+
   private static QuotaRule quotaRule(FieldReader reader) {
     QuotaRule fallback = QuotaRule.DEFAULT;
     double windowSeconds =
--- a/gateway/src/test/java/org/sardinebay/gateway/internal/process/GatewaySettingsTest.java
+++ b/gateway/src/test/java/org/sardinebay/gateway/internal/process/GatewaySettingsTest.java
@@ -11,6 +11,8 @@
 import net.jqwik.api.Provide;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sardinebay.Address;
 import org.sardinebay.internal.version.QuotaRule;
 import org.sardinebay.net.http.Json;
@@ -41,6 +43,19 @@
     return settings;
   }
 
+  @Nested
+  class Host {
+    /** Guards against a name that adds words or a line to the message that opens a connection. */
+    @ParameterizedTest
+    @ValueSource(strings = {" ", "two words", "line\r\nend", "line\n", "tab\t", "n\u00e4me"})
+    void should_be_refused_if_it_is_not_one_word(String name) {
+      FieldReader reader = FieldReader.of(complete().put("host", name));
+      GatewaySettings unused = GatewaySettings.read(reader);
+
+      assertThat(reader.problems()).hasSize(1);
+    }
+  }
+
   @Nested
   class Quota {
     @Test
