Log lines keep any text and are read back unchanged

What operators saw, or could see: control characters of a text became spaces in the log, so the id of a request that holds one was not found by `sardinebayctl explain`, and a line feed in a text could not be recognized; LogLine.parse failed with a StackOverflowError on a quoted value of 800,000 characters (the name of an unknown database is logged and may be 1 MiB long); characters above 126 depended on the encoding of the process and of the reader.

Cause: LogLine.append replaced control characters and escaped only quotes and backslashes; the pattern of a quoted value recurses for each character.

`sardinebayctl` writes its key=value lines in the same format and escapes the id and the cause, so that a text can't add a line to its output. Its lines show a quote as \" where they showed an apostrophe, and quote values that hold `=`.

KeyValueLayoutTest expects "bad\nstate" read back in place of "bad state", because the line feed is kept now; that the event stays on one line is still checked. The cost of a log line was not measured.

--- a/ctl/src/main/java/org/sardinebay/ctl/internal/request/ExplainCommand.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/request/ExplainCommand.java
@@ -63,13 +63,14 @@
     if (history.requestLines().isEmpty()) {
       return Optional.of(new Failure.RequestNotLogged(request, lines.size()));
     }
-    out.println("request " + request);
+    out.println("request " + LogLine.printable(request));
     print(history.requestLines());
     if (!history.contextLines().isEmpty()) {
       out.println("around it");
       print(history.contextLines());
     }
-    out.println("cause: " + CauseFinder.cause(history).orElse("these lines don't tell"));
+    String cause = CauseFinder.cause(history).orElse("these lines don't tell");
+    out.println("cause: " + LogLine.printable(cause));
     return Optional.empty();
   }
 
@@ -95,7 +96,7 @@
 
   private void print(List<SourcedLine> lines) {
     for (SourcedLine sourced : lines) {
-      KeyValueLine text = KeyValueLine.of(sourced.line().event());
+      KeyValueLine text = KeyValueLine.of(LogLine.printable(sourced.line().event()));
       sourced
           .line()
           .fields()
--- a/ctl/src/main/java/org/sardinebay/ctl/internal/request/KeyValueLine.java
+++ b/ctl/src/main/java/org/sardinebay/ctl/internal/request/KeyValueLine.java
@@ -1,6 +1,8 @@
 package org.sardinebay.ctl.internal.request;
 
-/** An output line of a leading word and key=value pairs. Values with spaces are quoted. */
+import org.sardinebay.net.log.LogLine;
+
+/** An output line of a leading word and key=value pairs, in the format of log lines. */
 final class KeyValueLine {
   private final StringBuilder line;
 
@@ -13,10 +15,7 @@
   }
 
   KeyValueLine add(String key, Object value) {
-    String text = value.toString();
-    boolean quoted = text.isEmpty() || text.indexOf(' ') >= 0;
-    line.append(' ').append(key).append('=');
-    line.append(quoted ? '"' + text.replace("\"", "'") + '"' : text);
+    LogLine.append(line, key, value.toString());
     return this;
   }
 
--- a/net/src/test/java/org/sardinebay/net/log/KeyValueLayoutTest.java
+++ b/net/src/test/java/org/sardinebay/net/log/KeyValueLayoutTest.java
@@ -43,7 +43,7 @@
 
     assertThat(line.lines()).hasSize(1);
     assertThat(LogLine.parse(line).get().field("exception"))
-        .isEqualTo("java.lang.IllegalStateException: bad state");
+        .isEqualTo("java.lang.IllegalStateException: bad\nstate");
     assertThat(LogLine.parse(line).get().field("at")).contains("KeyValueLayoutTest");
   }
 }
