--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineMemberSession.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineMemberSession.java
@@ -2,13 +2,21 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
-
-/** The session of one connection: its transaction, session values and prepared statements. */
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * The session of one connection: its transaction, session values and prepared statements. Each
+ * success of a read, write or commit carries a signature of its own.
+ */
 final class LineMemberSession {
   private final String member;
   private final MemberGroup group;
-  private final Map<String, String> values = new HashMap<>();
+  private final AtomicLong signatures;
+  private final Map<String, String> values = new TreeMap<>();
   private final Map<String, String> prepared = new HashMap<>();
   private final Map<String, String> writes = new LinkedHashMap<>();
 
@@ -16,17 +24,42 @@
   private char state = 'I';
 
   private boolean readOnly;
+  private String requestId = "";
+  private Optional<String> transaction = Optional.empty();
 
-  LineMemberSession(String member, MemberGroup group) {
+  /** Creates a session; {@code signatures} counts those of the member. */
+  LineMemberSession(String member, MemberGroup group, AtomicLong signatures) {
     this.member = member;
     this.group = group;
+    this.signatures = signatures;
+  }
+
+  /** Returns the id of the BEGIN of the open transaction. */
+  Optional<String> transaction() {
+    return transaction;
+  }
+
+  Map<String, String> values() {
+    return Map.copyOf(values);
+  }
+
+  /** Returns the shape that an EXEC refers to. */
+  Optional<String> shape(String text) {
+    String[] words = text.split(" ", 3);
+    return words[0].equals("EXEC") ? Optional.ofNullable(prepared.get(words[1])) : Optional.empty();
+  }
+
+  /** Returns the answer to START. */
+  LineAnswer opened() {
+    return new LineAnswer(List.of(), "", ready());
   }
 
   /**
-   * Runs one statement and returns the complete answer, including the READY line. STATUS reports
-   * {@code connections}, the number of open connections of the member.
+   * Runs one statement and returns the complete answer. STATUS reports {@code connections}, the
+   * number of open connections of the member.
    */
-  String run(String text, int connections) {
+  LineAnswer run(String id, String text, int connections) {
+    requestId = id;
     String rest = text;
     if (rest.startsWith("AFTER ")) {
       String[] parts = rest.split(" ", 3);
@@ -50,7 +83,7 @@
     };
   }
 
-  private String control(String[] words, int connections) {
+  private LineAnswer control(String[] words, int connections) {
     switch (words[0]) {
       case "PAUSE" -> group.fence(member, Long.parseLong(words[1]));
       case "RESUME" -> group.unfence(member);
@@ -60,26 +93,26 @@
         return error("MALFORMED");
       }
     }
-    return "ROW " + group.status(member, 0, connections) + "\r\n" + done("-");
+    return done(List.of(group.status(member, 0, connections)), "-");
   }
 
-  private String read(String item) {
+  private LineAnswer read(String item) {
     String row = writes.containsKey(item) ? writes.get(item) : group.read(member, item).orElse("-");
-    return "ROW " + row + values + "\r\n" + done("sig." + item);
+    return done(List.of(row + values), signature());
   }
 
-  private String write(String item, String data) {
+  private LineAnswer write(String item, String data) {
     if (!group.isPrimary(member)) {
       return error("READONLY");
     }
     if (state == 'T') {
       writes.put(item, data);
-      return done("sig." + item);
+      return done(signature());
     }
-    return group.commit(member, Map.of(item, data)) ? done("sig." + item) : error("READONLY");
+    return group.commit(member, Map.of(item, data)) ? done(signature()) : error("READONLY");
   }
 
-  private String execute(String name, String arguments) {
+  private LineAnswer execute(String name, String arguments) {
     String shape = prepared.get(name);
     if (shape == null) {
       return error("NOSTMT");
@@ -88,56 +121,67 @@
     return shape.startsWith("READ") ? read(words[0]) : write(words[0], words[1]);
   }
 
-  private String begin(boolean onlyReads) {
+  private LineAnswer begin(boolean onlyReads) {
     if (!onlyReads && !group.isPrimary(member)) {
       return error("READONLY");
     }
     state = 'T';
     readOnly = onlyReads;
+    transaction = Optional.of(requestId);
     return done("-");
   }
 
-  private String commit() {
+  private LineAnswer commit() {
     boolean committed = writes.isEmpty() || readOnly || group.commit(member, writes);
     writes.clear();
     state = 'I';
-    return committed ? done("sig.commit") : error("READONLY");
+    transaction = Optional.empty();
+    return committed ? done(signature()) : error("READONLY");
   }
 
-  private String rollback() {
+  private LineAnswer rollback() {
     writes.clear();
     state = 'I';
+    transaction = Optional.empty();
     return done("-");
   }
 
-  private String set(String[] words) {
+  private LineAnswer set(String[] words) {
     values.put(words[1], words[2]);
     return done("-");
   }
 
-  private String prepare(String[] words) {
+  private LineAnswer prepare(String[] words) {
     prepared.put(words[1], words[2]);
     return done("-");
   }
 
-  private String reset() {
+  private LineAnswer reset() {
     values.clear();
     prepared.clear();
     return done("-");
   }
 
-  private String done(String signature) {
-    return "DONE " + signature + "\r\n" + ready();
+  private String signature() {
+    return member + "." + signatures.incrementAndGet() + "." + requestId;
+  }
+
+  private LineAnswer done(String signature) {
+    return done(List.of(), signature);
+  }
+
+  private LineAnswer done(List<String> rows, String signature) {
+    return new LineAnswer(rows, "DONE " + signature, ready());
   }
 
-  private String error(String code) {
+  private LineAnswer error(String code) {
     if (state == 'T') {
       state = 'E';
     }
-    return "ERR " + code + " " + member + "\r\n" + ready();
+    return new LineAnswer(List.of(), "ERR " + code + " " + member, ready());
   }
 
   private String ready() {
-    return "READY " + state + " " + group.position(member) + "\r\n";
+    return "READY " + state + " " + group.position(member);
   }
 }
--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
@@ -180,6 +180,13 @@
     return members.get(index);
   }
 
+  /** Returns the runs of a request's statement at all members. */
+  List<MemberRecording.RanStatement> ran(String requestId) {
+    return members.stream()
+        .flatMap(member -> member.recording().statements(requestId).stream())
+        .toList();
+  }
+
   MetadataStore store() {
     return store;
   }
--- a/standins/src/main/java/org/sardinebay/standins/impeller/MemberRecording.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/MemberRecording.java
@@ -3,6 +3,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 
 /**
  * Records on whose behalf a member's connections were started, and which statements ran on them.
@@ -20,15 +22,26 @@
    * @param startedFor the second word of the connection's START: a workspace or a host
    * @param requestId the id of the request, "-" for statements of the gateway itself
    * @param text the text of the statement
+   * @param transaction the id of the BEGIN that the statement follows, empty outside a transaction
+   * @param values the session values that the statement ran with
+   * @param shape the prepared shape that an EXEC ran, if there is one of its name
+   * @param answer the answer to the statement
    */
-  record RanStatement(String startedFor, String requestId, String text) {}
+  record RanStatement(
+      String startedFor,
+      String requestId,
+      String text,
+      Optional<String> transaction,
+      Map<String, String> values,
+      Optional<String> shape,
+      LineAnswer answer) {}
 
   synchronized void onStart(String startedFor) {
     append(starts, startedFor);
   }
 
-  synchronized void onStatement(String startedFor, String requestId, String text) {
-    append(statements, new RanStatement(startedFor, requestId, text));
+  synchronized void onStatement(RanStatement statement) {
+    append(statements, statement);
   }
 
   private static <T> void append(Deque<T> entries, T entry) {
@@ -47,4 +60,9 @@
   synchronized List<RanStatement> statements() {
     return List.copyOf(statements);
   }
+
+  /** The statements of one request in the order in which they ran. */
+  synchronized List<RanStatement> statements(String requestId) {
+    return statements.stream().filter(ran -> ran.requestId().equals(requestId)).toList();
+  }
 }
