Member stand-in repeats, delays, cuts and refuses chosen answers

AnswerFaults selects faults for the requests that match a predicate: each, the n-th or a seeded share, START and the gateway's own statements included. AnswerWriter sends an answer again before or after the next one or later, late, or cut after some bytes or lines.

--- /dev/null
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/AnswerWriter.java
@@ -0,0 +1,110 @@
+package org.sardinebay.standins.impeller;
+
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** Sends the answers of one connection, with their faults. Thread-safe. */
+final class AnswerWriter {
+  private static final String TERMINATOR = "\r\n";
+
+  private final OutputStream out;
+  private final AnswerFaults faults;
+  private final ScheduledExecutorService timer;
+  private final List<byte[]> beforeNext = new ArrayList<>();
+  private final List<byte[]> afterNext = new ArrayList<>();
+
+  AnswerWriter(OutputStream out, AnswerFaults faults, ScheduledExecutorService timer) {
+    this.out = out;
+    this.faults = faults;
+    this.timer = timer;
+  }
+
+  /** Sends the repeated answers that a request was awaited for. */
+  synchronized void onRequest() throws IOException {
+    for (byte[] bytes : beforeNext) {
+      repeat(bytes);
+    }
+    beforeNext.clear();
+  }
+
+  /** Sends an answer. Returns false if the connection has to be closed. */
+  boolean send(LineAnswer answer, List<AnswerFault> answerFaults) throws IOException {
+    byte[] bytes = bytes(answer.text());
+    for (AnswerFault fault : answerFaults) {
+      if (fault instanceof AnswerFault.Delay delay) {
+        pause(delay.millis());
+      } else if (fault instanceof AnswerFault.CutBytes cut) {
+        write(Arrays.copyOf(bytes, Math.min(cut.bytes(), bytes.length)));
+        return !cut.closes();
+      } else if (fault instanceof AnswerFault.CutLines cut) {
+        write(firstLines(answer, cut.lines()));
+        return !cut.closes();
+      }
+    }
+    writeWithRepeated(bytes);
+    answerFaults.forEach(fault -> holdRepeated(bytes, fault));
+    return true;
+  }
+
+  private synchronized void writeWithRepeated(byte[] bytes) throws IOException {
+    write(bytes);
+    for (byte[] earlier : afterNext) {
+      repeat(earlier);
+    }
+    afterNext.clear();
+  }
+
+  private synchronized void holdRepeated(byte[] bytes, AnswerFault fault) {
+    if (fault instanceof AnswerFault.RepeatBeforeNext) {
+      beforeNext.add(bytes);
+    } else if (fault instanceof AnswerFault.RepeatAfterNext) {
+      afterNext.add(bytes);
+    } else if (fault instanceof AnswerFault.RepeatLater later) {
+      timer.schedule(() -> repeatLate(bytes), later.millis(), TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void repeatLate(byte[] bytes) {
+    try {
+      repeat(bytes);
+    } catch (IOException e) {
+      // The connection was closed before the answer was sent again.
+    }
+  }
+
+  private void repeat(byte[] bytes) throws IOException {
+    write(bytes);
+    faults.onRepeated();
+  }
+
+  private synchronized void write(byte[] bytes) throws IOException {
+    out.write(bytes);
+    out.flush();
+  }
+
+  private static byte[] firstLines(LineAnswer answer, int count) {
+    StringBuilder text = new StringBuilder();
+    answer.lines().stream().limit(count).forEach(line -> text.append(line).append(TERMINATOR));
+    return bytes(text.toString());
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.ISO_8859_1);
+  }
+
+  static void pause(long millis) throws InterruptedIOException {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new InterruptedIOException();
+    }
+  }
+}
--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
@@ -1,12 +1,8 @@
 package org.sardinebay.standins.impeller;
 
 import java.io.IOException;
-import java.io.InterruptedIOException;
-import java.io.OutputStreamWriter;
-import java.io.Writer;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,6 +13,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -36,10 +33,12 @@
   private final AtomicInteger answersToLose = new AtomicInteger();
   private final AtomicLong signatures = new AtomicLong();
   private final MemberRecording recording = new MemberRecording();
+  private final AnswerFaults faults = new AnswerFaults();
   private volatile long answerDelayMillis;
   private ServerSocket listener;
   private Future<?> acceptLoop;
   private ExecutorService threads;
+  private volatile ScheduledExecutorService timer;
 
   LineMember(String id, String service, Address address, MemberGroup group, int maxConnections) {
     this.id = id;
@@ -62,6 +61,7 @@
     listener.setReuseAddress(true);
     listener.bind(address.socketAddress());
     threads = Executors.newCachedThreadPool();
+    timer = Executors.newSingleThreadScheduledExecutor();
     group.running(id, true);
     ServerSocket accepting = listener;
     ExecutorService serving = threads;
@@ -84,59 +84,78 @@
     try (socket) {
       socket.setTcpNoDelay(true);
       LineReader in = new LineReader(socket.getInputStream());
-      Writer out = new OutputStreamWriter(socket.getOutputStream(), StandardCharsets.ISO_8859_1);
-      String[] start = in.next().orElse("").split(" ");
-      String refusal = refusal(start);
+      AnswerWriter out = new AnswerWriter(socket.getOutputStream(), faults, timer);
+      MemberRequest start = MemberRequest.start(in.next().orElse(""));
+      String[] words = start.text().split(" ");
+      String refusal = refusal(words);
       if (!refusal.isEmpty()) {
-        send(out, new LineAnswer(List.of(), "ERR " + refusal + " " + id, ""));
+        out.send(error(refusal), faults.of(start));
         return;
       }
       LineMemberSession session = new LineMemberSession(id, group, signatures);
-      send(out, session.opened());
-      recording.onStart(start[2]);
-      serveStatements(in, out, session, start[2]);
-    } catch (IOException e) {
-      // The peer closed the connection, which ends the session.
+      recording.onStart(words[2]);
+      if (out.send(session.opened(), faults.of(start))) {
+        serveStatements(in, out, session, words[2]);
+      }
+    } catch (IOException | RejectedExecutionException e) {
+      // The peer closed the connection, or the member ends, which ends the session.
     } finally {
       sockets.remove(socket);
     }
   }
 
   private void serveStatements(
-      LineReader in, Writer out, LineMemberSession session, String startedFor) throws IOException {
+      LineReader in, AnswerWriter out, LineMemberSession session, String startedFor)
+      throws IOException {
     for (Optional<String> line = in.next(); line.isPresent(); line = in.next()) {
       if (line.get().equals("BYE")) {
         return;
       }
-      String[] parts = line.get().split(" ", 3);
-      if (parts.length < 3 || !parts[0].equals("QUERY")) {
-        send(out, new LineAnswer(List.of(), "ERR MALFORMED " + id, ""));
+      out.onRequest();
+      Optional<MemberRequest> request = MemberRequest.query(line.get());
+      if (request.isEmpty()) {
+        out.send(error("MALFORMED"), List.of());
         return;
       }
-      boolean controlStatement = parts[1].equals("-");
-      LineAnswer answer = run(session, startedFor, parts[1], parts[2]);
+      boolean controlStatement = request.get().id().equals("-");
+      List<AnswerFault> answerFaults = faults.of(request.get());
+      LineAnswer answer = run(session, startedFor, request.get(), answerFaults);
       if (!controlStatement) {
-        pause(answerDelayMillis);
+        AnswerWriter.pause(answerDelayMillis);
       }
       if (!controlStatement && answersToLose.get() > 0 && answersToLose.getAndDecrement() > 0) {
         continue;
       }
-      send(out, answer);
+      if (!out.send(answer, answerFaults)) {
+        return;
+      }
     }
   }
 
   private LineAnswer run(
-      LineMemberSession session, String startedFor, String requestId, String text) {
+      LineMemberSession session,
+      String startedFor,
+      MemberRequest request,
+      List<AnswerFault> answerFaults) {
+    for (AnswerFault fault : answerFaults) {
+      if (fault instanceof AnswerFault.Refuse refuse) {
+        return session.refuse(refuse.code());
+      }
+    }
     Optional<String> transaction = session.transaction();
     Map<String, String> values = session.values();
-    Optional<String> shape = session.shape(text);
-    LineAnswer answer = session.run(requestId, text, sockets.size());
+    Optional<String> shape = session.shape(request.text());
+    LineAnswer answer = session.run(request.id(), request.text(), sockets.size());
     recording.onStatement(
         new MemberRecording.RanStatement(
-            startedFor, requestId, text, transaction, values, shape, answer));
+            startedFor, request.id(), request.text(), transaction, values, shape, answer));
     return answer;
   }
 
+  private LineAnswer error(String code) {
+    return new LineAnswer(List.of(), "ERR " + code + " " + id, "");
+  }
+
   private String refusal(String[] words) {
     boolean known = words.length >= 3 && words[0].equals("START") && words[1].equals(service);
     if (!known || (words.length > 3 && !words[3].equals(id))) {
@@ -145,11 +164,6 @@
     return sockets.size() > maxConnections ? "TOOMANY" : "";
   }
 
-  private static void send(Writer out, LineAnswer answer) throws IOException {
-    out.write(answer.text());
-    out.flush();
-  }
-
   /** Executes the next {@code count} caller statements without answering them. */
   void loseAnswers(int count) {
     answersToLose.set(count);
@@ -160,13 +174,9 @@
     answerDelayMillis = millis;
   }
 
-  private static void pause(long millis) throws InterruptedIOException {
-    try {
-      Thread.sleep(millis);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new InterruptedIOException();
-    }
+  /** The faults of the answers; there are none unless they are added. */
+  AnswerFaults faults() {
+    return faults;
   }
 
   /** The connections that were started and the statements that were run so far. */
@@ -197,6 +207,7 @@
       socket.close();
     }
     threads.shutdownNow();
+    timer.shutdownNow();
   }
 
   /**
--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineMemberSession.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineMemberSession.java
@@ -54,6 +54,11 @@
     return new LineAnswer(List.of(), "", ready());
   }
 
+  /** Returns the answer to a statement that is not run. */
+  LineAnswer refuse(String code) {
+    return error(code);
+  }
+
   /**
    * Runs one statement and returns the complete answer. STATUS reports {@code connections}, the
    * number of open connections of the member.
