--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineProtocolPlatform.java
@@ -187,6 +187,10 @@
         .toList();
   }
 
+  List<LineMember> members() {
+    return List.copyOf(members);
+  }
+
   MetadataStore store() {
     return store;
   }
--- a/standins/src/main/java/org/sardinebay/standins/impeller/MemberGroup.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/MemberGroup.java
@@ -119,6 +119,11 @@
     return log.stream().filter(entry -> entry.item.equals(item)).count();
   }
 
+  /** Returns the data of the commits of an item, in their order. */
+  synchronized List<String> committed(String item) {
+    return log.stream().filter(entry -> entry.item.equals(item)).map(Entry::data).toList();
+  }
+
   synchronized void fence(String member, long newTerm) {
     ReplicationState state = catchUp(member);
     if (!state.leads && newTerm > state.term) {
