--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
@@ -144,7 +144,7 @@
     }
     Optional<String> transaction = session.transaction();
     Map<String, String> values = session.values();
-    Optional<String> shape = session.shape(request.text());
+    Optional<String> shape = session.shape(request);
     LineAnswer answer = session.run(request.id(), request.text(), sockets.size());
     recording.onStatement(
         new MemberRecording.RanStatement(
--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineMemberSession.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineMemberSession.java
@@ -44,9 +44,10 @@
   }
 
   /** Returns the shape that an EXEC refers to. */
-  Optional<String> shape(String text) {
-    String[] words = text.split(" ", 3);
-    return words[0].equals("EXEC") ? Optional.ofNullable(prepared.get(words[1])) : Optional.empty();
+  Optional<String> shape(MemberRequest request) {
+    return request.kind().equals("EXEC")
+        ? Optional.ofNullable(prepared.get(request.statement().split(" ", 3)[1]))
+        : Optional.empty();
   }
 
   /** Returns the answer to START. */
--- a/standins/src/main/java/org/sardinebay/standins/impeller/MemberRequest.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/MemberRequest.java
@@ -24,9 +24,17 @@
     if (parts.length < FIELDS || !parts[0].equals(QUERY)) {
       return Optional.empty();
     }
-    String[] words = parts[2].split(" ", FIELDS);
-    boolean prefixed = words[0].equals(AFTER) && words.length == FIELDS;
-    String kind = prefixed ? words[2].split(" ", 2)[0] : words[0];
+    String kind = statement(parts[2]).split(" ", 2)[0];
     return Optional.of(new MemberRequest(kind, parts[1], parts[2]));
   }
+
+  /** Returns the text without the AFTER prefix. */
+  String statement() {
+    return statement(text);
+  }
+
+  private static String statement(String text) {
+    String[] words = text.split(" ", FIELDS);
+    return words[0].equals(AFTER) && words.length == FIELDS ? words[2] : text;
+  }
 }
--- a/standins/src/test/java/org/sardinebay/standins/impeller/AnswerFaultsTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/AnswerFaultsTest.java
@@ -107,6 +107,15 @@
     assertThat(selections.get(0)).isEqualTo(selections.get(1)).contains(true, false);
   }
 
+  @Test
+  void should_record_the_shape_of_a_statement_behind_a_position() throws Exception {
+    caller.query("PREPARE p READ q");
+    caller.query("AFTER 1.0 EXEC p a");
+
+    assertThat(member.recording().statements(caller.lastRequestId()).get(0).shape())
+        .contains("READ q");
+  }
+
   @Test
   void should_know_the_kind_of_a_statement_behind_a_position() {
     assertThat(MemberRequest.query("QUERY q AFTER 1.2 READ a"))
--- a/standins/src/test/java/org/sardinebay/standins/impeller/RuleCheck.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/RuleCheck.java
@@ -1,6 +1,8 @@
 package org.sardinebay.standins.impeller;
 
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,7 +14,7 @@
 
 /**
  * Compares what callers were answered with what the members ran, and names the rules that were
- * broken. The data of each write have to be unique.
+ * broken. The data of each write have to be unique, and no transaction may write an item twice.
  */
 final class RuleCheck {
   private static final Set<String> SIGNED = Set.of("READ", "WRITE", "EXEC", "COMMIT");
@@ -23,6 +25,11 @@
   private final List<Attempt> attempts;
   private final Map<String, Attempt> byId;
   private final List<RanStatement> ran;
+  private final Map<String, List<RanStatement>> ranById;
+  private final Map<String, Attempt> commits = new HashMap<>();
+  private final Set<String> values = new HashSet<>();
+  private final Set<String> shapes = new HashSet<>();
+  private final Map<String, List<String>> committed = new HashMap<>();
   private final List<String> violations = new ArrayList<>();
 
   private RuleCheck(LineProtocolPlatform platform, List<Attempt> attempts) {
@@ -33,6 +40,15 @@
         platform.members().stream()
             .flatMap(member -> member.recording().statements().stream())
             .toList();
+    this.ranById = ran.stream().collect(Collectors.groupingBy(RanStatement::requestId));
+    for (Attempt attempt : attempts) {
+      switch (attempt.kind()) {
+        case "SET" -> values.add(attempt.text());
+        case "PREPARE" -> shapes.add(attempt.text().split(" ", 3)[2]);
+        case "COMMIT" -> attempt.transaction().ifPresent(id -> commits.put(id, attempt));
+        default -> {}
+      }
+    }
   }
 
   /** Returns the violations, each beginning with the name of a rule. */
@@ -78,13 +94,8 @@
     String[] words = text.split(" ", 3);
     return switch (words[0]) {
       case "RESET", "STATUS", "RESUME", "PAUSE", "DEMOTE", "ROLLBACK" -> true;
-      case "SET" -> attempts.stream().anyMatch(attempt -> attempt.text().equals(text));
-      case "PREPARE" ->
-          attempts.stream()
-              .anyMatch(
-                  attempt ->
-                      attempt.kind().equals("PREPARE")
-                          && attempt.text().split(" ", 3)[2].equals(words[2]));
+      case "SET" -> values.contains(text);
+      case "PREPARE" -> shapes.contains(words[2]);
       default -> false;
     };
   }
@@ -100,8 +111,7 @@
   private void checkAttempt(Attempt attempt) {
     if (SIGNED.contains(attempt.kind()) && attempt.succeeded()) {
       boolean answered =
-          ran.stream()
-              .filter(run -> run.requestId().equals(attempt.id()))
+          ranById.getOrDefault(attempt.id(), List.of()).stream()
               .map(RanStatement::answer)
               .anyMatch(
                   answer ->
@@ -130,7 +140,9 @@
 
   private void checkWrite(Attempt attempt, Write write) {
     long kept =
-        platform.group().committed(write.item()).stream().filter(write.data()::equals).count();
+        committed.computeIfAbsent(write.item(), platform.group()::committed).stream()
+            .filter(write.data()::equals)
+            .count();
     if (kept > 1) {
       violations.add("TWICE " + attempt.text() + " kept " + kept + " times");
     }
@@ -155,14 +167,7 @@
   }
 
   private Optional<Attempt> commitOf(Attempt attempt) {
-    return attempt
-        .transaction()
-        .flatMap(
-            id ->
-                attempts.stream()
-                    .filter(other -> other.kind().equals("COMMIT"))
-                    .filter(other -> other.transaction().equals(Optional.of(id)))
-                    .findFirst());
+    return attempt.transaction().map(commits::get);
   }
 
   private static boolean promisedNothing(Attempt attempt) {
