--- a/standins/src/test/java/org/sardinebay/standins/impeller/CheckedGateway.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/CheckedGateway.java
@@ -64,6 +64,11 @@
     return platform;
   }
 
+  /** Returns the remaining time of the primary's lease. */
+  long leaseMillis() {
+    return gateway.dump().at("/services/0/leaseMillis").asLong();
+  }
+
   List<String> violations() {
     return RuleCheck.violations(platform, List.copyOf(attempts));
   }
--- /dev/null
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/RepeatedStatusesTest.java
@@ -0,0 +1,47 @@
+package org.sardinebay.standins.impeller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.sardinebay.Clock;
+import org.sardinebay.internal.version.PrimaryLease;
+
+@Tag("known-red")
+class RepeatedStatusesTest {
+  private static final Predicate<MemberRequest> STATUS = request -> request.kind().equals("STATUS");
+
+  /** How old the state in a gateway's dump may be. */
+  private static final long DUMP_AGE_MILLIS = 100;
+
+  private final Clock clock = Clock.system();
+
+  /** The true answers of the fenced replicas are lost; only older ones arrive again. */
+  @Test
+  void should_not_extend_the_lease_after_the_replicas_were_fenced() throws Exception {
+    try (CheckedGateway gateway = CheckedGateway.start()) {
+      LineProtocolPlatform platform = gateway.platform();
+      List<LineMember> replicas = platform.members().subList(1, 3);
+      replicas.forEach(
+          replica -> replica.faults().nth(STATUS, 1, new AnswerFault.RepeatBeforeNext()));
+      GatewayFleet.await(
+          () -> replicas.stream().anyMatch(replica -> replica.faults().selected() > 0),
+          () -> "no status was asked for");
+      gateway.faults(
+          faults -> {
+            faults.clear();
+            faults.each(STATUS, new AnswerFault.CutBytes(0, false));
+          });
+      replicas.forEach(replica -> platform.group().fence(replica.id(), 2));
+      long fencedAt = clock.millis();
+
+      GatewayFleet.await(() -> gateway.repeated() > 0, () -> "no status came again");
+      long end = fencedAt + PrimaryLease.DURATION_MILLIS + DUMP_AGE_MILLIS;
+      Thread.sleep(Math.max(0, end - clock.millis()));
+
+      assertThat(gateway.leaseMillis()).isZero();
+    }
+  }
+}
