Tests of one answer that comes again while a chosen statement is outstanding

RepeatBefore sends an answer again when a request of a chosen kind has arrived on the connection, so that a test decides which statement takes it.

--- a/standins/src/main/java/org/sardinebay/standins/impeller/AnswerFaults.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/AnswerFaults.java
@@ -11,7 +11,7 @@
  * Selects the faults of a member's answers. Thread-safe.
  *
  * <pre>{@code
- * faults.nth(request -> request.kind().equals("READ"), 1, new AnswerFault.RepeatBeforeNext());
+ * faults.nth(request -> request.kind().equals("READ"), 1, AnswerFault.repeatBeforeNext());
  * }</pre>
  */
 final class AnswerFaults {
--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
@@ -111,12 +111,12 @@
       if (line.get().equals("BYE")) {
         return;
       }
-      out.onRequest();
       Optional<MemberRequest> request = MemberRequest.query(line.get());
       if (request.isEmpty()) {
         out.send(error("MALFORMED"), List.of());
         return;
       }
+      out.onRequest(request.get());
       boolean controlStatement = request.get().id().equals("-");
       List<AnswerFault> answerFaults = faults.of(request.get());
       LineAnswer answer = run(session, startedFor, request.get(), answerFaults);
--- a/standins/src/test/java/org/sardinebay/standins/impeller/CheckedGateway.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/CheckedGateway.java
@@ -55,6 +55,11 @@
     platform.members().forEach(member -> change.accept(member.faults()));
   }
 
+  /** Returns how many faults were selected at all members. */
+  int selected() {
+    return platform.members().stream().mapToInt(member -> member.faults().selected()).sum();
+  }
+
   /** Returns how many answers all members have sent again. */
   int repeated() {
     return platform.members().stream().mapToInt(member -> member.faults().repeated()).sum();
