--- a/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/LineMember.java
@@ -1,14 +1,11 @@
 package org.sardinebay.standins.impeller;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.io.InterruptedIOException;
-import java.io.OutputStreamWriter;
-import java.io.Writer;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
@@ -16,9 +13,11 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.sardinebay.Address;
 
 /** A member that serves the line protocol, with one thread per connection. */
@@ -32,11 +31,14 @@
   private volatile int maxConnections;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final AtomicInteger answersToLose = new AtomicInteger();
+  private final AtomicLong signatures = new AtomicLong();
   private final MemberRecording recording = new MemberRecording();
+  private final AnswerFaults faults = new AnswerFaults();
   private volatile long answerDelayMillis;
   private ServerSocket listener;
   private Future<?> acceptLoop;
   private ExecutorService threads;
+  private volatile ScheduledExecutorService timer;
 
   LineMember(String id, String service, Address address, MemberGroup group, int maxConnections) {
     this.id = id;
@@ -59,6 +61,7 @@
     listener.setReuseAddress(true);
     listener.bind(address.socketAddress());
     threads = Executors.newCachedThreadPool();
+    timer = Executors.newSingleThreadScheduledExecutor();
     group.running(id, true);
     ServerSocket accepting = listener;
     ExecutorService serving = threads;
@@ -80,49 +83,77 @@
   private void serve(Socket socket) {
     try (socket) {
       socket.setTcpNoDelay(true);
-      BufferedReader in =
-          new BufferedReader(
-              new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-      Writer out = new OutputStreamWriter(socket.getOutputStream(), StandardCharsets.ISO_8859_1);
-      String[] start = words(in.readLine());
-      String refusal = refusal(start);
+      LineReader in = new LineReader(socket.getInputStream());
+      AnswerWriter out = new AnswerWriter(socket.getOutputStream(), faults, timer);
+      MemberRequest start = MemberRequest.start(in.next().orElse(""));
+      String[] words = start.text().split(" ");
+      String refusal = refusal(words);
       if (!refusal.isEmpty()) {
-        send(out, "ERR " + refusal + " " + id + "\r\n");
+        out.send(error(refusal), faults.of(start));
         return;
       }
-      send(out, "READY I " + group.position(id) + "\r\n");
-      recording.onStart(start[2]);
-      serveStatements(in, out, new LineMemberSession(id, group), start[2]);
-    } catch (IOException e) {
-      // The peer closed the connection, which ends the session.
+      LineMemberSession session = new LineMemberSession(id, group, signatures);
+      recording.onStart(words[2]);
+      if (out.send(session.opened(), faults.of(start))) {
+        serveStatements(in, out, session, words[2]);
+      }
+    } catch (IOException | RejectedExecutionException e) {
+      // The peer closed the connection, or the member ends, which ends the session.
     } finally {
       sockets.remove(socket);
     }
   }
 
   private void serveStatements(
-      BufferedReader in, Writer out, LineMemberSession session, String startedFor)
+      LineReader in, AnswerWriter out, LineMemberSession session, String startedFor)
       throws IOException {
-    for (String line = in.readLine(); line != null; line = in.readLine()) {
-      if (line.equals("BYE")) {
+    for (Optional<String> line = in.next(); line.isPresent(); line = in.next()) {
+      if (line.get().equals("BYE")) {
+        return;
+      }
+      Optional<MemberRequest> request = MemberRequest.query(line.get());
+      if (request.isEmpty()) {
+        out.send(error("MALFORMED"), List.of());
         return;
       }
-      String[] parts = line.split(" ", 3);
-      boolean controlStatement = parts[1].equals("-");
-      recording.onStatement(startedFor, parts[1], parts[2]);
-      String reply = session.run(parts[2], sockets.size());
+      out.onRequest(request.get());
+      boolean controlStatement = request.get().id().equals("-");
+      List<AnswerFault> answerFaults = faults.of(request.get());
+      LineAnswer answer = run(session, startedFor, request.get(), answerFaults);
       if (!controlStatement) {
-        pause(answerDelayMillis);
+        AnswerWriter.pause(answerDelayMillis);
       }
       if (!controlStatement && answersToLose.get() > 0 && answersToLose.getAndDecrement() > 0) {
         continue;
       }
-      send(out, reply);
+      if (!out.send(answer, answerFaults)) {
+        return;
+      }
     }
   }
 
-  private static String[] words(String line) {
-    return line == null ? new String[0] : line.split(" ");
+  private LineAnswer run(
+      LineMemberSession session,
+      String startedFor,
+      MemberRequest request,
+      List<AnswerFault> answerFaults) {
+    for (AnswerFault fault : answerFaults) {
+      if (fault instanceof AnswerFault.Refuse refuse) {
+        return session.refuse(refuse.code());
+      }
+    }
+    Optional<String> transaction = session.transaction();
+    Map<String, String> values = session.values();
+    Optional<String> shape = session.shape(request);
+    LineAnswer answer = session.run(request.id(), request.text(), sockets.size());
+    recording.onStatement(
+        new MemberRecording.RanStatement(
+            startedFor, request.id(), request.text(), transaction, values, shape, answer));
+    return answer;
+  }
+
+  private LineAnswer error(String code) {
+    return new LineAnswer(List.of(), "ERR " + code + " " + id, "");
   }
 
   private String refusal(String[] words) {
@@ -133,11 +164,6 @@
     return sockets.size() > maxConnections ? "TOOMANY" : "";
   }
 
-  private static void send(Writer out, String text) throws IOException {
-    out.write(text);
-    out.flush();
-  }
-
   /** Executes the next {@code count} caller statements without answering them. */
   void loseAnswers(int count) {
     answersToLose.set(count);
@@ -148,13 +174,9 @@
     answerDelayMillis = millis;
   }
 
-  private static void pause(long millis) throws InterruptedIOException {
-    try {
-      Thread.sleep(millis);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new InterruptedIOException();
-    }
+  /** The faults of the answers; there are none unless they are added. */
+  AnswerFaults faults() {
+    return faults;
   }
 
   /** The connections that were started and the statements that were run so far. */
@@ -185,6 +207,7 @@
       socket.close();
     }
     threads.shutdownNow();
+    timer.shutdownNow();
   }
 
   /**
