--- a/net/src/test/java/org/sardinebay/net/peer/PeerTransportTest.java
+++ b/net/src/test/java/org/sardinebay/net/peer/PeerTransportTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -70,6 +72,28 @@
       assertThat(term(longCall)).isEqualTo(11);
       assertThat(registry.counter(PeerClient.DROPPED_ANSWERS).count()).isEqualTo(1);
     }
+
+    @Test
+    void should_be_dropped_and_counted_when_they_arrive_again_after_the_next_call()
+        throws Exception {
+      try (ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+        Address address = new Address("127.0.0.1", server.getLocalPort());
+        CompletableFuture<PeerResult> first = client.call(address, call(1), LONG_MILLIS);
+        try (Socket socket = server.accept()) {
+          Frame firstReply = correlated(receive(socket), 11);
+          send(socket, firstReply);
+          assertThat(term(first)).isEqualTo(11);
+          CompletableFuture<PeerResult> second = client.call(address, call(2), LONG_MILLIS);
+          Frame secondReply = correlated(receive(socket), 22);
+
+          send(socket, firstReply);
+          send(socket, secondReply);
+
+          assertThat(term(second)).isEqualTo(22);
+          assertThat(registry.counter(PeerClient.DROPPED_ANSWERS).count()).isEqualTo(1);
+        }
+      }
+    }
   }
 
   @Nested
@@ -145,6 +169,21 @@
     }
   }
 
+  private static Frame receive(Socket socket) throws IOException {
+    DataInputStream in = new DataInputStream(socket.getInputStream());
+    return Frame.parseFrom(in.readNBytes(in.readInt()));
+  }
+
+  private static void send(Socket socket, Frame frame) throws IOException {
+    DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+    out.writeInt(frame.getSerializedSize());
+    out.write(frame.toByteArray());
+  }
+
+  private static Frame correlated(Frame call, long term) {
+    return reply(term).toBuilder().setCorrelation(call.getCorrelation()).build();
+  }
+
   private static Frame call(long term) {
     return Frame.newBuilder().setSuspicionCall(SuspicionCall.newBuilder().setTerm(term)).build();
   }
