A deletion that a peer has sent before gets no second version

Cause: StoreFeeds.versionTombstone gave each deletion event a version above the one held, also if the one held was the tombstone of that deletion, from a peer or from an event that arrived twice. The second version can be that of the next creation under the same name, which ConfigStore then ignores as not newer: the host or member is missing until the next listing.

A deletion whose own version is that of the tombstone held is now dropped.

--- a/core/src/main/java/org/sardinebay/internal/version/ConfigStore.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ConfigStore.java
@@ -98,6 +98,19 @@
     }
   }
 
+  /**
+   * Returns whether a record was deleted.
+   *
+   * @param key the record's key
+   * @return true if a tombstone is stored
+   */
+  public boolean deleted(ObjectKey key) {
+    synchronized (records) {
+      VersionedRecord stored = records.get(key);
+      return stored != null && stored.deleted();
+    }
+  }
+
   /**
    * Returns the records that another process is missing.
    *
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
@@ -155,14 +155,16 @@
   /**
    * Gives a deletion a version above the one held, so that it replaces the record, but below that
    * of any later creation under the same name, which may follow at once. A deletion of an object
-   * that is not held, or older than the version held, is dropped.
+   * that is not held, or older than the version held, is dropped, and so is one that a peer has
+   * sent before.
    */
   private Optional<PlatformObject> versionTombstone(PlatformObject object) {
     if (!object.deleted()) {
       return Optional.of(object);
     }
     long held = records.version(object.key());
-    return held == 0 || object.version() < held
+    boolean known = object.version() == held && records.deleted(object.key());
+    return held == 0 || object.version() < held || known
         ? Optional.empty()
         : Optional.of(tombstone(object.key(), Math.max(held + 1, object.version())));
   }
--- a/gateway/src/test/java/org/sardinebay/gateway/internal/version/StoreFeedsTest.java
+++ b/gateway/src/test/java/org/sardinebay/gateway/internal/version/StoreFeedsTest.java
@@ -74,5 +74,13 @@
                   host("host-1", 5, false), host("host-1", 6, true), host("host-1", 7, false)))
           .hasSize(1);
     }
+
+    @Test
+    void should_keep_a_host_that_is_created_after_a_deletion_that_arrived_twice() {
+      adapter.mergeAll(List.of(host("host-1", 5, false)));
+      adapter.mergeAll(List.of(host("host-1", 6, true)));
+
+      assertThat(hostsAfter(host("host-1", 6, true), host("host-1", 7, false))).hasSize(1);
+    }
   }
 }
