--- a/standins/src/main/java/org/sardinebay/standins/impeller/AnswerWriter.java
+++ b/standins/src/main/java/org/sardinebay/standins/impeller/AnswerWriter.java
@@ -5,8 +5,8 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -19,9 +19,9 @@
   private final AnswerFaults faults;
   private final ScheduledExecutorService timer;
   private final List<Held> beforeRequest = new ArrayList<>();
-  private final List<byte[]> afterNext = new ArrayList<>();
+  private final List<String> afterNext = new ArrayList<>();
 
-  private record Held(byte[] bytes, Predicate<MemberRequest> requests) {}
+  private record Held(String text, Predicate<MemberRequest> requests) {}
 
   AnswerWriter(OutputStream out, AnswerFaults faults, ScheduledExecutorService timer) {
     this.out = out;
@@ -34,73 +34,70 @@
     List<Held> due = beforeRequest.stream().filter(held -> held.requests.test(request)).toList();
     beforeRequest.removeAll(due);
     for (Held held : due) {
-      repeat(held.bytes);
+      repeat(held.text);
     }
   }
 
   /** Sends an answer. Returns false if the connection has to be closed. */
   boolean send(LineAnswer answer, List<AnswerFault> answerFaults) throws IOException {
-    byte[] bytes = bytes(answer.text());
+    String text = answer.text();
     for (AnswerFault fault : answerFaults) {
       if (fault instanceof AnswerFault.Delay delay) {
         pause(delay.millis());
       } else if (fault instanceof AnswerFault.CutBytes cut) {
-        write(Arrays.copyOf(bytes, Math.min(cut.bytes(), bytes.length)));
+        write(text.substring(0, Math.min(cut.bytes(), text.length())));
         return !cut.closes();
       } else if (fault instanceof AnswerFault.CutLines cut) {
         write(firstLines(answer, cut.lines()));
         return !cut.closes();
       }
     }
-    writeWithRepeated(bytes);
-    answerFaults.forEach(fault -> holdRepeated(bytes, fault));
+    writeWithRepeated(text);
+    answerFaults.forEach(fault -> holdRepeated(text, fault));
     return true;
   }
 
-  private synchronized void writeWithRepeated(byte[] bytes) throws IOException {
-    write(bytes);
-    for (byte[] earlier : afterNext) {
+  private synchronized void writeWithRepeated(String text) throws IOException {
+    write(text);
+    for (String earlier : afterNext) {
       repeat(earlier);
     }
     afterNext.clear();
   }
 
-  private synchronized void holdRepeated(byte[] bytes, AnswerFault fault) {
+  private synchronized void holdRepeated(String text, AnswerFault fault) {
     if (fault instanceof AnswerFault.RepeatBefore before) {
-      beforeRequest.add(new Held(bytes, before.requests()));
+      beforeRequest.add(new Held(text, before.requests()));
     } else if (fault instanceof AnswerFault.RepeatAfterNext) {
-      afterNext.add(bytes);
+      afterNext.add(text);
     } else if (fault instanceof AnswerFault.RepeatLater later) {
-      timer.schedule(() -> repeatLate(bytes), later.millis(), TimeUnit.MILLISECONDS);
+      Future<?> unused =
+          timer.schedule(() -> repeatLate(text), later.millis(), TimeUnit.MILLISECONDS);
     }
   }
 
-  private void repeatLate(byte[] bytes) {
+  private void repeatLate(String text) {
     try {
-      repeat(bytes);
+      repeat(text);
     } catch (IOException e) {
       // The connection was closed before the answer was sent again.
     }
   }
 
-  private void repeat(byte[] bytes) throws IOException {
-    write(bytes);
+  private void repeat(String text) throws IOException {
+    write(text);
     faults.onRepeated();
   }
 
-  private synchronized void write(byte[] bytes) throws IOException {
-    out.write(bytes);
+  private synchronized void write(String text) throws IOException {
+    out.write(text.getBytes(StandardCharsets.ISO_8859_1));
     out.flush();
   }
 
-  private static byte[] firstLines(LineAnswer answer, int count) {
+  private static String firstLines(LineAnswer answer, int count) {
     StringBuilder text = new StringBuilder();
     answer.lines().stream().limit(count).forEach(line -> text.append(line).append(TERMINATOR));
-    return bytes(text.toString());
-  }
-
-  private static byte[] bytes(String text) {
-    return text.getBytes(StandardCharsets.ISO_8859_1);
+    return text.toString();
   }
 
   static void pause(long millis) throws InterruptedIOException {
--- a/standins/src/test/java/org/sardinebay/standins/impeller/AnswerFaultsTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/AnswerFaultsTest.java
@@ -4,7 +4,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Predicate;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -12,8 +11,6 @@
 import org.sardinebay.standins.platform.FreePorts;
 
 class AnswerFaultsTest {
-  private static final Predicate<MemberRequest> READ = request -> request.kind().equals("READ");
-
   private final MemberGroup group = new MemberGroup(Clock.system());
   private LineMember member;
   private LineCaller caller;
@@ -32,9 +29,13 @@
     member.close();
   }
 
+  private static boolean reads(MemberRequest request) {
+    return request.kind().equals("READ");
+  }
+
   @Test
   void should_send_an_answer_again_before_the_next_one() throws Exception {
-    member.faults().nth(READ, 1, AnswerFault.repeatBeforeNext());
+    member.faults().nth(AnswerFaultsTest::reads, 1, AnswerFault.repeatBeforeNext());
     List<String> first = caller.query("READ a");
 
     assertThat(caller.query("WRITE a 1")).isEqualTo(first);
@@ -46,7 +47,10 @@
   void should_send_an_answer_again_before_the_request_that_is_awaited() throws Exception {
     member
         .faults()
-        .nth(READ, 1, new AnswerFault.RepeatBefore(request -> request.kind().equals("COMMIT")));
+        .nth(
+            AnswerFaultsTest::reads,
+            1,
+            new AnswerFault.RepeatBefore(request -> request.kind().equals("COMMIT")));
     List<String> first = caller.query("READ a");
 
     assertThat(caller.query("BEGIN")).startsWith("DONE -");
@@ -55,7 +59,7 @@
 
   @Test
   void should_send_an_answer_again_after_the_next_one() throws Exception {
-    member.faults().nth(READ, 1, new AnswerFault.RepeatAfterNext());
+    member.faults().nth(AnswerFaultsTest::reads, 1, new AnswerFault.RepeatAfterNext());
     List<String> first = caller.query("READ a");
     caller.query("WRITE a 1");
 
@@ -64,7 +68,7 @@
 
   @Test
   void should_send_an_answer_again_later() throws Exception {
-    member.faults().nth(READ, 1, new AnswerFault.RepeatLater(20));
+    member.faults().nth(AnswerFaultsTest::reads, 1, new AnswerFault.RepeatLater(20));
     List<String> first = caller.query("READ a");
 
     assertThat(List.of(caller.readLine(), caller.readLine(), caller.readLine())).isEqualTo(first);
@@ -80,14 +84,16 @@
 
   @Test
   void should_cut_an_answer_after_some_bytes_and_close() throws Exception {
-    member.faults().nth(READ, 1, new AnswerFault.CutBytes("ROW -{}\r\nDO".length(), true));
+    member
+        .faults()
+        .nth(AnswerFaultsTest::reads, 1, new AnswerFault.CutBytes("ROW -{}\r\nDO".length(), true));
 
     assertThat(caller.query("READ a")).containsExactly("ROW -{}", "closed");
   }
 
   @Test
   void should_cut_an_answer_after_some_lines_and_go_on() throws Exception {
-    member.faults().nth(READ, 1, new AnswerFault.CutLines(1, false));
+    member.faults().nth(AnswerFaultsTest::reads, 1, new AnswerFault.CutLines(1, false));
     caller.send("QUERY a READ a\r\n");
 
     assertThat(caller.query("SET a b")).containsExactly("ROW -{}", "DONE -", "READY I 1.0");
@@ -107,7 +113,7 @@
     List<List<Boolean>> selections = new ArrayList<>();
     for (int run = 0; run < 2; run++) {
       AnswerFaults faults = new AnswerFaults();
-      faults.share(READ, 0.3, 7, new AnswerFault.Delay(1));
+      faults.share(AnswerFaultsTest::reads, 0.3, 7, new AnswerFault.Delay(1));
       List<Boolean> selected = new ArrayList<>();
       for (int i = 0; i < 100; i++) {
         selected.add(!faults.of(new MemberRequest("READ", "q", "READ a")).isEmpty());
--- a/standins/src/test/java/org/sardinebay/standins/impeller/CutAnswersTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/CutAnswersTest.java
@@ -36,7 +36,7 @@
     int i = 0;
     for (int bytes : BYTES) {
       for (String text : new String[] {"READ a", "WRITE b " + i++}) {
-        cut(text.split(" ")[0], new AnswerFault.CutBytes(bytes, closes));
+        cut(text.split(" ", 2)[0], new AnswerFault.CutBytes(bytes, closes));
         try (RecordedCaller caller = gateway.caller("strict")) {
           assertThat(caller.query(text).succeeded()).as(text + " after " + bytes).isFalse();
         }
@@ -49,7 +49,7 @@
   @ParameterizedTest
   @ValueSource(strings = {"READ a", "WRITE b 1"})
   void should_not_succeed_for_the_caller_without_their_last_line(String text) throws Exception {
-    cut(text.split(" ")[0], new AnswerFault.CutLines(text.startsWith("READ") ? 2 : 1, true));
+    cut(text.split(" ", 2)[0], new AnswerFault.CutLines(text.startsWith("READ") ? 2 : 1, true));
     try (RecordedCaller caller = gateway.caller("strict")) {
       assertThat(caller.query(text).succeeded()).isFalse();
     }
--- a/standins/src/test/java/org/sardinebay/standins/impeller/RuleCheck.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/RuleCheck.java
@@ -171,7 +171,7 @@
   }
 
   private static boolean promisedNothing(Attempt attempt) {
-    String[] words = attempt.outcome().split(" ");
+    String[] words = attempt.outcome().split(" ", 3);
     return words[0].equals("ERR") && PROMISES.contains(words[1]);
   }
 }
