Test of a repeated error holds it until a write takes it

In one run of three, the error of a refused read that came again was taken by another request than the write, so that one of the two cases of should_not_be_refused_if_they_ran_and_an_error_comes_again passed on the present code.

--- a/standins/src/test/java/org/sardinebay/standins/impeller/RepeatedAnswersTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/RepeatedAnswersTest.java
@@ -150,7 +150,7 @@
           gateway.faults(
               faults -> {
                 faults.each(kind("READ"), new AnswerFault.Refuse(code));
-                faults.each(kind("READ"), BEFORE_NEXT);
+                faults.each(kind("READ"), new AnswerFault.RepeatBefore(kind("WRITE")));
               });
           reader.query("READ a");
           gateway.faults(AnswerFaults::clear);
