A success without a signature from another host is no success

Cause: a home of an older version passes DONE - on for a read, write or commit, and ForwardedRun gave it to the caller (MIXED) during an upgrade.

Change: such a reply is IN_DOUBT if the statement may have had an effect, else FAILED, or ABORTED in a transaction. Messages between hosts are unchanged.

Evidence: by reading; no test plays two builds side by side.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/SessionReply.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/SessionReply.java
@@ -11,7 +11,19 @@
    * @param rows the rows
    * @param signature the member's signature
    */
-  record Success(List<String> rows, String signature) implements SessionReply {}
+  record Success(List<String> rows, String signature) implements SessionReply {
+    /** In place of a signature, from hosts of older versions. */
+    private static final String NO_SIGNATURE = "-";
+
+    /**
+     * Whether the member has signed the answer.
+     *
+     * @return false if the success is not proven
+     */
+    public boolean signed() {
+      return !signature.isEmpty() && !signature.equals(NO_SIGNATURE);
+    }
+  }
 
   /**
    * The statement failed.
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardedRun.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/ForwardedRun.java
@@ -208,11 +208,18 @@
   }
 
   /**
-   * A failure that this version doesn't know, of a write that was sent: it may have had an effect.
+   * Replaces what proves nothing: a success without a member's signature, as hosts of older
+   * versions may send it, and a failure of a write that this version doesn't know. A write that was
+   * sent may have had an effect.
    */
   private SessionReply settle(SessionReply reply) {
     boolean mayHaveEffect =
         transaction.isEmpty() ? request.writes() : request.commits() && transaction.get().wrote();
+    if (reply instanceof SessionReply.Success success && !success.signed()) {
+      ErrorCode withoutEffect = transaction.isEmpty() ? ErrorCode.FAILED : ErrorCode.ABORTED;
+      return new SessionReply.Failure(
+          mayHaveEffect ? ErrorCode.IN_DOUBT : withoutEffect, "the answer has no signature");
+    }
     return mayHaveEffect
             && reply instanceof SessionReply.Failure failure
             && failure.code() == ErrorCode.UNKNOWN
