A closed session still gets the rest of its last answer

What callers saw: a connection that a host ends after a statement (a stop, a withdrawn key) could end in the middle of the answer, if the answer was longer than the socket's buffer took at once.

Cause: LineChannel.close() closed the socket at once, and the socket drops what waits to be written.

Change: the socket is closed when everything sent has been written, or after 10 s if the peer does not read. reset() still closes at once.

Measured: the new test failed before the change (3,919,872 of 33,554,432 bytes received) and passes with it, as does the verification of the gateway module and those it needs (known reds left out).

Open: at the end of a stop the event loop closes all channels, also those that are still sending.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/LineChannel.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/LineChannel.java
@@ -30,6 +30,9 @@
   private static final String TERMINATOR = "\r\n";
   private static final int INITIAL_BUFFER_BYTES = 512;
 
+  /** How long a closed channel waits for a peer that doesn't read, in milliseconds. */
+  private static final long UNSENT_TIMEOUT_MILLIS = 10_000;
+
   /** Receives the lines and the end of the connection. */
   public interface Listener {
     /**
@@ -96,7 +99,9 @@
 
   private void onSent(int bytes) {
     unsentBytes -= bytes;
-    if (readingPaused && unsentBytes <= maxLineBytes) {
+    if (closed) {
+      closeIfSent();
+    } else if (readingPaused && unsentBytes <= maxLineBytes) {
       readingPaused = false;
       readNext();
     }
@@ -107,10 +112,22 @@
     return pendingLength > 0;
   }
 
-  /** Closes the connection; data already sent is still delivered. */
+  /** Closes the connection as soon as the data already sent is on its way. */
   public void close() {
+    if (closed) {
+      return;
+    }
     closed = true;
-    socket.close();
+    closeIfSent();
+    if (unsentBytes > 0) {
+      socket.getReactor().delayBackground(UNSENT_TIMEOUT_MILLIS, socket::close);
+    }
+  }
+
+  private void closeIfSent() {
+    if (unsentBytes == 0) {
+      socket.close();
+    }
   }
 
   /** Closes the connection and discards the data in transit in both directions. */
@@ -121,7 +138,8 @@
       } catch (IOException e) {
         LOG.atDebug().setMessage("linger_not_set").addKeyValue("cause", e.getMessage()).log();
       }
-      close();
+      closed = true;
+      socket.close();
     }
   }
 
--- a/gateway/src/test/java/org/sardinebay/gateway/internal/connection/LineChannelTest.java
+++ b/gateway/src/test/java/org/sardinebay/gateway/internal/connection/LineChannelTest.java
@@ -38,7 +38,10 @@
   private Thread thread;
   private InetSocketAddress address;
 
-  /** Answers each line with a long one, and fails on the line "fail". */
+  /** More than the sockets' buffers of both ends hold. */
+  private static final int LAST_ANSWER_BYTES = SOCKET_BUFFER_BYTES;
+
+  /** Answers each line with a long one, fails on the line "fail", and closes after "last". */
   private final class Answerer implements LineChannel.Listener {
     private Optional<LineChannel> channel = Optional.empty();
 
@@ -48,6 +51,11 @@
         throw new IllegalStateException("a line that is not expected");
       }
       received.incrementAndGet();
+      if (line.equals("last")) {
+        channel.orElseThrow().send("x".repeat(LAST_ANSWER_BYTES));
+        channel.orElseThrow().close();
+        return;
+      }
       channel.orElseThrow().send("x".repeat(ANSWER_BYTES));
     }
 
@@ -138,4 +146,14 @@
       throw new AssertionError("the connection was left open", e);
     }
   }
+
+  @Test
+  void should_deliver_the_whole_answer_before_the_connection_is_closed() throws Exception {
+    try (Socket socket = connect()) {
+      send(socket, "last\r\n");
+      BufferedReader in = reader(socket);
+      assertThat(in.readLine()).hasSize(LAST_ANSWER_BYTES);
+      assertThat(in.readLine()).isNull();
+    }
+  }
 }
