--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/LineChannel.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/LineChannel.java
@@ -26,6 +26,9 @@
 public final class LineChannel {
   private static final Logger LOG = LoggerFactory.getLogger(LineChannel.class);
 
+  /** How long a closed channel waits for a peer that doesn't read, in milliseconds. */
+  private static final long UNSENT_TIMEOUT_MILLIS = 10_000;
+
   /** Receives the lines and the end of the connection. */
   public interface Listener {
     /**
@@ -101,7 +104,9 @@
 
   private void onSent(int bytes) {
     unsentBytes -= bytes;
-    if (readingPaused && unsentBytes <= maxLineBytes) {
+    if (closed) {
+      closeIfSent();
+    } else if (readingPaused && unsentBytes <= maxLineBytes) {
       readingPaused = false;
       readNext();
     }
@@ -112,10 +117,22 @@
     return framing.hasPartialLine();
   }
 
-  /** Closes the connection; data already sent is still delivered. */
+  /** Closes the connection as soon as the data already sent is on its way. */
   public void close() {
+    if (closed) {
+      return;
+    }
     closed = true;
-    socket.close();
+    closeIfSent();
+    if (unsentBytes > 0) {
+      socket.getReactor().delayBackground(UNSENT_TIMEOUT_MILLIS, socket::close);
+    }
+  }
+
+  private void closeIfSent() {
+    if (unsentBytes == 0) {
+      socket.close();
+    }
   }
 
   /** Closes the connection and discards the data in transit in both directions. */
@@ -126,7 +143,8 @@
       } catch (IOException e) {
         LOG.atDebug().setMessage("linger_not_set").addKeyValue("cause", e.getMessage()).log();
       }
-      close();
+      closed = true;
+      socket.close();
     }
   }
 
--- a/gateway/src/test/java/org/sardinebay/gateway/internal/connection/LineChannelTest.java
+++ b/gateway/src/test/java/org/sardinebay/gateway/internal/connection/LineChannelTest.java
@@ -43,9 +43,12 @@
   private Thread thread;
   private InetSocketAddress address;
 
+  /** More than the sockets' buffers of both ends hold. */
+  private static final int LAST_ANSWER_BYTES = SOCKET_BUFFER_BYTES;
+
   /**
-   * Answers each line with a long one, fails on the line "fail", and answers "split" with a text
-   * that holds a terminator.
+   * Answers each line with a long one, fails on the line "fail", answers "split" with a text that
+   * holds a terminator, and closes after "last".
    */
   private final class Answerer implements LineChannel.Listener {
     private Optional<LineChannel> channel = Optional.empty();
@@ -61,6 +64,11 @@
         channel.orElseThrow().send("DONE a", "ROW b\r\nDONE c");
         return;
       }
+      if (line.equals("last")) {
+        channel.orElseThrow().send("x".repeat(LAST_ANSWER_BYTES));
+        channel.orElseThrow().close();
+        return;
+      }
       channel.orElseThrow().send("x".repeat(ANSWER_BYTES));
     }
 
@@ -205,4 +213,14 @@
       assertThat(closed.get()).isEqualTo(1);
     }
   }
+
+  @Test
+  void should_deliver_the_whole_answer_before_the_connection_is_closed() throws Exception {
+    try (Socket socket = connect()) {
+      send(socket, "last\r\n");
+      BufferedReader in = reader(socket);
+      assertThat(in.readLine()).hasSize(LAST_ANSWER_BYTES);
+      assertThat(in.readLine()).isNull();
+    }
+  }
 }
