--- a/core/src/main/java/org/sardinebay/internal/connection/AnswerKind.java
+++ b/core/src/main/java/org/sardinebay/internal/connection/AnswerKind.java
@@ -4,8 +4,10 @@
 public enum AnswerKind {
   /** The start of the session: a ready message alone. */
   SESSION_START,
-  /** A read or write: rows and the member's signature. */
-  STATEMENT,
+  /** A read: rows and the member's signature. */
+  READ,
+  /** A write: the member's signature. */
+  WRITE,
   /** A commit: the member's signature, and no transaction is open. */
   COMMIT,
   /** A change of values or prepared statements: no rows, no signature. */
@@ -18,6 +20,6 @@
   STATUS;
 
   boolean signed() {
-    return this == STATEMENT || this == COMMIT;
+    return this == READ || this == WRITE || this == COMMIT;
   }
 }
--- a/core/src/main/java/org/sardinebay/internal/connection/AnswerMatcher.java
+++ b/core/src/main/java/org/sardinebay/internal/connection/AnswerMatcher.java
@@ -16,7 +16,7 @@
  * one again at any later time.
  *
  * <pre>{@code
- * matcher.expect(AnswerKind.STATEMENT);
+ * matcher.expect(AnswerKind.READ);
  * AnswerMatcher.Result result = matcher.accept(message);
  * }</pre>
  *
@@ -182,8 +182,7 @@
    * @return the error that was received without the message that ends an answer, if any
    */
   public Optional<Matched> end() {
-    Optional<MemberMessage.Failed> last = failure.filter(f -> awaiting());
-    if (last.isEmpty()) {
+    if (failure.isEmpty() || !expected.equals(Optional.of(AnswerKind.SESSION_START))) {
       return Optional.empty();
     }
     Result result = accept(new MemberMessage.Ready(TransactionState.FAILED, Optional.empty()));
@@ -255,8 +254,8 @@
     if (earlier != null) {
       return earlier == rowsHash ? passOver() : OUT_OF_STEP;
     }
-    boolean commitWithRows = kind == AnswerKind.COMMIT && !answer.rows().isEmpty();
-    if (!kind.signed() || answer.ready().state() != stateAfter(kind) || commitWithRows) {
+    boolean rowsOfAnother = kind != AnswerKind.READ && !answer.rows().isEmpty();
+    if (!kind.signed() || answer.ready().state() != stateAfter(kind) || rowsOfAnother) {
       return OUT_OF_STEP;
     }
     return beginsLikeAnother(answer.rows(), rowsHash) ? UNPROVEN : answer;
--- a/core/src/main/java/org/sardinebay/internal/request/RetryPolicy.java
+++ b/core/src/main/java/org/sardinebay/internal/request/RetryPolicy.java
@@ -88,9 +88,8 @@
           ? new Step.Retry()
           : giveUp(refused.code(), refused.text());
     }
-    // A commit is the last request of its connection, so the answer to an earlier attempt is as
-    // good
-    // as the answer to this one.
+    // A commit is the last request of its connection, and the outcome of one attempt is that of the
+    // transaction, so a late answer to an earlier attempt does no harm.
     if (mayRetry
         && commits
         && outcome instanceof AttemptOutcome.Unproven unproven
@@ -109,6 +108,7 @@
           mayRetry ? new Step.Retry() : FinalAnswers.allMembersRefused();
       case TIMEOUT, FAILED ->
           writes || !mayRetry ? giveUp(refused.code(), refused.text()) : new Step.Retry();
+      case UNKNOWN -> writes ? FinalAnswers.writeInDoubt() : giveUp(refused.code(), refused.text());
       default -> giveUp(refused.code(), refused.text());
     };
   }
--- a/core/src/test/java/org/sardinebay/internal/connection/AnswerMatcherTest.java
+++ b/core/src/test/java/org/sardinebay/internal/connection/AnswerMatcherTest.java
@@ -78,7 +78,7 @@
     @Test
     void should_match_rows_and_signature() {
       AnswerMatcher.Matched read =
-          matched(exchange(AnswerKind.STATEMENT, row("a"), row("b"), done("s1"), idle(1)));
+          matched(exchange(AnswerKind.READ, row("a"), row("b"), done("s1"), idle(1)));
 
       assertThat(read.rows()).containsExactly("a", "b");
       assertThat(read.signature()).contains("s1");
@@ -88,9 +88,9 @@
 
     @Test
     void should_pass_over_an_answer_that_comes_twice() {
-      exchange(AnswerKind.STATEMENT, row("a"), done("s1"), idle(1));
+      exchange(AnswerKind.READ, row("a"), done("s1"), idle(1));
 
-      assertThat(exchange(AnswerKind.STATEMENT, row("a"), done("s1"), idle(1)))
+      assertThat(exchange(AnswerKind.READ, row("a"), done("s1"), idle(1)))
           .isEqualTo(new AnswerMatcher.Repeated());
       assertThat(matched(answer(row("b"), done("s2"), idle(1))).rows()).containsExactly("b");
       assertThat(matcher.reusable()).isFalse();
@@ -98,7 +98,7 @@
 
     @Test
     void should_not_take_an_acknowledgement_for_the_success_of_a_statement() {
-      assertThat(exchange(AnswerKind.STATEMENT, done(), idle(1)))
+      assertThat(exchange(AnswerKind.READ, done(), idle(1)))
           .isEqualTo(rejected(Reason.OUT_OF_STEP));
     }
 
@@ -106,30 +106,38 @@
     void should_pass_over_a_late_acknowledgement_of_the_preparation() {
       exchange(AnswerKind.SESSION_STATE, done(), idle(1));
 
-      assertThat(exchange(AnswerKind.STATEMENT, done(), idle(1)))
+      assertThat(exchange(AnswerKind.READ, done(), idle(1)))
           .isEqualTo(new AnswerMatcher.Repeated());
       assertThat(matched(answer(row("a"), done("s1"), idle(1))).signature()).contains("s1");
     }
 
     @Test
     void should_reject_a_known_signature_with_other_rows() {
-      exchange(AnswerKind.STATEMENT, row("a"), done("s1"), idle(1));
+      exchange(AnswerKind.READ, row("a"), done("s1"), idle(1));
 
-      assertThat(exchange(AnswerKind.STATEMENT, row("b"), done("s1"), idle(1)))
+      assertThat(exchange(AnswerKind.READ, row("b"), done("s1"), idle(1)))
           .isEqualTo(rejected(Reason.OUT_OF_STEP));
     }
 
     @Test
     void should_not_join_the_rows_of_a_repetition_that_was_cut_off() {
-      exchange(AnswerKind.STATEMENT, row("a"), done("s1"), idle(1));
+      exchange(AnswerKind.READ, row("a"), done("s1"), idle(1));
 
-      assertThat(exchange(AnswerKind.STATEMENT, row("a"), row("b"), done("s2"), idle(1)))
+      assertThat(exchange(AnswerKind.READ, row("a"), row("b"), done("s2"), idle(1)))
           .isEqualTo(rejected(Reason.UNPROVEN));
     }
 
+    @Test
+    void should_reject_a_write_with_the_rows_of_a_repetition_that_was_cut_off() {
+      exchange(AnswerKind.READ, row("a"), done("s1"), idle(1));
+
+      assertThat(exchange(AnswerKind.WRITE, row("a"), done("s2"), idle(1)))
+          .isEqualTo(rejected(Reason.OUT_OF_STEP));
+    }
+
     @Test
     void should_reject_a_commit_with_rows() {
-      exchange(AnswerKind.STATEMENT, row("a"), done("s1"), idle(1));
+      exchange(AnswerKind.READ, row("a"), done("s1"), idle(1));
 
       assertThat(exchange(AnswerKind.COMMIT, row("a"), done("s2"), idle(1)))
           .isEqualTo(rejected(Reason.OUT_OF_STEP));
@@ -137,9 +145,9 @@
 
     @Test
     void should_match_rows_that_were_read_before() {
-      exchange(AnswerKind.STATEMENT, row("a"), row("b"), done("s1"), idle(1));
+      exchange(AnswerKind.READ, row("a"), row("b"), done("s1"), idle(1));
 
-      assertThat(matched(exchange(AnswerKind.STATEMENT, row("a"), row("b"), done("s2"), idle(1))))
+      assertThat(matched(exchange(AnswerKind.READ, row("a"), row("b"), done("s2"), idle(1))))
           .isNotNull();
     }
 
@@ -147,7 +155,7 @@
     void should_reject_a_statement_that_ran_outside_its_transaction() {
       exchange(AnswerKind.TRANSACTION_START, done(), open(1));
 
-      assertThat(exchange(AnswerKind.STATEMENT, row("a"), done("s1"), idle(1)))
+      assertThat(exchange(AnswerKind.READ, row("a"), done("s1"), idle(1)))
           .isEqualTo(rejected(Reason.OUT_OF_STEP));
     }
 
@@ -155,7 +163,7 @@
     void should_give_a_connection_up_before_its_history_grows_without_bound() {
       for (int i = 0; i < AnswerMatcher.MAX_REMEMBERED_ANSWERS; i++) {
         assertThat(matcher.reusable()).isTrue();
-        exchange(AnswerKind.STATEMENT, row("a"), done("s" + i), idle(1));
+        exchange(AnswerKind.READ, row("a"), done("s" + i), idle(1));
       }
       assertThat(matcher.reusable()).isFalse();
     }
@@ -166,7 +174,7 @@
     @Test
     void should_believe_an_error_that_the_connection_has_not_seen() {
       AnswerMatcher.Matched busy =
-          matched(exchange(AnswerKind.STATEMENT, error(ErrorCode.BUSY), idle(1)));
+          matched(exchange(AnswerKind.READ, error(ErrorCode.BUSY), idle(1)));
 
       assertThat(busy.failure()).isPresent();
       assertThat(busy.proven()).isTrue();
@@ -174,9 +182,9 @@
 
     @Test
     void should_not_believe_an_error_that_reads_like_an_earlier_one() {
-      exchange(AnswerKind.STATEMENT, error(ErrorCode.BUSY), idle(1));
+      exchange(AnswerKind.READ, error(ErrorCode.BUSY), idle(1));
 
-      assertThat(matched(exchange(AnswerKind.STATEMENT, error(ErrorCode.BUSY), idle(1))).proven())
+      assertThat(matched(exchange(AnswerKind.READ, error(ErrorCode.BUSY), idle(1))).proven())
           .isFalse();
       assertThat(matcher.inStep()).isFalse();
       assertThat(matcher.reusable()).isFalse();
@@ -185,22 +193,22 @@
     @Test
     void should_not_believe_an_error_after_a_repeated_answer() {
       exchange(AnswerKind.SESSION_STATE, done(), idle(1));
-      exchange(AnswerKind.STATEMENT, done(), idle(1));
+      exchange(AnswerKind.READ, done(), idle(1));
 
       assertThat(matched(answer(error(ErrorCode.BUSY), idle(1))).proven()).isFalse();
     }
 
     @Test
     void should_not_believe_a_cut_off_error_that_the_repeated_opening_ends() {
-      exchange(AnswerKind.STATEMENT, error(ErrorCode.BUSY), idle(2));
+      exchange(AnswerKind.READ, error(ErrorCode.BUSY), idle(2));
 
-      assertThat(matched(exchange(AnswerKind.STATEMENT, error(ErrorCode.BUSY), idle(1))).proven())
+      assertThat(matched(exchange(AnswerKind.READ, error(ErrorCode.BUSY), idle(1))).proven())
           .isFalse();
     }
 
     @Test
     void should_reject_rows_before_an_error() {
-      assertThat(exchange(AnswerKind.STATEMENT, row("a"), error(ErrorCode.FAILED), idle(1)))
+      assertThat(exchange(AnswerKind.READ, row("a"), error(ErrorCode.FAILED), idle(1)))
           .isEqualTo(rejected(Reason.OUT_OF_STEP));
     }
 
@@ -213,9 +221,18 @@
       assertThat(opening.end()).isPresent();
     }
 
+    @Test
+    void should_not_believe_a_repeated_error_that_the_end_of_the_connection_follows() {
+      exchange(AnswerKind.WRITE, error(ErrorCode.BUSY), idle(1));
+      matcher.expect(AnswerKind.WRITE);
+      matcher.accept(error(ErrorCode.BUSY));
+
+      assertThat(matcher.end()).isEmpty();
+    }
+
     @Test
     void should_not_match_an_answer_that_was_cut_off() {
-      matcher.expect(AnswerKind.STATEMENT);
+      matcher.expect(AnswerKind.READ);
       answer(row("a"), done("s1"));
 
       assertThat(matcher.end()).isEmpty();
@@ -299,28 +316,27 @@
 
     @Test
     void should_reject_messages_in_another_order() {
-      assertThat(exchange(AnswerKind.STATEMENT, done("s1"), row("a")))
+      assertThat(exchange(AnswerKind.READ, done("s1"), row("a")))
           .isEqualTo(rejected(Reason.OUT_OF_STEP));
     }
 
     @Test
     void should_reject_a_message_that_cannot_be_read() {
-      assertThat(exchange(AnswerKind.STATEMENT, new MemberMessage.Unreadable("?")))
+      assertThat(exchange(AnswerKind.READ, new MemberMessage.Unreadable("?")))
           .isEqualTo(rejected(Reason.OUT_OF_STEP));
     }
 
     @Test
     void should_refuse_a_second_request_while_one_is_outstanding() {
-      matcher.expect(AnswerKind.STATEMENT);
+      matcher.expect(AnswerKind.READ);
 
-      assertThatThrownBy(() -> matcher.expect(AnswerKind.STATEMENT))
+      assertThatThrownBy(() -> matcher.expect(AnswerKind.READ))
           .isInstanceOf(IllegalStateException.class);
     }
 
     @Test
     void should_report_an_incomplete_answer() {
-      assertThat(exchange(AnswerKind.STATEMENT, row("a")))
-          .isEqualTo(new AnswerMatcher.Incomplete());
+      assertThat(exchange(AnswerKind.READ, row("a"))).isEqualTo(new AnswerMatcher.Incomplete());
       assertThat(List.of(matcher.awaiting())).containsExactly(true);
     }
   }
--- a/core/src/test/java/org/sardinebay/internal/connection/RepeatedAnswersProperty.java
+++ b/core/src/test/java/org/sardinebay/internal/connection/RepeatedAnswersProperty.java
@@ -72,7 +72,7 @@
       if (kind == AnswerKind.STATUS) {
         messages.add(new MemberMessage.Row("replica 1 1." + position));
       }
-      if (kind == AnswerKind.STATEMENT) {
+      if (kind == AnswerKind.READ) {
         int rows = 1 + random.nextInt(2);
         int item = random.nextInt(3) == 0 ? 0 : request;
         for (int i = 0; i < rows; i++) {
@@ -140,16 +140,20 @@
           ? AnswerKind.COMMIT
           : choice == 1
               ? AnswerKind.ROLLBACK
-              : choice == 2 ? AnswerKind.SESSION_STATE : AnswerKind.STATEMENT;
+              : choice == 2 ? AnswerKind.SESSION_STATE : statement(random);
     }
     return switch (choice) {
       case 0 -> AnswerKind.TRANSACTION_START;
       case 1 -> AnswerKind.STATUS;
       case 2, 3 -> AnswerKind.SESSION_STATE;
-      default -> AnswerKind.STATEMENT;
+      default -> statement(random);
     };
   }
 
+  private static AnswerKind statement(Random random) {
+    return random.nextInt(3) == 0 ? AnswerKind.WRITE : AnswerKind.READ;
+  }
+
   /** Returns whether the request was matched; it then has its own answer. */
   private static boolean matched(
       Member member, AnswerMatcher matcher, AnswerKind kind, int request) {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberConnection.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberConnection.java
@@ -27,7 +27,7 @@
  *
  * <pre>{@code
  * connection.exchange(
- *     protocol.query(id, after, text), AnswerKind.STATEMENT, timeoutMillis, answer -> ...);
+ *     protocol.query(id, after, text), AnswerKind.READ, timeoutMillis, answer -> ...);
  * }</pre>
  */
 public final class MemberConnection implements LineChannel.Listener {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
@@ -36,9 +36,9 @@
   private static final long REOPEN_DELAY_MILLIS = 150;
 
   /**
-   * Delay before another connection is opened, in milliseconds, after one was given up because the
-   * member answered with the same error again: it has no capacity, or lags, and opening a
-   * connection takes capacity.
+   * Delay before another connection is opened while others are left, in milliseconds, after one was
+   * given up because the member answered with the same error again: it has no capacity, or lags,
+   * and opening a connection takes capacity.
    */
   private static final long REOPEN_AFTER_ERRORS_MILLIS = 1_000;
 
@@ -50,6 +50,7 @@
   private final ConnectionOpener opener;
   private MemberEntry entry;
   private long reopenAt = Long.MIN_VALUE;
+  private long reopenAfterErrorsAt = Long.MIN_VALUE;
   private final MemberSilence silence = new MemberSilence();
   private long opened;
   private boolean closed;
@@ -173,8 +174,8 @@
     boolean errorsRepeat = !connection.inStep();
     connection.abort(LossCause.DISCARDED);
     quota.closed();
-    if (errorsRepeat && !connections.isEmpty()) {
-      reopenAt = Math.max(reopenAt, clock.millis() + REOPEN_AFTER_ERRORS_MILLIS);
+    if (errorsRepeat) {
+      reopenAfterErrorsAt = clock.millis() + REOPEN_AFTER_ERRORS_MILLIS;
     }
   }
 
@@ -219,7 +220,11 @@
   }
 
   private boolean mayConnect(int maxOpening) {
-    return !closed && opener.count() < maxOpening && clock.millis() >= reopenAt;
+    long now = clock.millis();
+    return !closed
+        && opener.count() < maxOpening
+        && now >= reopenAt
+        && (connections.isEmpty() || now >= reopenAfterErrorsAt);
   }
 
   /**
@@ -377,7 +382,7 @@
 
     @Override
     public void onEnd(MemberConnection connection, LossCause cause) {
-      if (cause == LossCause.UNPROVEN) {
+      if (cause == LossCause.UNPROVEN || cause == LossCause.OUT_OF_STEP) {
         quota.closed();
       }
       connections.remove(connection);
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
@@ -299,7 +299,7 @@
     unanswered++;
     attempt.connection.exchange(
         context.protocol().query(request.id(), after, context.memberText(request)),
-        request.commits() ? AnswerKind.COMMIT : AnswerKind.STATEMENT,
+        answerKind(),
         attemptTimeoutMillis(),
         answer -> onAnswer(attempt, answer));
     if (replicaRead && !request.writes() && unanswered == 1) {
@@ -307,6 +307,13 @@
     }
   }
 
+  private AnswerKind answerKind() {
+    if (request.commits()) {
+      return AnswerKind.COMMIT;
+    }
+    return request.writes() ? AnswerKind.WRITE : AnswerKind.READ;
+  }
+
   private void hedgeWhenOverdue(Attempt attempt) {
     MemberId member = attempt.connection.member();
     long delayMillis = service.evidence().hedgeDelayMillis(member, statementClass());
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PeerReachability.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PeerReachability.java
@@ -135,7 +135,7 @@
         service.flatMap(s -> s.view().member(member)).map(MemberView::unreachable).orElse(true);
     if (pool.isEmpty() || unreachable) {
       answer.complete(reply(false));
-    } else if (pool.get().silenceMillis(clock.millis()) <= RECENTLY_HEARD_MILLIS) {
+    } else if (heardRecently(pool.get())) {
       answer.complete(reply(true));
     } else {
       service
@@ -143,10 +143,15 @@
           .sendControl(
               pool.get(),
               protocol.statusText(),
-              status -> answer.complete(reply(status.isPresent())));
+              status -> answer.complete(reply(status.isPresent() || heardRecently(pool.get()))));
     }
   }
 
+  /** A status that reads like an earlier one is not accepted, but the member has answered. */
+  private boolean heardRecently(MemberPool pool) {
+    return pool.silenceMillis(clock.millis()) <= RECENTLY_HEARD_MILLIS;
+  }
+
   private static Frame reply(boolean reached) {
     return Frame.newBuilder().setReachReply(ReachReply.newBuilder().setReached(reached)).build();
   }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatusPoller.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatusPoller.java
@@ -68,7 +68,7 @@
   private final Map<MemberId, Long> polledAt = new HashMap<>();
 
   /** Members whose last status equalled an earlier one of its connection, which proves nothing. */
-  private final Set<MemberId> unproven = new HashSet<>();
+  private final Set<MemberId> statusToRepeat = new HashSet<>();
 
   private final Map<MemberId, Integer> slotsBusyElsewhere = new HashMap<>();
 
@@ -91,7 +91,7 @@
     if (!pool.hasIdle()) {
       return false;
     }
-    if (unproven.contains(pool.entry().id()) && pool.hasIdleWithoutStatus()) {
+    if (statusToRepeat.contains(pool.entry().id()) && pool.hasIdleWithoutStatus()) {
       return true;
     }
     long sinceLastPoll = now - polledAt.getOrDefault(pool.entry().id(), Long.MIN_VALUE / 2);
@@ -130,7 +130,7 @@
 
   void poll(MemberPool pool) {
     polledAt.put(pool.entry().id(), clock.millis());
-    unproven.remove(pool.entry().id());
+    statusToRepeat.remove(pool.entry().id());
     sendControl(pool, protocol.statusText(), status -> {});
   }
 
@@ -160,7 +160,7 @@
     if (answer instanceof MemberAnswer.Lost lost) {
       pool.reportLoss(lost.cause());
       if (lost.cause() == LossCause.UNPROVEN) {
-        unproven.add(pool.entry().id());
+        statusToRepeat.add(pool.entry().id());
         pool.open();
       }
       return Optional.empty();
@@ -200,7 +200,7 @@
 
   void remove(MemberId member) {
     polledAt.remove(member);
-    unproven.remove(member);
+    statusToRepeat.remove(member);
     slotsBusyElsewhere.remove(member);
   }
 }
