Read-through: one name, one comment, two missing tests

Cause: inStep() was false after an unproven error, while Reason.OUT_OF_STEP means a message in the wrong place; AnswerMatcher's comment left out what it takes of members; the new cases of RetryPolicy for an unknown error and for a commit without writes had no test.

Change: errorsProven(); the comment; two tests. No behaviour, bound or expectation is changed.

The two tests were not run without the cases that they cover.

--- a/core/src/main/java/org/sardinebay/internal/connection/AnswerMatcher.java
+++ b/core/src/main/java/org/sardinebay/internal/connection/AnswerMatcher.java
@@ -22,9 +22,10 @@
  *
  * <p>A signed answer is proven by a signature that the connection has not seen: it belongs to a
  * request that has not been answered, and only one is outstanding. An answer without a signature is
- * proven if no earlier one reads the same. Acknowledgements often read the same and are accepted
- * unproven: members process the requests of a connection in order, so at worst a statement is sent
- * before the acknowledgement that it follows, which then arrives late and is passed over.
+ * proven if no earlier one reads the same; of a status, only the row is compared. Acknowledgements
+ * often read the same and are accepted unproven: members process the requests of a connection in
+ * order, so the true one then arrives while the next request is outstanding and is passed over.
+ * This relies on members that don't answer SESSION_STATE and ROLLBACK with an error.
  *
  * <p>After a {@link Rejected} result the connection can't be used any more, since a later answer
  * may be the rejected request's.
@@ -90,7 +91,9 @@
   /** Hash codes of the rows of each answer, by the hash code of its first row. */
   private final Map<Integer, Integer> rowsByFirstRow = new HashMap<>();
 
+  /** The errors so far; empty for an acknowledgement. */
   private final Set<Optional<MemberMessage.Failed>> outcomes = new HashSet<>();
+
   private final Set<Unsigned> unsigned = new HashSet<>();
   private Optional<MemberMessage.Ready> opening = Optional.empty();
   private Optional<AnswerKind> expected = Optional.empty();
@@ -137,11 +140,11 @@
   }
 
   /**
-   * Whether the next answer can only be the one to the next request.
+   * Whether each error so far was shown to be the answer to its request.
    *
-   * @return false after an error without proof
+   * @return false if the next answer may be the one to a request that seemed to have failed
    */
-  public boolean inStep() {
+  public boolean errorsProven() {
     return !unprovenError;
   }
 
--- a/core/src/test/java/org/sardinebay/internal/connection/AnswerMatcherTest.java
+++ b/core/src/test/java/org/sardinebay/internal/connection/AnswerMatcherTest.java
@@ -186,7 +186,7 @@
 
       assertThat(matched(exchange(AnswerKind.READ, error(ErrorCode.BUSY), idle(1))).proven())
           .isFalse();
-      assertThat(matcher.inStep()).isFalse();
+      assertThat(matcher.errorsProven()).isFalse();
       assertThat(matcher.reusable()).isFalse();
     }
 
--- a/core/src/test/java/org/sardinebay/internal/connection/RepeatedAnswersProperty.java
+++ b/core/src/test/java/org/sardinebay/internal/connection/RepeatedAnswersProperty.java
@@ -114,7 +114,7 @@
       AnswerKind kind = request == 0 ? AnswerKind.SESSION_START : kind(random, matcher.state());
       matcher.expect(kind);
       member.answer(request, kind);
-      if (!matched(member, matcher, kind, request) || !matcher.inStep()) {
+      if (!matched(member, matcher, kind, request) || !matcher.errorsProven()) {
         return;
       }
       if (matcher.state() == TransactionState.IDLE && !matcher.reusable()) {
--- a/core/src/test/java/org/sardinebay/internal/request/RetryPolicyTest.java
+++ b/core/src/test/java/org/sardinebay/internal/request/RetryPolicyTest.java
@@ -22,6 +22,12 @@
 
   @Nested
   class Writes {
+    @Test
+    void should_be_in_doubt_after_an_error_that_this_version_does_not_know() {
+      assertThat(code(after(new AttemptOutcome.Refused(ErrorCode.UNKNOWN, ""), true)))
+          .isEqualTo(ErrorCode.IN_DOUBT);
+    }
+
     @Test
     void should_never_be_sent_again_without_an_answer() {
       assertThat(code(after(new AttemptOutcome.NoAnswer(), true))).isEqualTo(ErrorCode.IN_DOUBT);
@@ -107,6 +113,15 @@
       assertThat(code(after(unproven(ErrorCode.BUSY), true, false))).isEqualTo(ErrorCode.ABORTED);
     }
 
+    @Test
+    void should_be_aborted_after_an_unproven_error_of_a_commit_without_writes() {
+      RetryPolicy.Step step =
+          RetryPolicy.inTransaction(
+              unproven(ErrorCode.READ_ONLY), true, true, false, 1, 100, DEADLINE);
+
+      assertThat(code(step)).isEqualTo(ErrorCode.ABORTED);
+    }
+
     private AttemptOutcome unproven(ErrorCode code) {
       return new AttemptOutcome.Unproven(Optional.of(code));
     }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberConnection.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberConnection.java
@@ -260,12 +260,12 @@
   }
 
   /**
-   * Whether the next answer can only be the one to the next request.
+   * Whether each error so far was shown to be the answer to its request.
    *
-   * @return false after an error that may have been the answer to an earlier request
+   * @return false if the next answer may be the one to a request that seemed to have failed
    */
-  boolean inStep() {
-    return matcher.inStep();
+  boolean errorsProven() {
+    return matcher.errorsProven();
   }
 
   /**
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPin.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPin.java
@@ -24,7 +24,7 @@
     if (!connection.usable()
         || connection.busy()
         || connection.state() == TransactionState.IDLE
-        || !connection.inStep()) {
+        || !connection.errorsProven()) {
       pool.release(connection);
       return;
     }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/connection/MemberPool.java
@@ -171,7 +171,7 @@
   }
 
   private void discard(MemberConnection connection) {
-    boolean errorsRepeat = !connection.inStep();
+    boolean errorsRepeat = !connection.errorsProven();
     connection.abort(LossCause.DISCARDED);
     quota.closed();
     if (errorsRepeat) {
@@ -191,7 +191,7 @@
   /**
    * Whether a connection is idle on which no status was requested.
    *
-   * @return true if {@link #acquireForControl} finds one
+   * @return true if {@link #acquireForControl} prefers one
    */
   public boolean hasIdleWithoutStatus() {
     return idle.has(connection -> !connection.statusRequested());
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/request/StatementRun.java
@@ -61,7 +61,10 @@
   /** The attempts whose statement was sent and not answered; more than one if a read is hedged. */
   private int unanswered;
 
-  /** Whether a member answered with an error that may be the one to an earlier request. */
+  /**
+   * Whether a member answered with an error that may be the one to an earlier request. An attempt
+   * that seemed to fail may then have succeeded, so later errors prove nothing either.
+   */
   private boolean unproven;
 
   private boolean finished;
