--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
@@ -126,6 +126,12 @@
       logUnreadable("configuration_unreadable", object.key(), object.version());
       return Optional.empty();
     }
+    LOG.atInfo()
+        .setMessage("configuration_received")
+        .addKeyValue("version", version.getAsLong())
+        .addKeyValue("revision", ObjectVersion.text(object.version()))
+        .addKeyValue("held", records.version(CONFIGURATION))
+        .log();
     return Optional.of(
         new PlatformObject(CONFIGURATION, version.getAsLong(), false, object.body()));
   }
--- a/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
+++ b/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
@@ -1,8 +1,6 @@
 package org.sardinebay.net.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.MissingNode;
-import io.activej.bytebuf.ByteBuf;
 import io.activej.dns.IDnsClient;
 import io.activej.dns.protocol.DnsQuery;
 import io.activej.dns.protocol.DnsResponse;
@@ -12,14 +10,11 @@
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
-import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
 import io.activej.reactor.net.SocketSettings;
-import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -40,7 +35,6 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration READ_WRITE_TIMEOUT = Duration.ofSeconds(65);
   private static final Duration KEEP_ALIVE = Duration.ofSeconds(20);
-  private static final int MAX_BODY_BYTES = 16 << 20;
 
   private final List<Eventloop> loops;
   private final List<HttpClient> clients;
@@ -72,7 +66,7 @@
               .withConnectTimeout(CONNECT_TIMEOUT)
               .withReadWriteTimeout(READ_WRITE_TIMEOUT)
               .withKeepAliveTimeout(KEEP_ALIVE)
-              .withMaxBodySize(MAX_BODY_BYTES)
+              .withMaxBodySize(HttpExchange.MAX_BODY_BYTES)
               .build());
     }
     return new JsonHttpClient(loops, clients, List.of());
@@ -114,7 +108,7 @@
         .withConnectTimeout(CONNECT_TIMEOUT)
         .withReadWriteTimeout(readWriteTimeout)
         .withKeepAliveTimeout(KEEP_ALIVE)
-        .withMaxBodySize(MAX_BODY_BYTES);
+        .withMaxBodySize(HttpExchange.MAX_BODY_BYTES);
   }
 
   /**
@@ -171,8 +165,10 @@
         .execute(
             () -> {
               HttpRequest request = request(method, address, pathAndQuery, headers, body);
-              Promises.timeout(timeoutMillis, exchange(clients.get(worker), request))
-                  .whenComplete((reply, e) -> result.complete(e == null ? reply : failure(e)));
+              HttpExchange exchange = new HttpExchange(loops.get(worker), readHeaders);
+              Promises.timeout(timeoutMillis, exchange.send(clients.get(worker), request))
+                  .whenComplete(
+                      (reply, e) -> result.complete(e == null ? reply : exchange.failure(e)));
             });
     return result;
   }
@@ -209,11 +205,12 @@
                   .withForcedShutdown(true)
                   .build();
           HttpRequest request = request(method, address, pathAndQuery, headers, body);
-          Promises.timeout(timeoutMillis, exchange(client, request))
+          HttpExchange exchange = new HttpExchange(loop, readHeaders);
+          Promises.timeout(timeoutMillis, exchange.send(client, request))
               .whenComplete(
                   (reply, e) -> {
                     client.stop();
-                    result.complete(e == null ? reply : failure(e));
+                    result.complete(e == null ? reply : exchange.failure(e));
                   });
         });
     return result;
@@ -239,42 +236,6 @@
     return builder.build();
   }
 
-  private Promise<HttpCallResult> exchange(HttpClient client, HttpRequest request) {
-    return client.request(request).then(this::readResponse);
-  }
-
-  private Promise<HttpCallResult> readResponse(HttpResponse response) {
-    int status = response.getCode();
-    Map<HttpHeader, String> headers = readHeaders(response);
-    return response.loadBody(MAX_BODY_BYTES).map(body -> toResponse(status, body, headers));
-  }
-
-  private Map<HttpHeader, String> readHeaders(HttpResponse response) {
-    Map<HttpHeader, String> headers = new HashMap<>();
-    for (HttpHeader header : readHeaders) {
-      String value = response.getHeader(header);
-      if (value != null) {
-        headers.put(header, value);
-      }
-    }
-    return headers;
-  }
-
-  private static HttpCallResult toResponse(
-      int status, ByteBuf body, Map<HttpHeader, String> headers) {
-    JsonNode tree = Json.parseWithinLimits(body.getArray()).orElse(MissingNode.getInstance());
-    return new HttpCallResult.Response(status, tree, headers);
-  }
-
-  private static HttpCallResult failure(Exception e) {
-    for (Throwable cause = e; cause != null; cause = cause.getCause()) {
-      if (cause instanceof ConnectException) {
-        return new HttpCallResult.NotSent();
-      }
-    }
-    return new HttpCallResult.NoResponse();
-  }
-
   /** Accepts IP addresses only and makes no DNS queries. */
   private static final class IpAddressResolver implements IDnsClient {
     @Override
--- a/net/src/main/java/org/sardinebay/net/peer/ConfigFeedClient.java
+++ b/net/src/main/java/org/sardinebay/net/peer/ConfigFeedClient.java
@@ -127,7 +127,8 @@
     CompletableFuture<Void> unused =
         peers
             .call(source.get(), frame, REPLY_TIMEOUT_MILLIS)
-            .thenAccept(result -> handleResult(result, call, clock.millis() - sentMillis))
+            .thenAccept(
+                result -> handleResult(result, source.get(), call, clock.millis() - sentMillis))
             .exceptionally(
                 e -> {
                   handleException(e);
@@ -155,16 +156,32 @@
     return call.build();
   }
 
-  private void handleResult(PeerResult result, ConfigCall call, long elapsedMillis) {
+  private void handleResult(
+      PeerResult result, Address source, ConfigCall call, long elapsedMillis) {
     if (result instanceof PeerResult.Reply reply && reply.frame().hasConfigReply()) {
       List<ConfigRecord> records = reply.frame().getConfigReply().getRecordsList();
-      merge(records);
+      for (PlatformObject applied : merge(records)) {
+        LOG.atInfo()
+            .setMessage("config_applied")
+            .addKeyValue("record", applied.key())
+            .addKeyValue("generation", ObjectVersion.text(applied.version()))
+            .addKeyValue("source", source)
+            .addKeyValue("bytes", reply.frame().getSerializedSize())
+            .addKeyValue("after_millis", elapsedMillis)
+            .log();
+      }
       synchronized (lock) {
         replied = true;
       }
       onReply.run();
       schedulePoll(recordReply(call, records.isEmpty(), elapsedMillis));
     } else {
+      LOG.atInfo()
+          .setMessage("config_source_failed")
+          .addKeyValue("source", source)
+          .addKeyValue("result", result)
+          .addKeyValue("after_millis", elapsedMillis)
+          .log();
       schedulePoll(recordFailure());
     }
   }
@@ -193,16 +210,9 @@
   }
 
   /** Stores a reply as one change, so that listeners never see a partial configuration. */
-  private void merge(List<ConfigRecord> messages) {
-    List<PlatformObject> records =
-        messages.stream().map(ConfigFeedClient::read).flatMap(Optional::stream).toList();
-    for (PlatformObject applied : store.mergeAll(records)) {
-      LOG.atInfo()
-          .setMessage("config_applied")
-          .addKeyValue("record", applied.key())
-          .addKeyValue("generation", ObjectVersion.text(applied.version()))
-          .log();
-    }
+  private List<PlatformObject> merge(List<ConfigRecord> messages) {
+    return store.mergeAll(
+        messages.stream().map(ConfigFeedClient::read).flatMap(Optional::stream).toList());
   }
 
   private static Optional<PlatformObject> read(ConfigRecord message) {
