--- a/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
+++ b/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
@@ -173,6 +173,34 @@
     return result;
   }
 
+  /**
+   * Reads a resource that may be large. The body may take as long as it makes progress; an exchange
+   * that fails is ended, so that the rest of its body is not received beside that of the next one.
+   *
+   * @param address the server
+   * @param pathAndQuery the path and the optional query
+   * @param timeoutMillis the timeout for the head of the response, connecting included
+   * @return the result; never completes with an exception
+   */
+  public CompletableFuture<HttpCallResult> fetch(
+      Address address, String pathAndQuery, long timeoutMillis) {
+    int worker = Math.floorMod(next.getAndIncrement(), loops.size());
+    CompletableFuture<HttpCallResult> result = new CompletableFuture<>();
+    loops
+        .get(worker)
+        .execute(
+            () -> {
+              HttpRequest request =
+                  request(HttpMethod.GET, address, pathAndQuery, Map.of(), Optional.empty());
+              HttpExchange exchange = new HttpExchange(loops.get(worker), readHeaders);
+              exchange
+                  .sendExpectingProgress(clients.get(worker), request, timeoutMillis)
+                  .whenComplete(
+                      (reply, e) -> result.complete(e == null ? reply : exchange.failure(e)));
+            });
+    return result;
+  }
+
   /**
    * Sends one request on a new connection, which is reset if no response arrives in time, so that
    * the request can't arrive later.
--- a/net/src/test/java/org/sardinebay/net/http/JsonHttpClientTest.java
+++ b/net/src/test/java/org/sardinebay/net/http/JsonHttpClientTest.java
@@ -9,6 +9,8 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -112,6 +114,44 @@
     }
   }
 
+  @Nested
+  class Fetches {
+    private static final int PART_BYTES = 32 << 10;
+
+    @Test
+    void should_end_with_the_connection_when_the_body_makes_no_progress() throws Exception {
+      CompletableFuture<HttpCallResult> result = fetch("/stalled", LONG_MILLIS);
+      try (Connection connection = accept()) {
+        connection.readRequest();
+        connection.send(head(2 * PART_BYTES) + "1".repeat(PART_BYTES));
+
+        assertThat(result(result)).isInstanceOf(HttpCallResult.NoResponse.class);
+        assertThat(connection.ended()).isTrue();
+      }
+    }
+
+    @Test
+    void should_not_receive_a_body_that_begins_too_late() throws Exception {
+      CompletableFuture<HttpCallResult> result = fetch("/late", SHORT_MILLIS);
+      try (Connection connection = accept()) {
+        connection.readRequest();
+        assertThat(result(result)).isInstanceOf(HttpCallResult.NoResponse.class);
+
+        connection.send(head(2 * PART_BYTES) + "1".repeat(PART_BYTES));
+
+        assertThat(connection.ended()).isTrue();
+      }
+    }
+
+    private CompletableFuture<HttpCallResult> fetch(String path, long timeoutMillis) {
+      return client.fetch(new Address("127.0.0.1", server.getLocalPort()), path, timeoutMillis);
+    }
+
+    private static String head(int bodyBytes) {
+      return "HTTP/1.1 200 OK\r\nContent-Length: " + bodyBytes + "\r\n\r\n";
+    }
+  }
+
   private CompletableFuture<HttpCallResult> call(String path, long timeoutMillis) {
     Address address = new Address("127.0.0.1", server.getLocalPort());
     return client.call(HttpMethod.GET, address, path, Optional.empty(), timeoutMillis);
@@ -155,6 +195,17 @@
       return first;
     }
 
+    /** Waits until the client has closed or reset the connection. */
+    boolean ended() throws IOException {
+      try {
+        return reader.read() < 0;
+      } catch (SocketTimeoutException e) {
+        return false;
+      } catch (SocketException e) {
+        return true;
+      }
+    }
+
     void send(String text) throws IOException {
       socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
