A large record is fetched from the source that announces it

The client took such a reply for an announcement only within the first 1.5 s of its call; later it counted as unchanged, and the client asked another source, without its versions.

Now any reply without records before the end of the wait (3 s) counts as an announcement; a source replies to an unchanged call only when the wait is over.

The new test failed before: the record arrived after more than 3 s, beside a second source that does not reply. Now it arrives at once.

--- a/net/src/main/java/org/sardinebay/net/peer/ConfigFeedClient.java
+++ b/net/src/main/java/org/sardinebay/net/peer/ConfigFeedClient.java
@@ -188,9 +188,9 @@
 
   private long recordReply(ConfigCall call, boolean empty, long elapsedMillis) {
     synchronized (lock) {
-      // An early reply without records to a call without versions means that the digests differ.
-      boolean digestDiffers =
-          empty && call.getAppliedCount() == 0 && elapsedMillis < WAIT_MILLIS / 2;
+      // A call without versions that is answered without records before its wait is over: the
+      // digests differ, or the source announces a large record.
+      boolean digestDiffers = empty && call.getAppliedCount() == 0 && elapsedMillis < WAIT_MILLIS;
       sendVersions = digestDiffers;
       if (empty && !digestDiffers) {
         sourceSelector.recordUnchanged();
--- a/net/src/test/java/org/sardinebay/net/peer/ConfigFeedTest.java
+++ b/net/src/test/java/org/sardinebay/net/peer/ConfigFeedTest.java
@@ -3,8 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.junit.jupiter.api.AfterEach;
@@ -21,8 +24,10 @@
 
 class ConfigFeedTest {
   private static final long LONG_MILLIS = 10_000;
+  private static final long WAIT_MILLIS = 3_000;
   private static final long SHORT_MILLIS = 200;
   private static final String SLOW_KIND = "hosts";
+  private static final int LARGE_BYTES = 64 << 10;
 
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
   private final InMemoryConfigFeedStore source = new InMemoryConfigFeedStore();
@@ -103,6 +108,53 @@
 
   @Nested
   class Client {
+    @Test
+    void should_fetch_a_large_record_from_the_source_that_announces_it_late() throws Exception {
+      PeerClient peers =
+          PeerClient.start(AddressTranslation.none(), Clock.system(), new SimpleMeterRegistry());
+      Address announcing = FreePorts.next();
+      List<ConfigCall> calls = new CopyOnWriteArrayList<>();
+      PeerServer transport =
+          PeerServer.start(
+              announcing,
+              call -> {
+                calls.add(call.getConfigCall());
+                return server.handle(call.getConfigCall());
+              });
+      Address silent = FreePorts.next();
+      InMemoryConfigFeedStore store = new InMemoryConfigFeedStore();
+      ConfigFeedClient client =
+          new ConfigFeedClient(
+              "waco-1",
+              peers,
+              store,
+              () -> List.of(announcing, silent),
+              List::of,
+              Clock.system(),
+              timer);
+      source.merge(record("a", 1));
+      try (ServerSocket unused =
+          new ServerSocket(silent.port(), 1, InetAddress.getByName(silent.host()))) {
+        client.start();
+        PeerTransportTest.await(() -> calls.stream().anyMatch(ConfigFeedTest::waitsForDigest));
+        Thread.sleep(WAIT_MILLIS * 2 / 3);
+
+        source.merge(
+            new PlatformObject(
+                new ObjectKey("databases", "large"),
+                1,
+                false,
+                Json.newObject().put("text", "-".repeat(LARGE_BYTES))));
+
+        long announcedAt = Clock.system().millis();
+        PeerTransportTest.await(() -> store.versions().equals(source.versions()));
+        assertThat(Clock.system().millis() - announcedAt).isLessThan(WAIT_MILLIS);
+      }
+      client.stop();
+      peers.stop();
+      transport.stop();
+    }
+
     @Test
     void should_fetch_records_from_a_fallback_when_no_preferred_source_replies() throws Exception {
       PeerClient peers =
@@ -133,6 +185,10 @@
     }
   }
 
+  private static boolean waitsForDigest(ConfigCall call) {
+    return call.getAppliedCount() == 0 && call.getDigest() != 0;
+  }
+
   private static PlatformObject record(String name, long version) {
     return record(new ObjectKey("databases", name), version);
   }
