Hosts that aren't told in time that they know all changes ask the store

A host now tracks as of when it knows all changes of the store (StoreFreshness): by its own answers, or by replies of sources that say how long ago the store answered them (new optional fields of the feed). A source passes each answer of the store on at once; one that has lost the store says so after 0.5 s. A host whose knowledge is older than 3.5 s asks the store itself, by a listing, and watches closely until sources confirm again. After a failed call the next one doesn't wait, so that another failure is noticed after 1 s.

Beside hosts of the old build, which confirm nothing, a host of this build watches closely. Hosts of the old build are answered as before.

--- a/controller/src/main/java/org/sardinebay/controller/internal/process/ControllerProcess.java
+++ b/controller/src/main/java/org/sardinebay/controller/internal/process/ControllerProcess.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
@@ -59,7 +60,8 @@
     this.topology = new Topology(settings.self(), store);
     this.supervisors = new Supervisors(runtime, topology, new PredecessorMonitor(runtime));
     this.platformWatcher = new PlatformWatcher(runtime, topology, storeAdapter, supervisors);
-    this.feedServer = new ConfigFeedServer(storeAdapter, runtime.timer(), key -> true);
+    this.feedServer =
+        new ConfigFeedServer(storeAdapter, runtime.timer(), key -> true, Optional.empty());
     this.feedClient =
         new ConfigFeedClient(
             settings.self().host().value(),
@@ -68,7 +70,8 @@
             this::preferredSources,
             topology::otherControllers,
             runtime.clock(),
-            runtime.timer());
+            runtime.timer(),
+            Optional.empty());
     this.dump = new ControllerDump(runtime, storeAdapter, platformWatcher, supervisors);
   }
 
--- a/controller/src/test/java/org/sardinebay/controller/internal/process/ControllerProcessTest.java
+++ b/controller/src/test/java/org/sardinebay/controller/internal/process/ControllerProcessTest.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Predicate;
@@ -41,7 +42,8 @@
       ConfigStoreAdapter storeAdapter = new ConfigStoreAdapter(new ConfigStore());
       storeAdapter.merge(
           new PlatformObject(new ObjectKey("databases", "db"), 5, false, database()));
-      ConfigFeedServer server = new ConfigFeedServer(storeAdapter, timer, key -> true);
+      ConfigFeedServer server =
+          new ConfigFeedServer(storeAdapter, timer, key -> true, Optional.empty());
       Address peer = FreePorts.next();
       PeerServer peers = PeerServer.start(peer, call -> server.handle(call.getConfigCall()));
 
--- a/core/src/main/java/org/sardinebay/internal/process/RetryBackoff.java
+++ b/core/src/main/java/org/sardinebay/internal/process/RetryBackoff.java
@@ -1,5 +1,7 @@
 package org.sardinebay.internal.process;
 
+import java.util.function.LongSupplier;
+
 /**
  * Delays between the attempts of one call that fails again and again: each twice as long as the one
  * before, up to a limit. The load it answers is a store that rejects some hosts for many seconds:
@@ -15,7 +17,7 @@
  */
 public final class RetryBackoff {
   private final long firstMillis;
-  private final long maxMillis;
+  private final LongSupplier maxMillis;
   private long nextMillis;
 
   /**
@@ -25,6 +27,16 @@
    * @param maxMillis the longest delay, in milliseconds
    */
   public RetryBackoff(long firstMillis, long maxMillis) {
+    this(firstMillis, () -> maxMillis);
+  }
+
+  /**
+   * Creates a backoff whose limit may change.
+   *
+   * @param firstMillis the delay after the first failure, in milliseconds
+   * @param maxMillis the longest delay, in milliseconds
+   */
+  public RetryBackoff(long firstMillis, LongSupplier maxMillis) {
     this.firstMillis = firstMillis;
     this.maxMillis = maxMillis;
     this.nextMillis = firstMillis;
@@ -36,8 +48,8 @@
    * @return the delay before the next attempt, in milliseconds
    */
   public long onFailure() {
-    long delay = nextMillis;
-    nextMillis = Math.min(maxMillis, 2 * nextMillis);
+    long delay = Math.min(maxMillis.getAsLong(), nextMillis);
+    nextMillis = Math.min(maxMillis.getAsLong(), 2 * nextMillis);
     return delay;
   }
 
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/internal/process/StoreFreshness.java
@@ -0,0 +1,86 @@
+package org.sardinebay.internal.process;
+
+import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicLong;
+import org.sardinebay.Clock;
+
+/**
+ * Tracks as of when this host is known to have all changes of the store: from the store itself, or
+ * from another host that says how long ago the store answered it. A host whose knowledge is too old
+ * asks the store at once, however long its own watch would still wait, so a change that was
+ * confirmed is applied within a bounded time although few hosts of a large fleet watch closely.
+ *
+ * <pre>{@code
+ * freshness.onSourceReply(reply.getStoreAgeMillis());
+ * if (!freshness.fresh()) {
+ *   watch.checkNow();
+ * }
+ * }</pre>
+ *
+ * <p>Thread-safe.
+ */
+public final class StoreFreshness {
+  /**
+   * The age from which on a host asks the store itself, in milliseconds. Longer than the interval
+   * of answers to hosts that watch closely, and of their replies. With a call to the store, and
+   * another one after a first that fails, it is shorter than the time within which a configuration
+   * must be applied.
+   */
+  public static final long MAX_AGE_MILLIS = 3_500;
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  private final Clock clock;
+  private final AtomicLong answeredAt = new AtomicLong(NEVER);
+  private final AtomicLong knownAt;
+
+  /**
+   * Creates the state of a host that has just started, which lists all objects anyway.
+   *
+   * @param clock the clock
+   */
+  public StoreFreshness(Clock clock) {
+    this.clock = clock;
+    this.knownAt = new AtomicLong(clock.millis());
+  }
+
+  /** Records that the store answered this host, and that the answer is applied. */
+  public void onStoreAnswer() {
+    long now = clock.millis();
+    answeredAt.set(now);
+    raise(now);
+  }
+
+  /**
+   * Records that this host has all changes that another one has.
+   *
+   * @param storeAgeMillis how long ago the store answered the other host, in milliseconds
+   */
+  public void onSourceReply(long storeAgeMillis) {
+    raise(clock.millis() - storeAgeMillis);
+  }
+
+  private void raise(long time) {
+    knownAt.accumulateAndGet(time, Math::max);
+  }
+
+  /**
+   * Returns whether this host knows the recent changes.
+   *
+   * @return false if it has to ask the store
+   */
+  public boolean fresh() {
+    return clock.millis() - knownAt.get() <= MAX_AGE_MILLIS;
+  }
+
+  /**
+   * Returns how long ago the store itself answered this host. What other hosts said does not count,
+   * because two hosts would otherwise confirm each other for ever.
+   *
+   * @return the age in milliseconds; empty if this host can't vouch for recent changes
+   */
+  public OptionalLong storeAgeMillis() {
+    long age = clock.millis() - answeredAt.get();
+    return age <= MAX_AGE_MILLIS ? OptionalLong.of(age) : OptionalLong.empty();
+  }
+}
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -44,6 +44,7 @@
 import org.sardinebay.internal.process.LoopLag;
 import org.sardinebay.internal.process.ShutdownPlan;
 import org.sardinebay.internal.process.StoreEra;
+import org.sardinebay.internal.process.StoreFreshness;
 import org.sardinebay.internal.request.AdmissionControl;
 import org.sardinebay.internal.request.ReadHedging;
 import org.sardinebay.internal.version.ConfigStore;
@@ -99,6 +100,7 @@
   private PromotionCoordinator promotions;
   private final LoopLag lag;
   private final StoreEra storeEra;
+  private final StoreFreshness freshness;
   private final ConfigurationConfirmation confirmation = new ConfigurationConfirmation();
   private final AdmissionControl admission = new AdmissionControl();
   private volatile long tickedAt;
@@ -112,6 +114,7 @@
     this.clock = clock;
     this.lag = new LoopLag(TICK_MILLIS, clock.millis());
     this.storeEra = new StoreEra(clock);
+    this.freshness = new StoreFreshness(clock);
     MemberProtocol memberProtocol = new LineMemberProtocol();
     this.services =
         new Services(
@@ -143,6 +146,7 @@
             this::answerReach,
             this::answerQuota,
             () -> loop.execute(confirmation::onPeerReply),
+            freshness,
             clock,
             registry);
     this.homes =
@@ -267,7 +271,9 @@
     JsonHttpClient http = JsonHttpClient.onEventLoop(loop, STORE_SILENCE);
     PlatformClient store = storeClient(http);
     PlatformClient watched = storeClient(StoreWatches.client(loop));
-    new StoreWatches(settings.host(), feeds, watched, loop, clock, registry).start();
+    new StoreWatches(
+            settings.host(), feeds, freshness, peers::storeAnswered, watched, loop, clock, registry)
+        .start();
     new HostRegistration(settings, store, storeEra, feeds.listener(StoreFeeds.HOSTS), loop).start();
     promotions =
         new PromotionCoordinator(
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
@@ -17,6 +17,7 @@
 import org.sardinebay.Clock;
 import org.sardinebay.gateway.internal.request.ForwardedStatements;
 import org.sardinebay.gateway.internal.version.StoreFeeds;
+import org.sardinebay.internal.process.StoreFreshness;
 import org.sardinebay.internal.process.StoreWatchers;
 import org.sardinebay.internal.process.StoreWatchers.Nearness;
 import org.sardinebay.net.AddressTranslation;
@@ -46,10 +47,12 @@
   private final Function<ReachCall, CompletableFuture<Frame>> reachHandler;
   private final Function<QuotaCall, Frame> quotaHandler;
   private final Runnable onFeedReply;
+  private final StoreFreshness freshness;
   private final Clock clock;
   private final MeterRegistry registry;
   private final ScheduledExecutorService timer =
       Executors.newScheduledThreadPool(1, Peers::timerThread);
+  private final ConfigFeedServer feedServer;
   private Optional<PeerServer> server = Optional.empty();
   private Optional<PeerClient> client = Optional.empty();
   private volatile FeedSources feedSources = FeedSources.NONE;
@@ -76,6 +79,7 @@
       Function<ReachCall, CompletableFuture<Frame>> reachHandler,
       Function<QuotaCall, Frame> quotaHandler,
       Runnable onFeedReply,
+      StoreFreshness freshness,
       Clock clock,
       MeterRegistry registry) {
     this.settings = settings;
@@ -86,14 +90,24 @@
     this.reachHandler = reachHandler;
     this.quotaHandler = quotaHandler;
     this.onFeedReply = onFeedReply;
+    this.freshness = freshness;
     this.clock = clock;
     this.registry = registry;
+    // Hosts list each other from the store anyway; the feed only helps those that it refuses.
+    this.feedServer =
+        new ConfigFeedServer(
+            storeAdapter,
+            timer,
+            key -> !key.kind().equals(StoreFeeds.HOSTS),
+            Optional.of(freshness));
+  }
+
+  /** Tells the hosts that follow the store through this one that the store has answered. */
+  void storeAnswered() {
+    feedServer.storeAnswered();
   }
 
   void start() throws IOException {
-    // Hosts list each other from the store anyway; the feed only helps those that it refuses.
-    ConfigFeedServer feedServer =
-        new ConfigFeedServer(storeAdapter, timer, key -> !key.kind().equals(StoreFeeds.HOSTS));
     server =
         Optional.of(
             PeerServer.start(
@@ -109,7 +123,8 @@
               () -> watchers(nearness),
               this::otherPeers,
               clock,
-              timer);
+              timer,
+              Optional.of(freshness));
       feedClient.onReply(onFeedReply);
       feedClient.start();
     }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/StoreWatches.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/StoreWatches.java
@@ -4,21 +4,31 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.TimeGauge;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.sardinebay.Clock;
 import org.sardinebay.HostId;
 import org.sardinebay.gateway.internal.version.ObjectWatch;
 import org.sardinebay.gateway.internal.version.StoreFeeds;
 import org.sardinebay.impeller.PlatformKeys;
+import org.sardinebay.internal.process.StoreFreshness;
 import org.sardinebay.internal.process.StoreWatchers;
 import org.sardinebay.net.http.JsonHttpClient;
 import org.sardinebay.platform.PlatformClient;
+import org.sardinebay.platform.PlatformObject;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Watches the configuration and the members in the store. In a large fleet, only the hosts that
- * {@link StoreWatchers} selects notice a lost watch within seconds; the others poll these.
+ * {@link StoreWatchers} selects notice a lost watch within seconds; the others poll these. A host
+ * that is not told in time that it knows all changes ({@link StoreFreshness}) watches closely as
+ * well.
  */
 final class StoreWatches {
+  private static final Logger LOG = LoggerFactory.getLogger(StoreWatches.class);
+
   /**
    * How long a watch of the configuration waits for a change on hosts that watch closely, in
    * milliseconds. A connection that went silent is noticed when the wait and the margin of the
@@ -32,12 +42,24 @@
   private static final long CLOSE_MEMBERS_WAIT_MILLIS = 4_000;
 
   /**
-   * How long a watch waits for a change on the other hosts, in milliseconds: the longest that the
+   * How long a watch of the members waits on the other hosts, in milliseconds: the longest that the
    * store permits, because each wait is a counted call. They learn of changes from the hosts that
    * watch closely.
    */
   private static final long WAIT_MILLIS = 30_000;
 
+  /**
+   * Longest delay between calls that fail in a row on hosts that watch closely, in milliseconds. A
+   * change of the configuration must be in force some seconds after the store answers again.
+   */
+  private static final long CLOSE_MAX_RETRY_MILLIS = 1_000;
+
+  /** The same delay on the other hosts, which the former tell of the change. */
+  private static final long MAX_RETRY_MILLIS = 2_500;
+
+  /** How often this host checks whether it knows the recent changes, in milliseconds. */
+  private static final long CHECK_MILLIS = 250;
+
   /** How long a connection that carries watches may receive nothing: longer than they wait. */
   private static final Duration SILENCE = Duration.ofMillis(WAIT_MILLIS + 2_000);
 
@@ -52,20 +74,28 @@
 
   private final HostId self;
   private final StoreFeeds feeds;
+  private final StoreFreshness freshness;
+  private final Runnable onConfigurationAnswered;
   private final PlatformClient store;
   private final Eventloop loop;
   private final Clock clock;
   private final MeterRegistry registry;
+  private final List<ObjectWatch> watches = new ArrayList<>();
+  private boolean stale;
 
   StoreWatches(
       HostId self,
       StoreFeeds feeds,
+      StoreFreshness freshness,
+      Runnable onConfigurationAnswered,
       PlatformClient store,
       Eventloop loop,
       Clock clock,
       MeterRegistry registry) {
     this.self = self;
     this.feeds = feeds;
+    this.freshness = freshness;
+    this.onConfigurationAnswered = onConfigurationAnswered;
     this.store = store;
     this.loop = loop;
     this.clock = clock;
@@ -80,15 +110,27 @@
   void start() {
     watch(
         PlatformKeys.CONFIGURATION.kind(),
-        new ObjectWatch.Timing(() -> waitMillis(CLOSE_CONFIGURATION_WAIT_MILLIS), () -> 0));
+        new ObjectWatch.Timing(
+            () -> CLOSE_CONFIGURATION_WAIT_MILLIS,
+            () -> 0,
+            this::maxRetryMillis,
+            this::asksStore,
+            StoreFreshness.MAX_AGE_MILLIS),
+        configurationListener());
     watch(
         PlatformKeys.MEMBER_KIND,
         new ObjectWatch.Timing(
-            () -> waitMillis(CLOSE_MEMBERS_WAIT_MILLIS), this::membersPauseMillis));
+            () -> asksStore() ? CLOSE_MEMBERS_WAIT_MILLIS : WAIT_MILLIS,
+            this::membersPauseMillis,
+            this::maxRetryMillis,
+            () -> true,
+            Long.MAX_VALUE),
+        feeds.listener(PlatformKeys.MEMBER_KIND));
+    check();
   }
 
-  private void watch(String kind, ObjectWatch.Timing timing) {
-    ObjectWatch watch = new ObjectWatch(store, kind, timing, feeds.listener(kind), loop, clock);
+  private void watch(String kind, ObjectWatch.Timing timing, ObjectWatch.Listener listener) {
+    ObjectWatch watch = new ObjectWatch(store, kind, timing, listener, loop, clock);
     TimeGauge.builder(
             "sardinebay_store_watch_silence",
             watch,
@@ -96,11 +138,49 @@
             ObjectWatch::silenceMillis)
         .tag("kind", kind)
         .register(registry);
+    watches.add(watch);
     watch.start();
   }
 
-  private long waitMillis(long closeWaitMillis) {
-    return watchesClosely() ? closeWaitMillis : WAIT_MILLIS;
+  private ObjectWatch.Listener configurationListener() {
+    ObjectWatch.Listener applying = feeds.listener(PlatformKeys.CONFIGURATION.kind());
+    return new ObjectWatch.Listener() {
+      @Override
+      public void onListing(long revision, List<PlatformObject> objects) {
+        applying.onListing(revision, objects);
+      }
+
+      @Override
+      public void onChanges(List<PlatformObject> objects) {
+        applying.onChanges(objects);
+      }
+
+      @Override
+      public void onAnswered() {
+        freshness.onStoreAnswer();
+        onConfigurationAnswered.run();
+      }
+    };
+  }
+
+  private void check() {
+    loop.delay(CHECK_MILLIS, this::check);
+    if (stale == freshness.fresh()) {
+      stale = !stale;
+      LOG.atInfo()
+          .setMessage(stale ? "store_changes_unconfirmed" : "store_changes_confirmed")
+          .addKeyValue("closely", watchesClosely())
+          .log();
+    }
+    watches.forEach(ObjectWatch::checkNow);
+  }
+
+  private boolean asksStore() {
+    return watchesClosely() || !freshness.fresh();
+  }
+
+  private long maxRetryMillis() {
+    return watchesClosely() ? CLOSE_MAX_RETRY_MILLIS : MAX_RETRY_MILLIS;
   }
 
   private long membersPauseMillis() {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
@@ -3,6 +3,7 @@
 import io.activej.eventloop.Eventloop;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.sardinebay.Clock;
 import org.sardinebay.internal.process.RetryBackoff;
@@ -28,12 +29,6 @@
   /** Delay after a failed call, in milliseconds. */
   static final long RETRY_MILLIS = 250;
 
-  /**
-   * Longest delay between calls that fail in a row, in milliseconds. A change of the configuration
-   * must be in force some seconds after the store answers again.
-   */
-  private static final long MAX_RETRY_MILLIS = 1_000;
-
   /** Delay before objects that could not be applied are listed again, in milliseconds. */
   private static final long APPLY_AGAIN_MILLIS = 2_000;
 
@@ -44,8 +39,18 @@
    *     is detected only when the wait is over
    * @param pauseMillis delay between a change and the next call, in milliseconds, so that many
    *     changes in a row cost few calls
+   * @param maxRetryMillis longest delay between calls that fail in a row, in milliseconds
+   * @param needed whether this host has to ask the store; otherwise the watch rests after a listing
+   *     until {@link #checkNow}
+   * @param maxRevisionAgeMillis the age from which on a revision is not watched from, in
+   *     milliseconds: the store would send every version since then, a listing only has the newest
    */
-  public record Timing(LongSupplier waitMillis, LongSupplier pauseMillis) {}
+  public record Timing(
+      LongSupplier waitMillis,
+      LongSupplier pauseMillis,
+      LongSupplier maxRetryMillis,
+      BooleanSupplier needed,
+      long maxRevisionAgeMillis) {}
 
   /** Receives the objects from the store. */
   public interface Listener {
@@ -63,6 +68,9 @@
      * @param objects the objects, oldest change first
      */
     void onChanges(List<PlatformObject> objects);
+
+    /** Called after each answer of the store, once its objects are applied. */
+    default void onAnswered() {}
   }
 
   private final PlatformClient store;
@@ -71,8 +79,12 @@
   private final Listener listener;
   private final Eventloop loop;
   private final Clock clock;
-  private final RetryBackoff backoff = new RetryBackoff(RETRY_MILLIS, MAX_RETRY_MILLIS);
+  private final RetryBackoff backoff;
   private long revision;
+  private long callNumber;
+  private long calledAt;
+  private long calledWaitMillis;
+  private boolean resting;
   private long answeredAt;
   private boolean lost;
   private long lostAt;
@@ -100,6 +112,7 @@
     this.listener = listener;
     this.loop = loop;
     this.clock = clock;
+    this.backoff = new RetryBackoff(RETRY_MILLIS, timing.maxRetryMillis());
     this.answeredAt = clock.millis();
   }
 
@@ -110,25 +123,73 @@
 
   /** Starts the watch, which runs until the process ends. */
   public void start() {
+    if (revision != 0 && !timing.needed().getAsBoolean()) {
+      resting = true;
+    } else {
+      call(timing.waitMillis().getAsLong());
+    }
+  }
+
+  /**
+   * Asks the store for changes at once if the watch rests although it is needed, or if the call in
+   * progress has waited for longer than the next one would: its connection may be silent. The
+   * result of that call is ignored.
+   */
+  public void checkNow() {
+    long waitMillis = timing.waitMillis().getAsLong();
+    boolean overdue = calledWaitMillis > waitMillis && clock.millis() - calledAt > waitMillis;
+    if (timing.needed().getAsBoolean() && (resting || overdue)) {
+      call(0);
+    }
+  }
+
+  private void call(long waitMillis) {
+    resting = false;
+    if (clock.millis() - answeredAt > timing.maxRevisionAgeMillis()) {
+      revision = 0;
+    }
     boolean listing = revision == 0;
+    long number = ++callNumber;
+    calledAt = clock.millis();
+    calledWaitMillis = waitMillis;
     CompletableFuture<Void> unused =
         store
-            .watch(List.of(kind), revision, timing.waitMillis().getAsLong())
-            .thenAccept(result -> loop.execute(() -> onResult(listing, result)))
+            .watch(List.of(kind), revision, waitMillis)
+            .thenAccept(result -> loop.execute(() -> onResult(number, listing, result)))
             .exceptionally(
                 e -> {
-                  onException(e);
+                  onException(number, e);
                   return null;
                 });
   }
 
+  /** Makes the next call after a delay, unless another one has been made meanwhile. */
+  private void callLater(long delayMillis, Runnable call) {
+    long number = callNumber;
+    loop.delay(
+        delayMillis,
+        () -> {
+          if (number == callNumber) {
+            call.run();
+          }
+        });
+  }
+
   /** An exception in a call must not end the watch. */
-  private void onException(Throwable e) {
+  private void onException(long number, Throwable e) {
     LOG.atError().setMessage("store_watch_failed").addKeyValue("kind", kind).setCause(e).log();
-    loop.execute(() -> loop.delay(RETRY_MILLIS, this::start));
+    loop.execute(
+        () -> {
+          if (number == callNumber) {
+            callLater(RETRY_MILLIS, this::start);
+          }
+        });
   }
 
-  private void onResult(boolean listing, PlatformResult result) {
+  private void onResult(long number, boolean listing, PlatformResult result) {
+    if (number != callNumber) {
+      return;
+    }
     if (result instanceof PlatformResult.Listing page) {
       answeredAt = clock.millis();
       backoff.onSuccess();
@@ -146,11 +207,12 @@
           .addKeyValue("revision", ObjectVersion.text(revision))
           .log();
       revision = 0;
-      loop.delay(RETRY_MILLIS, this::start);
+      callLater(RETRY_MILLIS, this::start);
       return;
     }
     markLost(result);
-    loop.delay(backoff.onFailure(), this::start);
+    // Without a wait, another failure is noticed sooner.
+    callLater(backoff.onFailure(), () -> call(0));
   }
 
   private void onPage(boolean listing, PlatformResult.Listing page) {
@@ -164,12 +226,13 @@
     } catch (RuntimeException e) {
       LOG.atError().setMessage("objects_not_applied").addKeyValue("kind", kind).setCause(e).log();
       revision = 0;
-      loop.delay(APPLY_AGAIN_MILLIS, this::start);
+      callLater(APPLY_AGAIN_MILLIS, this::start);
       return;
     }
     revision = page.revision();
+    listener.onAnswered();
     if (changed) {
-      loop.delay(timing.pauseMillis().getAsLong(), this::start);
+      callLater(timing.pauseMillis().getAsLong(), this::start);
     } else {
       start();
     }
--- a/gateway/src/test/java/org/sardinebay/gateway/internal/version/ObjectWatchTest.java
+++ b/gateway/src/test/java/org/sardinebay/gateway/internal/version/ObjectWatchTest.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -22,6 +24,7 @@
 
 class ObjectWatchTest {
   private static final int TIMEOUT_SECONDS = 10;
+  private static final long WAIT_MILLIS = 1_000;
 
   private final Eventloop loop = Eventloop.builder().withThreadName("watch-test").build();
   private final RecordedStore store = new RecordedStore();
@@ -42,7 +45,7 @@
 
   @Test
   void should_list_again_after_its_listener_failed() {
-    ObjectWatch.Timing timing = new ObjectWatch.Timing(() -> 1_000, () -> 0);
+    ObjectWatch.Timing timing = timing(() -> true, Long.MAX_VALUE);
     ObjectWatch watch = new ObjectWatch(store, "config", timing, listener, loop, Clock.system());
 
     loop.execute(watch::start);
@@ -56,7 +59,7 @@
   void should_not_list_in_a_tight_loop_while_no_history_is_kept() throws Exception {
     store.watchResult =
         CompletableFuture.completedFuture(new PlatformResult.Failed(PlatformFailure.HISTORY_GONE));
-    ObjectWatch.Timing timing = new ObjectWatch.Timing(() -> 1_000, () -> 0);
+    ObjectWatch.Timing timing = timing(() -> true, Long.MAX_VALUE);
     ObjectWatch watch =
         new ObjectWatch(store, "config", timing, new QuietListener(), loop, Clock.system());
 
@@ -69,6 +72,54 @@
     assertThat(listings).isBetween(2, 1 + (int) (elapsed / ObjectWatch.RETRY_MILLIS));
   }
 
+  @Test
+  void should_rest_while_other_hosts_confirm_that_nothing_changed() throws Exception {
+    AtomicBoolean needed = new AtomicBoolean();
+    ObjectWatch watch = watch(timing(needed::get, Long.MAX_VALUE));
+    loop.execute(watch::start);
+    Thread.sleep(200);
+    loop.submit(watch::checkNow).get();
+    assertThat(store.revisions).containsExactly(0L);
+
+    needed.set(true);
+    loop.submit(watch::checkNow).get();
+
+    assertThat(store.revisions).containsExactly(0L, 7L);
+  }
+
+  @Test
+  void should_list_rather_than_watch_from_a_revision_that_is_too_old() throws Exception {
+    AtomicBoolean needed = new AtomicBoolean();
+    ObjectWatch watch = watch(timing(needed::get, 100));
+    loop.execute(watch::start);
+    Thread.sleep(200);
+
+    needed.set(true);
+    loop.submit(watch::checkNow).get();
+
+    assertThat(store.revisions).startsWith(0L, 0L);
+  }
+
+  @Test
+  void should_not_wait_in_the_first_call_after_a_failure() throws Exception {
+    store.watchResult =
+        CompletableFuture.completedFuture(new PlatformResult.Failed(PlatformFailure.NO_ANSWER));
+    ObjectWatch watch = watch(timing(() -> true, Long.MAX_VALUE));
+
+    loop.submit(watch::start).get();
+    Thread.sleep(2 * ObjectWatch.RETRY_MILLIS);
+
+    assertThat(store.waits).startsWith(WAIT_MILLIS, WAIT_MILLIS, 0L);
+  }
+
+  private ObjectWatch watch(ObjectWatch.Timing timing) {
+    return new ObjectWatch(store, "config", timing, new QuietListener(), loop, Clock.system());
+  }
+
+  private static ObjectWatch.Timing timing(BooleanSupplier needed, long maxRevisionAgeMillis) {
+    return new ObjectWatch.Timing(() -> 1_000, () -> 0, () -> 1_000, needed, maxRevisionAgeMillis);
+  }
+
   private static final class QuietListener implements ObjectWatch.Listener {
     @Override
     public void onListing(long revision, List<PlatformObject> objects) {}
@@ -97,12 +148,14 @@
   /** Answers listings, and leaves watches unanswered unless they have a result. */
   private static final class RecordedStore implements PlatformClient {
     private final List<Long> revisions = new CopyOnWriteArrayList<>();
+    private final List<Long> waits = new CopyOnWriteArrayList<>();
     private volatile CompletableFuture<PlatformResult> watchResult = new CompletableFuture<>();
 
     @Override
     public CompletableFuture<PlatformResult> watch(
         List<String> kinds, long afterRevision, long waitMillis) {
       revisions.add(afterRevision);
+      waits.add(waitMillis);
       return afterRevision == 0
           ? CompletableFuture.completedFuture(new PlatformResult.Listing(7, List.of()))
           : watchResult;
--- a/net/src/main/java/org/sardinebay/net/peer/ConfigFeedClient.java
+++ b/net/src/main/java/org/sardinebay/net/peer/ConfigFeedClient.java
@@ -10,8 +10,11 @@
 import org.sardinebay.Address;
 import org.sardinebay.Clock;
 import org.sardinebay.internal.process.ConfigSourceSelector;
+import org.sardinebay.internal.process.FeedTiming;
+import org.sardinebay.internal.process.StoreFreshness;
 import org.sardinebay.net.peer.generated.ConfigCall;
 import org.sardinebay.net.peer.generated.ConfigRecord;
+import org.sardinebay.net.peer.generated.ConfigReply;
 import org.sardinebay.net.peer.generated.Frame;
 import org.sardinebay.platform.ObjectVersion;
 import org.sardinebay.platform.PlatformObject;
@@ -23,7 +26,7 @@
  *
  * <pre>{@code
  * ConfigFeedClient feed = new ConfigFeedClient(
- *     "waco-1", peers, store, () -> controllers, () -> proxies, clock, timer);
+ *     "waco-1", peers, store, () -> controllers, () -> proxies, clock, timer, Optional.empty());
  * feed.start();
  * }</pre>
  *
@@ -31,8 +34,6 @@
  */
 public final class ConfigFeedClient {
   private static final Logger LOG = LoggerFactory.getLogger(ConfigFeedClient.class);
-  private static final long WAIT_MILLIS = 3_000;
-  private static final long REPLY_TIMEOUT_MILLIS = WAIT_MILLIS + 1_000;
 
   private final String process;
   private final PeerClient peers;
@@ -41,6 +42,7 @@
   private final Supplier<List<Address>> fallbacks;
   private final Clock clock;
   private final ScheduledExecutorService timer;
+  private final Optional<StoreFreshness> freshness;
   private final ConfigSourceSelector sourceSelector = new ConfigSourceSelector();
   private final Object lock = new Object();
   private boolean sendVersions = true;
@@ -58,6 +60,8 @@
    * @param fallbacks the processes to poll while no preferred process replies
    * @param clock the clock
    * @param timer schedules the calls
+   * @param freshness told how recent the sources' knowledge of the platform's store is; empty if
+   *     this process doesn't rely on them for that
    */
   public ConfigFeedClient(
       String process,
@@ -66,7 +70,8 @@
       Supplier<List<Address>> preferred,
       Supplier<List<Address>> fallbacks,
       Clock clock,
-      ScheduledExecutorService timer) {
+      ScheduledExecutorService timer,
+      Optional<StoreFreshness> freshness) {
     this.process = process;
     this.peers = peers;
     this.store = store;
@@ -74,6 +79,7 @@
     this.fallbacks = fallbacks;
     this.clock = clock;
     this.timer = timer;
+    this.freshness = freshness;
   }
 
   /**
@@ -119,14 +125,14 @@
       call = call();
     }
     if (source.isEmpty()) {
-      schedulePoll(WAIT_MILLIS);
+      schedulePoll(FeedTiming.WAIT_MILLIS);
       return;
     }
     long sentMillis = clock.millis();
     Frame frame = Frame.newBuilder().setConfigCall(call).build();
     CompletableFuture<Void> unused =
         peers
-            .call(source.get(), frame, REPLY_TIMEOUT_MILLIS)
+            .call(source.get(), frame, FeedTiming.REPLY_TIMEOUT_MILLIS)
             .thenAccept(
                 result -> handleResult(result, source.get(), call, clock.millis() - sentMillis))
             .exceptionally(
@@ -148,8 +154,9 @@
             .setProcess(process)
             .setDigest(store.digest())
             .setAcceptsCompressed(true)
+            .setFollowsStore(freshness.isPresent())
             // The first reply comes at once, since the process may wait for it before it serves.
-            .setWaitMillis(replied ? WAIT_MILLIS : 0);
+            .setWaitMillis(replied ? FeedTiming.WAIT_MILLIS : 0);
     if (sendVersions) {
       call.addAllApplied(FeedCodec.toMessages(store.versions()));
     }
@@ -159,8 +166,8 @@
   private void handleResult(
       PeerResult result, Address source, ConfigCall call, long elapsedMillis) {
     if (result instanceof PeerResult.Reply reply && reply.frame().hasConfigReply()) {
-      List<ConfigRecord> records = reply.frame().getConfigReply().getRecordsList();
-      for (PlatformObject applied : merge(records)) {
+      ConfigReply body = reply.frame().getConfigReply();
+      for (PlatformObject applied : merge(body.getRecordsList())) {
         LOG.atInfo()
             .setMessage("config_applied")
             .addKeyValue("record", applied.key())
@@ -170,11 +177,14 @@
             .addKeyValue("after_millis", elapsedMillis)
             .log();
       }
+      if (body.hasStoreAgeMillis()) {
+        freshness.ifPresent(known -> known.onSourceReply(body.getStoreAgeMillis()));
+      }
       synchronized (lock) {
         replied = true;
       }
       onReply.run();
-      schedulePoll(recordReply(call, records.isEmpty(), elapsedMillis));
+      schedulePoll(recordReply(call, body, elapsedMillis));
     } else {
       LOG.atInfo()
           .setMessage("config_source_failed")
@@ -186,11 +196,17 @@
     }
   }
 
-  private long recordReply(ConfigCall call, boolean empty, long elapsedMillis) {
+  private long recordReply(ConfigCall call, ConfigReply reply, long elapsedMillis) {
     synchronized (lock) {
+      boolean empty = reply.getRecordsCount() == 0;
+      boolean complete = reply.getStale() || reply.hasStoreAgeMillis();
       // A call without versions that is answered without records before its wait is over: the
       // digests differ, or the source announces a large record.
-      boolean digestDiffers = empty && call.getAppliedCount() == 0 && elapsedMillis < WAIT_MILLIS;
+      boolean digestDiffers =
+          empty
+              && !complete
+              && call.getAppliedCount() == 0
+              && elapsedMillis < FeedTiming.WAIT_MILLIS;
       sendVersions = digestDiffers;
       if (empty && !digestDiffers) {
         sourceSelector.recordUnchanged();
--- a/net/src/main/java/org/sardinebay/net/peer/ConfigFeedServer.java
+++ b/net/src/main/java/org/sardinebay/net/peer/ConfigFeedServer.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -9,6 +11,8 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.sardinebay.internal.process.FeedTiming;
+import org.sardinebay.internal.process.StoreFreshness;
 import org.sardinebay.net.peer.generated.ConfigCall;
 import org.sardinebay.net.peer.generated.ConfigRecord;
 import org.sardinebay.net.peer.generated.ConfigReply;
@@ -20,7 +24,8 @@
  * Serves configuration records to other processes by long polling.
  *
  * <pre>{@code
- * ConfigFeedServer feed = new ConfigFeedServer(store, timer, key -> true);
+ * ConfigFeedServer feed = new ConfigFeedServer(
+ *     store, timer, key -> true, Optional.empty());
  * CompletableFuture<Frame> reply = feed.handle(frame.getConfigCall());
  * }</pre>
  *
@@ -43,6 +48,7 @@
   private final ConfigFeedStore store;
   private final ScheduledExecutorService timer;
   private final Predicate<ObjectKey> urgent;
+  private final Optional<StoreFreshness> freshness;
   private final RecordEncoder encoder = new RecordEncoder();
   private final Set<PendingCall> pendingCalls = ConcurrentHashMap.newKeySet();
 
@@ -53,12 +59,18 @@
    * @param timer expires pending calls
    * @param urgent whether a change of a record is sent at once; the others are sent together with
    *     the next urgent one or when the call's wait expires, so that many changes cost one reply
+   * @param freshness as of when this process knows all changes of the platform's store; empty if
+   *     other processes don't rely on it for that
    */
   public ConfigFeedServer(
-      ConfigFeedStore store, ScheduledExecutorService timer, Predicate<ObjectKey> urgent) {
+      ConfigFeedStore store,
+      ScheduledExecutorService timer,
+      Predicate<ObjectKey> urgent,
+      Optional<StoreFreshness> freshness) {
     this.store = store;
     this.timer = timer;
     this.urgent = urgent;
+    this.freshness = freshness;
     // Encoding a large record must not hold up the thread that changed the store.
     store.onChange(() -> timer.execute(() -> pendingCalls.forEach(this::completeIfChanged)));
   }
@@ -74,47 +86,78 @@
     boolean digestOnly = call.getAppliedCount() == 0 && call.getDigest() != 0;
     Map<ObjectKey, Long> applied = digestOnly ? store.versions() : FeedCodec.versions(call);
     if (digestOnly && call.getDigest() != store.digest()) {
-      return CompletableFuture.completedFuture(reply(List.of(), false));
+      return CompletableFuture.completedFuture(frame(ConfigReply.newBuilder()));
     }
-    PendingCall pending =
-        new PendingCall(
-            applied, digestOnly, call.getAcceptsCompressed(), new CompletableFuture<>());
+    PendingCall pending = new PendingCall(call, applied, digestOnly);
     pendingCalls.add(pending);
     completeIfChanged(pending);
-    long waitMillis = Math.min(call.getWaitMillis(), MAX_WAIT_MILLIS);
+    long waitMillis = waitMillis(call);
     ScheduledFuture<?> expiry =
         timer.schedule(() -> expire(pending), waitMillis, TimeUnit.MILLISECONDS);
     return pending.result.whenComplete((frame, e) -> expiry.cancel(false));
   }
 
+  private long waitMillis(ConfigCall call) {
+    return call.getFollowsStore() && storeAgeMillis().isEmpty()
+        ? Math.min(call.getWaitMillis(), FeedTiming.STALE_SOURCE_WAIT_MILLIS)
+        : Math.min(call.getWaitMillis(), MAX_WAIT_MILLIS);
+  }
+
+  private OptionalLong storeAgeMillis() {
+    return freshness.map(StoreFreshness::storeAgeMillis).orElse(OptionalLong.empty());
+  }
+
+  /**
+   * Replies to the calls of processes that follow the store through this one. Call it when the
+   * store has answered and the answer is stored.
+   */
+  public void storeAnswered() {
+    timer.execute(() -> pendingCalls.forEach(this::completeIfFollowing));
+  }
+
+  private void completeIfFollowing(PendingCall pending) {
+    if (pending.followsStore) {
+      expire(pending);
+    }
+  }
+
   private void completeIfChanged(PendingCall pending) {
+    OptionalLong storeAge = storeAgeMillis();
     List<PlatformObject> changed = store.changedSince(pending.applied);
     if (changed.stream().anyMatch(record -> urgent.test(record.key()))) {
-      complete(pending, changed);
+      complete(pending, storeAge, changed);
     }
   }
 
   private void expire(PendingCall pending) {
-    complete(pending, store.changedSince(pending.applied));
+    // Read before the records, which are then at least as recent as the age says.
+    OptionalLong storeAge = storeAgeMillis();
+    complete(pending, storeAge, store.changedSince(pending.applied));
   }
 
-  private void complete(PendingCall pending, List<PlatformObject> records) {
+  private void complete(PendingCall pending, OptionalLong storeAge, List<PlatformObject> records) {
     pendingCalls.remove(pending);
     boolean announce = pending.digestOnly && records.stream().anyMatch(encoder::large);
-    pending.result.complete(reply(announce ? List.of() : records, pending.acceptsCompressed));
+    pending.result.complete(
+        announce ? frame(ConfigReply.newBuilder()) : reply(pending, storeAge, records));
   }
 
-  private Frame reply(List<PlatformObject> records, boolean acceptsCompressed) {
+  private Frame reply(PendingCall pending, OptionalLong storeAge, List<PlatformObject> records) {
     ConfigReply.Builder reply = ConfigReply.newBuilder();
     int bytes = 0;
     for (PlatformObject record : records) {
-      ConfigRecord message = encoder.encode(record, acceptsCompressed);
+      ConfigRecord message = encoder.encode(record, pending.acceptsCompressed);
       bytes += message.getSerializedSize();
       if (bytes > MAX_REPLY_BYTES && reply.getRecordsCount() > 0) {
-        break;
+        return frame(reply);
       }
       reply.addRecords(message);
     }
+    storeAge.ifPresent(reply::setStoreAgeMillis);
+    return frame(reply.setStale(storeAge.isEmpty() && freshness.isPresent()));
+  }
+
+  private static Frame frame(ConfigReply.Builder reply) {
     return Frame.newBuilder().setConfigReply(reply).build();
   }
 
@@ -123,17 +166,14 @@
     private final Map<ObjectKey, Long> applied;
     private final boolean digestOnly;
     private final boolean acceptsCompressed;
-    private final CompletableFuture<Frame> result;
+    private final boolean followsStore;
+    private final CompletableFuture<Frame> result = new CompletableFuture<>();
 
-    PendingCall(
-        Map<ObjectKey, Long> applied,
-        boolean digestOnly,
-        boolean acceptsCompressed,
-        CompletableFuture<Frame> result) {
+    PendingCall(ConfigCall call, Map<ObjectKey, Long> applied, boolean digestOnly) {
       this.applied = applied;
       this.digestOnly = digestOnly;
-      this.acceptsCompressed = acceptsCompressed;
-      this.result = result;
+      this.acceptsCompressed = call.getAcceptsCompressed();
+      this.followsStore = call.getFollowsStore();
     }
   }
 }
--- a/net/src/test/java/org/sardinebay/net/peer/ConfigFeedTest.java
+++ b/net/src/test/java/org/sardinebay/net/peer/ConfigFeedTest.java
@@ -6,33 +6,39 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.sardinebay.Address;
 import org.sardinebay.Clock;
+import org.sardinebay.internal.process.FeedTiming;
+import org.sardinebay.internal.process.StoreFreshness;
 import org.sardinebay.net.AddressTranslation;
 import org.sardinebay.net.http.Json;
 import org.sardinebay.net.peer.generated.ConfigCall;
+import org.sardinebay.net.peer.generated.ConfigReply;
 import org.sardinebay.net.peer.generated.Frame;
 import org.sardinebay.platform.ObjectKey;
 import org.sardinebay.platform.PlatformObject;
 
 class ConfigFeedTest {
   private static final long LONG_MILLIS = 10_000;
-  private static final long WAIT_MILLIS = 3_000;
   private static final long SHORT_MILLIS = 200;
   private static final String SLOW_KIND = "hosts";
   private static final int LARGE_BYTES = 64 << 10;
 
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
   private final InMemoryConfigFeedStore source = new InMemoryConfigFeedStore();
+  private final StoreFreshness freshness = new StoreFreshness(Clock.system());
   private final ConfigFeedServer server =
-      new ConfigFeedServer(source, timer, key -> !key.kind().equals(SLOW_KIND));
+      new ConfigFeedServer(
+          source, timer, key -> !key.kind().equals(SLOW_KIND), Optional.of(freshness));
 
   @AfterEach
   void stop() {
@@ -106,6 +112,56 @@
     }
   }
 
+  @Nested
+  class CallsThatFollowTheStore {
+    @Test
+    void should_be_answered_with_the_age_when_the_store_has_answered() {
+      source.merge(record("a", 1));
+      freshness.onStoreAnswer();
+      CompletableFuture<Frame> reply = server.handle(following(digestOnly(source.digest())));
+      assertThat(reply).isNotDone();
+
+      freshness.onStoreAnswer();
+      server.storeAnswered();
+
+      assertThat(reply.join().getConfigReply().hasStoreAgeMillis()).isTrue();
+    }
+
+    @Test
+    void should_soon_be_sent_elsewhere_by_a_source_that_the_store_does_not_answer() {
+      source.merge(record("a", 1));
+
+      CompletableFuture<Frame> reply = server.handle(following(digestOnly(source.digest())));
+
+      assertThat(reply.orTimeout(LONG_MILLIS / 2, TimeUnit.MILLISECONDS).join().getConfigReply())
+          .returns(true, ConfigReply::getStale)
+          .returns(false, ConfigReply::hasStoreAgeMillis);
+    }
+
+    @Test
+    void should_get_no_age_while_records_are_only_announced() {
+      source.merge(record("a", 1));
+      freshness.onStoreAnswer();
+      CompletableFuture<Frame> reply = server.handle(following(digestOnly(source.digest())));
+
+      source.merge(
+          new PlatformObject(
+              new ObjectKey("databases", "large"),
+              1,
+              false,
+              Json.newObject().put("text", "-".repeat(LARGE_BYTES))));
+
+      assertThat(reply.join().getConfigReply())
+          .returns(0, ConfigReply::getRecordsCount)
+          .returns(false, ConfigReply::getStale)
+          .returns(false, ConfigReply::hasStoreAgeMillis);
+    }
+
+    private static ConfigCall following(ConfigCall call) {
+      return call.toBuilder().setFollowsStore(true).build();
+    }
+  }
+
   @Nested
   class Client {
     @Test
@@ -131,13 +187,14 @@
               () -> List.of(announcing, silent),
               List::of,
               Clock.system(),
-              timer);
+              timer,
+              Optional.empty());
       source.merge(record("a", 1));
       try (ServerSocket unused =
           new ServerSocket(silent.port(), 1, InetAddress.getByName(silent.host()))) {
         client.start();
         PeerTransportTest.await(() -> calls.stream().anyMatch(ConfigFeedTest::waitsForDigest));
-        Thread.sleep(WAIT_MILLIS * 2 / 3);
+        Thread.sleep(FeedTiming.WAIT_MILLIS * 2 / 3);
 
         source.merge(
             new PlatformObject(
@@ -148,7 +205,7 @@
 
         long announcedAt = Clock.system().millis();
         PeerTransportTest.await(() -> store.versions().equals(source.versions()));
-        assertThat(Clock.system().millis() - announcedAt).isLessThan(WAIT_MILLIS);
+        assertThat(Clock.system().millis() - announcedAt).isLessThan(FeedTiming.WAIT_MILLIS);
       }
       client.stop();
       peers.stop();
@@ -171,7 +228,8 @@
               () -> List.of(dead),
               () -> List.of(live),
               Clock.system(),
-              timer);
+              timer,
+              Optional.empty());
       source.merge(record("a", 1));
 
       client.start();
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/process/ProxyProcess.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/process/ProxyProcess.java
@@ -7,6 +7,7 @@
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
@@ -84,7 +85,8 @@
             new PeerSuspicion(runtime.clock()),
             idGenerator);
     this.dump = new ProxyDump(runtime, databaseRegistry, store, transactions, requests);
-    this.feedServer = new ConfigFeedServer(storeAdapter, runtime.timer(), key -> true);
+    this.feedServer =
+        new ConfigFeedServer(storeAdapter, runtime.timer(), key -> true, Optional.empty());
     this.feedClient =
         new ConfigFeedClient(
             settings.identity().host().value(),
@@ -93,7 +95,8 @@
             settings::controllers,
             settings::peers,
             runtime.clock(),
-            runtime.timer());
+            runtime.timer(),
+            Optional.empty());
   }
 
   static ProxyProcess start(ProxySettings settings) throws IOException {
