Changes that were mostly out of date are followed by a listing

After a reply with twice as many changes as objects, the next call is a listing, which has the newest version alone.

The new test fails without the change (watches again from revision 9).

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
@@ -229,7 +229,7 @@
       callLater(APPLY_AGAIN_MILLIS, this::start);
       return;
     }
-    revision = page.revision();
+    revision = changed && mostlySuperseded(page.objects()) ? 0 : page.revision();
     listener.onAnswered();
     if (changed) {
       callLater(timing.pauseMillis().getAsLong(), this::start);
@@ -238,6 +238,15 @@
     }
   }
 
+  /**
+   * Returns whether a listing is the better next call: objects change faster than their changes
+   * arrive, and the next changes would again hold versions that are out of date.
+   */
+  private static boolean mostlySuperseded(List<PlatformObject> changes) {
+    long objects = changes.stream().map(PlatformObject::key).distinct().count();
+    return changes.size() >= 2 * objects;
+  }
+
   private void markLost(PlatformResult result) {
     if (!lost) {
       lost = true;
--- a/gateway/src/test/java/org/sardinebay/gateway/internal/version/ObjectWatchTest.java
+++ b/gateway/src/test/java/org/sardinebay/gateway/internal/version/ObjectWatchTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.sardinebay.Clock;
+import org.sardinebay.net.http.Json;
 import org.sardinebay.platform.ObjectKey;
 import org.sardinebay.platform.PlatformClient;
 import org.sardinebay.platform.PlatformFailure;
@@ -100,6 +101,24 @@
     assertThat(store.revisions).startsWith(0L, 0L);
   }
 
+  @Test
+  void should_list_after_changes_of_which_most_were_out_of_date() throws Exception {
+    ObjectKey key = new ObjectKey("config", "main");
+    store.watchResult =
+        CompletableFuture.completedFuture(
+            new PlatformResult.Listing(
+                9,
+                List.of(
+                    new PlatformObject(key, 8, false, Json.newObject()),
+                    new PlatformObject(key, 9, false, Json.newObject()))));
+    ObjectWatch watch = watch(timing(() -> true, Long.MAX_VALUE));
+
+    loop.submit(watch::start).get();
+    Thread.sleep(200);
+
+    assertThat(store.revisions).startsWith(0L, 7L, 0L);
+  }
+
   @Test
   void should_not_wait_in_the_first_call_after_a_failure() throws Exception {
     store.watchResult =
