A configuration call goes on while its reply arrives

The records that came a moment later were dropped (sardinebay_peer_dropped_answers), the connection was replaced, and the next call had them sent again over the same link. A configuration with 1,400 routes has 27 kB compressed and 268 kB for a host of an older build.

The call now ends only when the reply makes no progress (8 kB in 0.5 s) after its time-out. Other calls are unchanged: their replies are small.

The new test (256 kB in parts of 32 kB each 150 ms, time-out 300 ms) failed before with NoReply.

--- a/net/src/main/java/org/sardinebay/net/peer/FrameDecoder.java
+++ b/net/src/main/java/org/sardinebay/net/peer/FrameDecoder.java
@@ -15,6 +15,29 @@
 final class FrameDecoder extends ByteToMessageDecoder {
   private static final int MAX_FRAME_BYTES = 16 << 20;
 
+  private long receivedBytes;
+
+  /**
+   * Returns how many bytes the connection has received, whole frames or not. Called on the
+   * connection's event loop.
+   */
+  long receivedBytes() {
+    return receivedBytes;
+  }
+
+  /** Returns whether the connection has received a part of a frame that is not complete. */
+  boolean withinFrame() {
+    return actualReadableBytes() > 0;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+    if (message instanceof ByteBuf part) {
+      receivedBytes += part.readableBytes();
+    }
+    super.channelRead(context, message);
+  }
+
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
       throws InvalidProtocolBufferException {
--- a/net/src/main/java/org/sardinebay/net/peer/FramePipeline.java
+++ b/net/src/main/java/org/sardinebay/net/peer/FramePipeline.java
@@ -3,18 +3,24 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.socket.SocketChannel;
-import java.util.function.Supplier;
+import java.util.function.Function;
 
 /** Configures a channel for length-prefixed protobuf frames. */
 final class FramePipeline extends ChannelInitializer<SocketChannel> {
-  private final Supplier<ChannelHandler> inboundHandler;
+  private final Function<FrameDecoder, ChannelHandler> inboundHandler;
 
-  FramePipeline(Supplier<ChannelHandler> inboundHandler) {
+  /**
+   * Creates the initializer.
+   *
+   * @param inboundHandler creates the handler of the frames that a channel's decoder decodes
+   */
+  FramePipeline(Function<FrameDecoder, ChannelHandler> inboundHandler) {
     this.inboundHandler = inboundHandler;
   }
 
   @Override
   protected void initChannel(SocketChannel channel) {
-    channel.pipeline().addLast(new FrameDecoder(), new FrameEncoder(), inboundHandler.get());
+    FrameDecoder decoder = new FrameDecoder();
+    channel.pipeline().addLast(decoder, new FrameEncoder(), inboundHandler.apply(decoder));
   }
 }
--- a/net/src/main/java/org/sardinebay/net/peer/PeerConnection.java
+++ b/net/src/main/java/org/sardinebay/net/peer/PeerConnection.java
@@ -24,10 +24,17 @@
   /** A configuration call that times out does not retire a connection younger than this. */
   private static final long MIN_AGE_TO_RETIRE_MILLIS = 1_000;
 
+  /** Time between two checks whether a long reply still makes progress, in milliseconds. */
+  private static final long PROGRESS_CHECK_MILLIS = 500;
+
+  /** How much must arrive from one check to the next, in bytes. */
+  private static final int MIN_PROGRESS_BYTES = 8 << 10;
+
   private final Clock clock;
   private final Counter droppedAnswers;
   private final long openedAtMillis;
   private final Map<Long, PendingCall> calls = new HashMap<>();
+  private FrameDecoder decoder;
   private ChannelFuture connecting;
   private long lastCorrelation;
   private long lastReceivedAtMillis;
@@ -58,7 +65,8 @@
     return pending.result;
   }
 
-  ChannelHandler inbound() {
+  ChannelHandler inbound(FrameDecoder frameDecoder) {
+    decoder = frameDecoder;
     return new Inbound();
   }
 
@@ -74,15 +82,19 @@
     }
     long correlation = ++lastCorrelation;
     calls.put(correlation, pending);
-    pending.expiry =
-        channel()
-            .eventLoop()
-            .schedule(() -> expire(correlation), timeoutMillis, TimeUnit.MILLISECONDS);
+    scheduleExpiry(correlation, pending, timeoutMillis);
     if (connecting.isDone()) {
       write(correlation, pending);
     }
   }
 
+  private void scheduleExpiry(long correlation, PendingCall pending, long delayMillis) {
+    pending.expiry =
+        channel()
+            .eventLoop()
+            .schedule(() -> expire(correlation), delayMillis, TimeUnit.MILLISECONDS);
+  }
+
   private void connected(boolean success) {
     if (success) {
       calls.forEach(this::write);
@@ -97,15 +109,22 @@
     }
     pending.sent = true;
     pending.sentAtMillis = clock.millis();
+    pending.receivedBytes = decoder.receivedBytes();
     Frame frame = pending.frame.toBuilder().setCorrelation(correlation).build();
     ChannelFuture unused = channel().writeAndFlush(frame, channel().voidPromise());
   }
 
   private void expire(long correlation) {
-    PendingCall pending = calls.remove(correlation);
+    PendingCall pending = calls.get(correlation);
     if (pending == null) {
       return;
     }
+    if (receivesReply(pending)) {
+      pending.receivedBytes = decoder.receivedBytes();
+      scheduleExpiry(correlation, pending, PROGRESS_CHECK_MILLIS);
+      return;
+    }
+    calls.remove(correlation);
     if (shouldRetireAfter(pending)) {
       retired = true;
     }
@@ -113,6 +132,17 @@
     pending.result.complete(pending.failure());
   }
 
+  /**
+   * Returns whether a reply with records may be under way. They may be large, and the link slow: a
+   * call that is given up would have them sent again.
+   */
+  private boolean receivesReply(PendingCall pending) {
+    return pending.frame.hasConfigCall()
+        && pending.sent
+        && decoder.withinFrame()
+        && decoder.receivedBytes() - pending.receivedBytes >= MIN_PROGRESS_BYTES;
+  }
+
   private boolean shouldRetireAfter(PendingCall pending) {
     boolean silent = pending.sent && lastReceivedAtMillis <= pending.sentAtMillis;
     boolean young = clock.millis() - openedAtMillis < MIN_AGE_TO_RETIRE_MILLIS;
@@ -154,6 +184,7 @@
     private final CompletableFuture<PeerResult> result;
     private boolean sent;
     private long sentAtMillis;
+    private long receivedBytes;
     private Future<?> expiry;
 
     PendingCall(Frame frame, CompletableFuture<PeerResult> result) {
--- a/net/src/main/java/org/sardinebay/net/peer/PeerServer.java
+++ b/net/src/main/java/org/sardinebay/net/peer/PeerServer.java
@@ -73,7 +73,7 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new FramePipeline(() -> new Inbound(handlers.get())))
+            .childHandler(new FramePipeline(decoder -> new Inbound(handlers.get())))
             .bind(listen.socketAddress())
             .awaitUninterruptibly();
     if (!bound.isSuccess()) {
--- a/net/src/test/java/org/sardinebay/net/peer/PeerTransportTest.java
+++ b/net/src/test/java/org/sardinebay/net/peer/PeerTransportTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.protobuf.ByteString;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -20,6 +21,9 @@
 import org.sardinebay.Address;
 import org.sardinebay.Clock;
 import org.sardinebay.net.AddressTranslation;
+import org.sardinebay.net.peer.generated.ConfigCall;
+import org.sardinebay.net.peer.generated.ConfigRecord;
+import org.sardinebay.net.peer.generated.ConfigReply;
 import org.sardinebay.net.peer.generated.Frame;
 import org.sardinebay.net.peer.generated.SuspicionCall;
 import org.sardinebay.net.peer.generated.SuspicionReply;
@@ -27,6 +31,8 @@
 class PeerTransportTest {
   private static final long LONG_MILLIS = 10_000;
   private static final long SHORT_MILLIS = 50;
+  private static final long SLOW_MILLIS = 300;
+  private static final int PART_BYTES = 32 << 10;
 
   private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
   private final PeerClient client =
@@ -73,6 +79,39 @@
       assertThat(registry.counter(PeerClient.DROPPED_ANSWERS).count()).isEqualTo(1);
     }
 
+    @Test
+    void should_complete_a_configuration_call_beyond_its_time_out_while_they_arrive()
+        throws Exception {
+      try (ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+        Address address = new Address("127.0.0.1", server.getLocalPort());
+        Frame call = Frame.newBuilder().setConfigCall(ConfigCall.getDefaultInstance()).build();
+        CompletableFuture<PeerResult> result = client.call(address, call, SLOW_MILLIS);
+        try (Socket socket = server.accept()) {
+          DataInputStream in = new DataInputStream(socket.getInputStream());
+          long correlation = Frame.parseFrom(in.readNBytes(in.readInt())).getCorrelation();
+          byte[] reply = largeReply(correlation).toByteArray();
+          DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+          out.writeInt(reply.length);
+          for (int from = 0; from < reply.length; from += PART_BYTES) {
+            out.write(reply, from, Math.min(PART_BYTES, reply.length - from));
+            Thread.sleep(SLOW_MILLIS / 2);
+          }
+
+          assertThat(result.get(LONG_MILLIS, TimeUnit.MILLISECONDS))
+              .isInstanceOf(PeerResult.Reply.class);
+        }
+      }
+    }
+
+    private static Frame largeReply(long correlation) {
+      ConfigRecord record =
+          ConfigRecord.newBuilder().setBody(ByteString.copyFrom(new byte[8 * PART_BYTES])).build();
+      return Frame.newBuilder()
+          .setCorrelation(correlation)
+          .setConfigReply(ConfigReply.newBuilder().addRecords(record))
+          .build();
+    }
+
     @Test
     void should_be_dropped_and_counted_when_they_arrive_again_after_the_next_call()
         throws Exception {
