--- a/core/src/main/java/org/sardinebay/internal/process/StoreFreshness.java
+++ b/core/src/main/java/org/sardinebay/internal/process/StoreFreshness.java
@@ -70,7 +70,16 @@
    * @return false if it has to ask the store
    */
   public boolean fresh() {
-    return clock.millis() - knownAt.get() <= MAX_AGE_MILLIS;
+    return ageMillis() <= MAX_AGE_MILLIS;
+  }
+
+  /**
+   * Returns how old this host's knowledge of the store is.
+   *
+   * @return the age in milliseconds
+   */
+  public long ageMillis() {
+    return clock.millis() - knownAt.get();
   }
 
   /**
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/StoreWatches.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/StoreWatches.java
@@ -126,6 +126,12 @@
             () -> true,
             Long.MAX_VALUE),
         feeds.listener(PlatformKeys.MEMBER_KIND));
+    TimeGauge.builder(
+            "sardinebay_store_knowledge_age",
+            freshness,
+            TimeUnit.MILLISECONDS,
+            StoreFreshness::ageMillis)
+        .register(registry);
     check();
   }
 
@@ -169,6 +175,7 @@
       stale = !stale;
       LOG.atInfo()
           .setMessage(stale ? "store_changes_unconfirmed" : "store_changes_confirmed")
+          .addKeyValue("age_millis", freshness.ageMillis())
           .addKeyValue("closely", watchesClosely())
           .log();
     }
