--- a/core/src/test/java/org/sardinebay/internal/process/ConfigurationBoundTest.java
+++ b/core/src/test/java/org/sardinebay/internal/process/ConfigurationBoundTest.java
@@ -23,7 +23,7 @@
 
   @ParameterizedTest
   @ValueSource(ints = {0, 100, 200, 300, 400})
-  void should_hold_beside_hosts_that_are_cut_off_refused_or_silent(int firstSeed) {
+  void should_hold_beside_hosts_that_are_cut_off_refused_silent_slow_or_killed(int firstSeed) {
     List<String> late = new ArrayList<>();
     for (int seed = firstSeed; seed < firstSeed + SEEDS; seed++) {
       late.addAll(new Day(seed).lateHosts());
@@ -74,7 +74,7 @@
     private void disrupt() {
       double share = 0.1 + 0.5 * random.nextDouble();
       long millis = 1_000L + random.nextInt(8_000);
-      int kind = random.nextInt(3);
+      int kind = random.nextInt(5);
       if (kind == 0) {
         fleet.silenceConnections();
       }
@@ -84,6 +84,12 @@
         } else if (random.nextDouble() < share && kind == 1) {
           fleet.host(i).cut(millis);
           disturb(i, millis);
+        } else if (random.nextDouble() < share && kind == 3) {
+          fleet.host(i).slow(100L + random.nextInt(1_500), millis);
+          disturb(i, millis);
+        } else if (random.nextDouble() < share && kind == 4) {
+          fleet.host(i).kill(millis);
+          disturb(i, millis);
         } else if (random.nextDouble() < share && kind == 2) {
           fleet.host(i).refuse(millis);
           storeDisturbedUntil = Math.max(storeDisturbedUntil, fleet.now() + millis);
--- a/core/src/test/java/org/sardinebay/internal/process/SimulatedFleet.java
+++ b/core/src/test/java/org/sardinebay/internal/process/SimulatedFleet.java
@@ -21,6 +21,7 @@
   private static final long ROUND_TRIP_MILLIS = 20;
   private static final long CLOSE_WAIT_MILLIS = 2_000;
   private static final long WATCH_MARGIN_MILLIS = 1_000;
+  private static final long LIST_TIMEOUT_MILLIS = 2_000;
   private static final long RETRY_MILLIS = 250;
   private static final long CLOSE_MAX_RETRY_MILLIS = 1_000;
   private static final long MAX_RETRY_MILLIS = 2_500;
@@ -143,7 +144,7 @@
       }
       answered = true;
       at(
-          now + ROUND_TRIP_MILLIS,
+          now + ROUND_TRIP_MILLIS + from.delayMillis + (to == null ? 0 : to.delayMillis),
           () -> {
             if (!silent && calls.remove(this)) {
               onAnswer.run();
@@ -161,7 +162,10 @@
     private int known;
     private boolean cut;
     private boolean refused;
+    private long delayMillis;
+    private int life;
     private int watchNumber;
+    private long answeredAt;
     private boolean closely;
     private boolean resting;
 
@@ -204,11 +208,43 @@
       at(now + millis, () -> refused = false);
     }
 
+    /** Delays the answers to all calls from and to the host. */
+    void slow(long delay, long millis) {
+      delayMillis = delay;
+      at(now + millis, () -> delayMillis = 0);
+    }
+
+    /** Ends the process, and starts it again without what it knew. */
+    void kill(long millis) {
+      cut(millis);
+      int killed = ++life;
+      at(
+          now + millis,
+          () -> {
+            if (killed == life) {
+              known = 0;
+              start();
+            }
+          });
+    }
+
     private void check() {
       if (resting && asksStore()) {
         watch(0);
       }
-      at(now + CHECK_MILLIS, this::check);
+      inThisLife(CHECK_MILLIS, this::check);
+    }
+
+    /** Schedules a task that a restart drops. */
+    private void inThisLife(long delay, Runnable task) {
+      int scheduled = life;
+      at(
+          now + delay,
+          () -> {
+            if (scheduled == life) {
+              task.run();
+            }
+          });
     }
 
     private boolean asksStore() {
@@ -223,15 +259,17 @@
       int number = ++watchNumber;
       resting = false;
       storeCalls++;
+      boolean lists = known == 0 || now - answeredAt > StoreFreshness.MAX_AGE_MILLIS;
       Call call =
           new Call(
               this,
               null,
-              waitMillis,
-              waitMillis + WATCH_MARGIN_MILLIS,
+              lists ? 0 : waitMillis,
+              lists ? LIST_TIMEOUT_MILLIS : waitMillis + WATCH_MARGIN_MILLIS,
               () -> {
                 if (number == watchNumber) {
                   backoff.onSuccess();
+                  answeredAt = now;
                   learn(version);
                   freshness.onStoreAnswer();
                   confirm();
@@ -244,7 +282,7 @@
               },
               () -> {
                 if (number == watchNumber) {
-                  at(now + backoff.onFailure(), () -> retry(number));
+                  inThisLife(backoff.onFailure(), () -> retry(number));
                 }
               });
       if (known < version) {
@@ -278,8 +316,13 @@
         ConfigSourceSelector selector, List<Address> preferred, List<Address> others) {
       Host source = hosts.get(selector.next(preferred, others).orElseThrow().port() - 1);
       boolean stale = source.freshness.storeAgeMillis().isEmpty();
+      int polled = life;
       Runnable next =
-          () -> at(now + selector.pauseMillis(), () -> poll(selector, preferred, others));
+          () -> {
+            if (polled == life) {
+              inThisLife(selector.pauseMillis(), () -> poll(selector, preferred, others));
+            }
+          };
       Call call =
           new Call(
               this,
