--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -136,19 +136,7 @@
     this.feeds = new StoreFeeds(records, storeAdapter, services, clock);
     storeAdapter.onChange(() -> feeds.refreshSoon(loop));
     ForwardedStatements.Context forwardedContext = forwardedContext(local, memberProtocol);
-    this.peers =
-        new Peers(
-            settings,
-            () -> this.settings.seeds(),
-            storeAdapter,
-            feeds::hosts,
-            () -> new ForwardedStatements(forwardedContext),
-            this::answerReach,
-            this::answerQuota,
-            () -> loop.execute(confirmation::onPeerReply),
-            freshness,
-            clock,
-            registry);
+    this.peers = newPeers(storeAdapter, forwardedContext);
     this.homes =
         new Homes(
             settings.host(),
@@ -169,6 +157,22 @@
     services.onConfigured(sessions::applyConfiguration);
   }
 
+  private Peers newPeers(
+      ConfigStoreAdapter storeAdapter, ForwardedStatements.Context forwardedContext) {
+    return new Peers(
+        settings,
+        () -> this.settings.seeds(),
+        storeAdapter,
+        feeds::hosts,
+        () -> new ForwardedStatements(forwardedContext),
+        this::answerReach,
+        this::answerQuota,
+        () -> loop.execute(confirmation::onPeerReply),
+        freshness,
+        clock,
+        registry);
+  }
+
   private ForwardedStatements.Context forwardedContext(
       StatementRunner local, MemberProtocol memberProtocol) {
     return new ForwardedStatements.Context(
