What another domain's host announces is fetched after a delay

The feed to other domains waits 0.5 s before it fetches, and asks by digest again if the own domain's feed has brought the record meanwhile.

--- a/controller/src/main/java/org/sardinebay/controller/internal/process/ControllerProcess.java
+++ b/controller/src/main/java/org/sardinebay/controller/internal/process/ControllerProcess.java
@@ -67,8 +67,7 @@
             settings.self().host().value(),
             runtime.peers(),
             storeAdapter,
-            this::preferredSources,
-            topology::otherControllers,
+            new ConfigFeedClient.Sources(this::preferredSources, topology::otherControllers, 0),
             runtime.clock(),
             runtime.timer(),
             Optional.empty());
--- a/core/src/main/java/org/sardinebay/internal/process/FeedTiming.java
+++ b/core/src/main/java/org/sardinebay/internal/process/FeedTiming.java
@@ -14,5 +14,12 @@
    */
   public static final long STALE_SOURCE_WAIT_MILLIS = 500;
 
+  /**
+   * Delay before a host fetches what a host of another failure domain announces, in milliseconds: a
+   * large configuration reaches the own domain's watchers at about the same time, and bytes between
+   * domains are counted.
+   */
+  public static final long OTHER_DOMAIN_FETCH_DELAY_MILLIS = 500;
+
   private FeedTiming() {}
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
@@ -17,6 +17,7 @@
 import org.sardinebay.Clock;
 import org.sardinebay.gateway.internal.request.ForwardedStatements;
 import org.sardinebay.gateway.internal.version.StoreFeeds;
+import org.sardinebay.internal.process.FeedTiming;
 import org.sardinebay.internal.process.StoreFreshness;
 import org.sardinebay.internal.process.StoreWatchers;
 import org.sardinebay.internal.process.StoreWatchers.Nearness;
@@ -120,8 +121,8 @@
               settings.host().value(),
               peerClient,
               storeAdapter,
-              () -> watchers(nearness),
-              this::otherPeers,
+              new ConfigFeedClient.Sources(
+                  () -> watchers(nearness), this::otherPeers, fetchDelayMillis(nearness)),
               clock,
               timer,
               Optional.of(freshness));
@@ -151,6 +152,10 @@
     return thread;
   }
 
+  private static long fetchDelayMillis(Nearness nearness) {
+    return nearness == Nearness.OWN_DOMAIN ? 0 : FeedTiming.OTHER_DOMAIN_FETCH_DELAY_MILLIS;
+  }
+
   private List<Address> watchers(Nearness nearness) {
     return feedSources().watchers().getOrDefault(nearness, List.of());
   }
--- a/net/src/main/java/org/sardinebay/net/peer/ConfigFeedClient.java
+++ b/net/src/main/java/org/sardinebay/net/peer/ConfigFeedClient.java
@@ -26,7 +26,13 @@
  *
  * <pre>{@code
  * ConfigFeedClient feed = new ConfigFeedClient(
- *     "waco-1", peers, store, () -> controllers, () -> proxies, clock, timer, Optional.empty());
+ *     "waco-1",
+ *     peers,
+ *     store,
+ *     new Sources(() -> controllers, () -> proxies, 0),
+ *     clock,
+ *     timer,
+ *     Optional.empty());
  * feed.start();
  * }</pre>
  *
@@ -38,26 +44,38 @@
   private final String process;
   private final PeerClient peers;
   private final ConfigFeedStore store;
-  private final Supplier<List<Address>> preferred;
-  private final Supplier<List<Address>> fallbacks;
+  private final Sources sources;
   private final Clock clock;
   private final ScheduledExecutorService timer;
   private final Optional<StoreFreshness> freshness;
   private final ConfigSourceSelector sourceSelector = new ConfigSourceSelector();
   private final Object lock = new Object();
   private boolean sendVersions = true;
+  private long announcedDigest;
   private boolean replied;
   private volatile Runnable onReply = () -> {};
   private boolean running;
 
+  /**
+   * The processes that a feed polls.
+   *
+   * @param preferred the processes to poll
+   * @param fallbacks the processes to poll while no preferred process replies
+   * @param fetchDelayMillis delay before what a process announces is fetched from it, in
+   *     milliseconds, so that a feed with nearer sources can bring it first
+   */
+  public record Sources(
+      Supplier<List<Address>> preferred,
+      Supplier<List<Address>> fallbacks,
+      long fetchDelayMillis) {}
+
   /**
    * Creates the client side of the feed.
    *
    * @param process the name of this process
    * @param peers the RPC client
    * @param store the configuration of this process
-   * @param preferred the processes to poll
-   * @param fallbacks the processes to poll while no preferred process replies
+   * @param sources the processes to poll
    * @param clock the clock
    * @param timer schedules the calls
    * @param freshness told how recent the sources' knowledge of the platform's store is; empty if
@@ -67,16 +85,14 @@
       String process,
       PeerClient peers,
       ConfigFeedStore store,
-      Supplier<List<Address>> preferred,
-      Supplier<List<Address>> fallbacks,
+      Sources sources,
       Clock clock,
       ScheduledExecutorService timer,
       Optional<StoreFreshness> freshness) {
     this.process = process;
     this.peers = peers;
     this.store = store;
-    this.preferred = preferred;
-    this.fallbacks = fallbacks;
+    this.sources = sources;
     this.clock = clock;
     this.timer = timer;
     this.freshness = freshness;
@@ -121,7 +137,7 @@
       if (!running) {
         return;
       }
-      source = sourceSelector.next(preferred.get(), fallbacks.get());
+      source = sourceSelector.next(sources.preferred().get(), sources.fallbacks().get());
       call = call();
     }
     if (source.isEmpty()) {
@@ -149,15 +165,19 @@
   }
 
   private ConfigCall call() {
+    long digest = store.digest();
+    // Another feed may have brought what the source announced.
+    boolean brought = announcedDigest != 0 && announcedDigest != digest;
+    announcedDigest = 0;
     ConfigCall.Builder call =
         ConfigCall.newBuilder()
             .setProcess(process)
-            .setDigest(store.digest())
+            .setDigest(digest)
             .setAcceptsCompressed(true)
             .setFollowsStore(freshness.isPresent())
             // The first reply comes at once, since the process may wait for it before it serves.
             .setWaitMillis(replied ? FeedTiming.WAIT_MILLIS : 0);
-    if (sendVersions) {
+    if (sendVersions && !brought) {
       call.addAllApplied(FeedCodec.toMessages(store.versions()));
     }
     return call.build();
@@ -208,12 +228,14 @@
               && call.getAppliedCount() == 0
               && elapsedMillis < FeedTiming.WAIT_MILLIS;
       sendVersions = digestDiffers;
+      announcedDigest = digestDiffers ? call.getDigest() : 0;
       if (empty && !digestDiffers) {
         sourceSelector.recordUnchanged();
       } else {
         sourceSelector.recordChanged();
       }
-      return sourceSelector.pauseMillis();
+      long pauseMillis = sourceSelector.pauseMillis();
+      return digestDiffers ? Math.max(pauseMillis, sources.fetchDelayMillis()) : pauseMillis;
     }
   }
 
--- a/net/src/test/java/org/sardinebay/net/peer/ConfigFeedTest.java
+++ b/net/src/test/java/org/sardinebay/net/peer/ConfigFeedTest.java
@@ -30,6 +30,7 @@
 class ConfigFeedTest {
   private static final long LONG_MILLIS = 10_000;
   private static final long SHORT_MILLIS = 200;
+  private static final long FETCH_DELAY_MILLIS = 1_000;
   private static final String SLOW_KIND = "hosts";
   private static final int LARGE_BYTES = 64 << 10;
 
@@ -144,12 +145,7 @@
       freshness.onStoreAnswer();
       CompletableFuture<Frame> reply = server.handle(following(digestOnly(source.digest())));
 
-      source.merge(
-          new PlatformObject(
-              new ObjectKey("databases", "large"),
-              1,
-              false,
-              Json.newObject().put("text", "-".repeat(LARGE_BYTES))));
+      source.merge(largeRecord());
 
       assertThat(reply.join().getConfigReply())
           .returns(0, ConfigReply::getRecordsCount)
@@ -164,6 +160,44 @@
 
   @Nested
   class Client {
+    @Test
+    void should_not_fetch_what_another_feed_brought_before_the_delay_was_over() throws Exception {
+      PeerClient peers =
+          PeerClient.start(AddressTranslation.none(), Clock.system(), new SimpleMeterRegistry());
+      Address announcing = FreePorts.next();
+      List<ConfigCall> calls = new CopyOnWriteArrayList<>();
+      PeerServer transport =
+          PeerServer.start(
+              announcing,
+              call -> {
+                calls.add(call.getConfigCall());
+                return server.handle(call.getConfigCall());
+              });
+      InMemoryConfigFeedStore store = new InMemoryConfigFeedStore();
+      ConfigFeedClient client =
+          new ConfigFeedClient(
+              "waco-1",
+              peers,
+              store,
+              new ConfigFeedClient.Sources(() -> List.of(announcing), List::of, FETCH_DELAY_MILLIS),
+              Clock.system(),
+              timer,
+              Optional.empty());
+      source.merge(record("a", 1));
+      client.start();
+      PeerTransportTest.await(() -> calls.stream().anyMatch(ConfigFeedTest::waitsForDigest));
+      int callsBefore = calls.size();
+
+      source.merge(largeRecord());
+      store.merge(largeRecord());
+
+      PeerTransportTest.await(() -> calls.size() > callsBefore);
+      assertThat(calls.get(callsBefore).getAppliedCount()).isZero();
+      client.stop();
+      peers.stop();
+      transport.stop();
+    }
+
     @Test
     void should_fetch_a_large_record_from_the_source_that_announces_it_late() throws Exception {
       PeerClient peers =
@@ -184,8 +218,7 @@
               "waco-1",
               peers,
               store,
-              () -> List.of(announcing, silent),
-              List::of,
+              new ConfigFeedClient.Sources(() -> List.of(announcing, silent), List::of, 0),
               Clock.system(),
               timer,
               Optional.empty());
@@ -225,8 +258,7 @@
               "waco-1",
               peers,
               store,
-              () -> List.of(dead),
-              () -> List.of(live),
+              new ConfigFeedClient.Sources(() -> List.of(dead), () -> List.of(live), 0),
               Clock.system(),
               timer,
               Optional.empty());
@@ -243,6 +275,14 @@
     }
   }
 
+  private static PlatformObject largeRecord() {
+    return new PlatformObject(
+        new ObjectKey("databases", "large"),
+        1,
+        false,
+        Json.newObject().put("text", "-".repeat(LARGE_BYTES)));
+  }
+
   private static boolean waitsForDigest(ConfigCall call) {
     return call.getAppliedCount() == 0 && call.getDigest() != 0;
   }
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/process/ProxyProcess.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/process/ProxyProcess.java
@@ -92,8 +92,7 @@
             settings.identity().host().value(),
             peers,
             storeAdapter,
-            settings::controllers,
-            settings::peers,
+            new ConfigFeedClient.Sources(settings::controllers, settings::peers, 0),
             runtime.clock(),
             runtime.timer(),
             Optional.empty());
