A reply held up on its way does not make knowledge newer

A reply that waits in the buffers of a host that stands still, or on a crowded link, would have counted as new for up to 4 s more, and the bound would not have held.

The reply now names the time of the answer relative to the call's arrival, and the host counts it from the sending of its call.

--- a/controller/src/main/java/org/sardinebay/controller/internal/process/ControllerProcess.java
+++ b/controller/src/main/java/org/sardinebay/controller/internal/process/ControllerProcess.java
@@ -61,7 +61,8 @@
     this.supervisors = new Supervisors(runtime, topology, new PredecessorMonitor(runtime));
     this.platformWatcher = new PlatformWatcher(runtime, topology, storeAdapter, supervisors);
     this.feedServer =
-        new ConfigFeedServer(storeAdapter, runtime.timer(), key -> true, Optional.empty());
+        new ConfigFeedServer(
+            storeAdapter, runtime.timer(), key -> true, runtime.clock(), Optional.empty());
     this.feedClient =
         new ConfigFeedClient(
             settings.self().host().value(),
--- a/controller/src/test/java/org/sardinebay/controller/internal/process/ControllerProcessTest.java
+++ b/controller/src/test/java/org/sardinebay/controller/internal/process/ControllerProcessTest.java
@@ -43,7 +43,7 @@
       storeAdapter.merge(
           new PlatformObject(new ObjectKey("databases", "db"), 5, false, database()));
       ConfigFeedServer server =
-          new ConfigFeedServer(storeAdapter, timer, key -> true, Optional.empty());
+          new ConfigFeedServer(storeAdapter, timer, key -> true, Clock.system(), Optional.empty());
       Address peer = FreePorts.next();
       PeerServer peers = PeerServer.start(peer, call -> server.handle(call.getConfigCall()));
 
--- a/core/src/main/java/org/sardinebay/internal/process/StoreFreshness.java
+++ b/core/src/main/java/org/sardinebay/internal/process/StoreFreshness.java
@@ -11,7 +11,7 @@
  * confirmed is applied within a bounded time although few hosts of a large fleet watch closely.
  *
  * <pre>{@code
- * freshness.onSourceReply(reply.getStoreAgeMillis());
+ * freshness.onSourceReply(callSentAt + reply.getStoreAnsweredMillis());
  * if (!freshness.fresh()) {
  *   watch.checkNow();
  * }
@@ -54,10 +54,10 @@
   /**
    * Records that this host has all changes that another one has.
    *
-   * @param storeAgeMillis how long ago the store answered the other host, in milliseconds
+   * @param time when the store answered the other host, by this host's clock, or earlier
    */
-  public void onSourceReply(long storeAgeMillis) {
-    raise(clock.millis() - storeAgeMillis);
+  public void onSourceReply(long time) {
+    raise(time);
   }
 
   private void raise(long time) {
@@ -83,13 +83,13 @@
   }
 
   /**
-   * Returns how long ago the store itself answered this host. What other hosts said does not count,
-   * because two hosts would otherwise confirm each other for ever.
+   * Returns when the store itself answered this host. What other hosts said does not count, because
+   * two hosts would otherwise confirm each other for ever.
    *
-   * @return the age in milliseconds; empty if this host can't vouch for recent changes
+   * @return the time by this host's clock; empty if this host can't vouch for recent changes
    */
-  public OptionalLong storeAgeMillis() {
-    long age = clock.millis() - answeredAt.get();
-    return age <= MAX_AGE_MILLIS ? OptionalLong.of(age) : OptionalLong.empty();
+  public OptionalLong storeAnsweredAt() {
+    long time = answeredAt.get();
+    return clock.millis() - time <= MAX_AGE_MILLIS ? OptionalLong.of(time) : OptionalLong.empty();
   }
 }
--- a/core/src/test/java/org/sardinebay/internal/process/SimulatedFleet.java
+++ b/core/src/test/java/org/sardinebay/internal/process/SimulatedFleet.java
@@ -7,6 +7,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.sardinebay.Address;
 import org.sardinebay.FailureDomain;
 import org.sardinebay.HostId;
@@ -104,7 +105,9 @@
   private final class Call {
     private final Host from;
     private final Host to;
-    private final Runnable onAnswer;
+    private final Consumer<Call> onAnswer;
+    private int version;
+    private OptionalLong storeAnsweredAt = OptionalLong.empty();
     private boolean silent;
     private boolean answered;
 
@@ -113,7 +116,7 @@
         Host to,
         long waitMillis,
         long timeoutMillis,
-        Runnable onAnswer,
+        Consumer<Call> onAnswer,
         Runnable onFailure) {
       this.from = from;
       this.to = to;
@@ -143,11 +146,13 @@
         return;
       }
       answered = true;
+      version = to == null ? SimulatedFleet.this.version : to.known;
+      storeAnsweredAt = to == null ? OptionalLong.empty() : to.freshness.storeAnsweredAt();
       at(
           now + ROUND_TRIP_MILLIS + from.delayMillis + (to == null ? 0 : to.delayMillis),
           () -> {
             if (!silent && calls.remove(this)) {
-              onAnswer.run();
+              onAnswer.accept(this);
             }
           });
     }
@@ -266,11 +271,11 @@
               null,
               lists ? 0 : waitMillis,
               lists ? LIST_TIMEOUT_MILLIS : waitMillis + WATCH_MARGIN_MILLIS,
-              () -> {
+              reply -> {
                 if (number == watchNumber) {
                   backoff.onSuccess();
                   answeredAt = now;
-                  learn(version);
+                  learn(reply.version);
                   freshness.onStoreAnswer();
                   confirm();
                   if (asksStore()) {
@@ -315,7 +320,7 @@
     private void poll(
         ConfigSourceSelector selector, List<Address> preferred, List<Address> others) {
       Host source = hosts.get(selector.next(preferred, others).orElseThrow().port() - 1);
-      boolean stale = source.freshness.storeAgeMillis().isEmpty();
+      boolean stale = source.freshness.storeAnsweredAt().isEmpty();
       int polled = life;
       Runnable next =
           () -> {
@@ -329,11 +334,12 @@
               source,
               stale ? FeedTiming.STALE_SOURCE_WAIT_MILLIS : FeedTiming.WAIT_MILLIS,
               FeedTiming.REPLY_TIMEOUT_MILLIS,
-              () -> {
-                boolean changed = source.known > known;
-                learn(source.known);
-                OptionalLong age = source.freshness.storeAgeMillis();
-                age.ifPresent(freshness::onSourceReply);
+              reply -> {
+                boolean changed = reply.version > known;
+                learn(reply.version);
+                // By the store's clock here, since all hosts have the same.
+                reply.storeAnsweredAt.ifPresent(
+                    time -> freshness.onSourceReply(time - ROUND_TRIP_MILLIS / 2));
                 if (changed) {
                   selector.recordChanged();
                 } else {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
@@ -100,6 +100,7 @@
             storeAdapter,
             timer,
             key -> !key.kind().equals(StoreFeeds.HOSTS),
+            clock,
             Optional.of(freshness));
   }
 
--- a/net/src/main/java/org/sardinebay/net/peer/ConfigFeedClient.java
+++ b/net/src/main/java/org/sardinebay/net/peer/ConfigFeedClient.java
@@ -144,13 +144,12 @@
       schedulePoll(FeedTiming.WAIT_MILLIS);
       return;
     }
-    long sentMillis = clock.millis();
+    long sentAt = clock.millis();
     Frame frame = Frame.newBuilder().setConfigCall(call).build();
     CompletableFuture<Void> unused =
         peers
             .call(source.get(), frame, FeedTiming.REPLY_TIMEOUT_MILLIS)
-            .thenAccept(
-                result -> handleResult(result, source.get(), call, clock.millis() - sentMillis))
+            .thenAccept(result -> handleResult(result, source.get(), call, sentAt))
             .exceptionally(
                 e -> {
                   handleException(e);
@@ -183,8 +182,8 @@
     return call.build();
   }
 
-  private void handleResult(
-      PeerResult result, Address source, ConfigCall call, long elapsedMillis) {
+  private void handleResult(PeerResult result, Address source, ConfigCall call, long sentAt) {
+    long elapsedMillis = clock.millis() - sentAt;
     if (result instanceof PeerResult.Reply reply && reply.frame().hasConfigReply()) {
       ConfigReply body = reply.frame().getConfigReply();
       for (PlatformObject applied : merge(body.getRecordsList())) {
@@ -197,8 +196,8 @@
             .addKeyValue("after_millis", elapsedMillis)
             .log();
       }
-      if (body.hasStoreAgeMillis()) {
-        freshness.ifPresent(known -> known.onSourceReply(body.getStoreAgeMillis()));
+      if (body.hasStoreAnsweredMillis()) {
+        freshness.ifPresent(known -> known.onSourceReply(sentAt + body.getStoreAnsweredMillis()));
       }
       synchronized (lock) {
         replied = true;
@@ -219,7 +218,7 @@
   private long recordReply(ConfigCall call, ConfigReply reply, long elapsedMillis) {
     synchronized (lock) {
       boolean empty = reply.getRecordsCount() == 0;
-      boolean complete = reply.getStale() || reply.hasStoreAgeMillis();
+      boolean complete = reply.getStale() || reply.hasStoreAnsweredMillis();
       // A call without versions that is answered without records before its wait is over: the
       // digests differ, or the source announces a large record.
       boolean digestDiffers =
--- a/net/src/main/java/org/sardinebay/net/peer/ConfigFeedServer.java
+++ b/net/src/main/java/org/sardinebay/net/peer/ConfigFeedServer.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.sardinebay.Clock;
 import org.sardinebay.internal.process.FeedTiming;
 import org.sardinebay.internal.process.StoreFreshness;
 import org.sardinebay.net.peer.generated.ConfigCall;
@@ -25,7 +26,7 @@
  *
  * <pre>{@code
  * ConfigFeedServer feed = new ConfigFeedServer(
- *     store, timer, key -> true, Optional.empty());
+ *     store, timer, key -> true, clock, Optional.empty());
  * CompletableFuture<Frame> reply = feed.handle(frame.getConfigCall());
  * }</pre>
  *
@@ -48,6 +49,7 @@
   private final ConfigFeedStore store;
   private final ScheduledExecutorService timer;
   private final Predicate<ObjectKey> urgent;
+  private final Clock clock;
   private final Optional<StoreFreshness> freshness;
   private final RecordEncoder encoder = new RecordEncoder();
   private final Set<PendingCall> pendingCalls = ConcurrentHashMap.newKeySet();
@@ -59,6 +61,7 @@
    * @param timer expires pending calls
    * @param urgent whether a change of a record is sent at once; the others are sent together with
    *     the next urgent one or when the call's wait expires, so that many changes cost one reply
+   * @param clock the clock of the freshness
    * @param freshness as of when this process knows all changes of the platform's store; empty if
    *     other processes don't rely on it for that
    */
@@ -66,10 +69,12 @@
       ConfigFeedStore store,
       ScheduledExecutorService timer,
       Predicate<ObjectKey> urgent,
+      Clock clock,
       Optional<StoreFreshness> freshness) {
     this.store = store;
     this.timer = timer;
     this.urgent = urgent;
+    this.clock = clock;
     this.freshness = freshness;
     // Encoding a large record must not hold up the thread that changed the store.
     store.onChange(() -> timer.execute(() -> pendingCalls.forEach(this::completeIfChanged)));
@@ -88,7 +93,7 @@
     if (digestOnly && call.getDigest() != store.digest()) {
       return CompletableFuture.completedFuture(frame(ConfigReply.newBuilder()));
     }
-    PendingCall pending = new PendingCall(call, applied, digestOnly);
+    PendingCall pending = new PendingCall(call, applied, digestOnly, clock.millis());
     pendingCalls.add(pending);
     completeIfChanged(pending);
     long waitMillis = waitMillis(call);
@@ -98,13 +103,13 @@
   }
 
   private long waitMillis(ConfigCall call) {
-    return call.getFollowsStore() && storeAgeMillis().isEmpty()
+    return call.getFollowsStore() && storeAnsweredAt().isEmpty()
         ? Math.min(call.getWaitMillis(), FeedTiming.STALE_SOURCE_WAIT_MILLIS)
         : Math.min(call.getWaitMillis(), MAX_WAIT_MILLIS);
   }
 
-  private OptionalLong storeAgeMillis() {
-    return freshness.map(StoreFreshness::storeAgeMillis).orElse(OptionalLong.empty());
+  private OptionalLong storeAnsweredAt() {
+    return freshness.map(StoreFreshness::storeAnsweredAt).orElse(OptionalLong.empty());
   }
 
   /**
@@ -122,27 +127,28 @@
   }
 
   private void completeIfChanged(PendingCall pending) {
-    OptionalLong storeAge = storeAgeMillis();
+    OptionalLong answeredAt = storeAnsweredAt();
     List<PlatformObject> changed = store.changedSince(pending.applied);
     if (changed.stream().anyMatch(record -> urgent.test(record.key()))) {
-      complete(pending, storeAge, changed);
+      complete(pending, answeredAt, changed);
     }
   }
 
   private void expire(PendingCall pending) {
-    // Read before the records, which are then at least as recent as the age says.
-    OptionalLong storeAge = storeAgeMillis();
-    complete(pending, storeAge, store.changedSince(pending.applied));
+    // Read before the records, which are then at least as recent.
+    OptionalLong answeredAt = storeAnsweredAt();
+    complete(pending, answeredAt, store.changedSince(pending.applied));
   }
 
-  private void complete(PendingCall pending, OptionalLong storeAge, List<PlatformObject> records) {
+  private void complete(
+      PendingCall pending, OptionalLong answeredAt, List<PlatformObject> records) {
     pendingCalls.remove(pending);
     boolean announce = pending.digestOnly && records.stream().anyMatch(encoder::large);
     pending.result.complete(
-        announce ? frame(ConfigReply.newBuilder()) : reply(pending, storeAge, records));
+        announce ? frame(ConfigReply.newBuilder()) : reply(pending, answeredAt, records));
   }
 
-  private Frame reply(PendingCall pending, OptionalLong storeAge, List<PlatformObject> records) {
+  private Frame reply(PendingCall pending, OptionalLong answeredAt, List<PlatformObject> records) {
     ConfigReply.Builder reply = ConfigReply.newBuilder();
     int bytes = 0;
     for (PlatformObject record : records) {
@@ -153,8 +159,8 @@
       }
       reply.addRecords(message);
     }
-    storeAge.ifPresent(reply::setStoreAgeMillis);
-    return frame(reply.setStale(storeAge.isEmpty() && freshness.isPresent()));
+    answeredAt.ifPresent(time -> reply.setStoreAnsweredMillis(time - pending.receivedAt));
+    return frame(reply.setStale(answeredAt.isEmpty() && freshness.isPresent()));
   }
 
   private static Frame frame(ConfigReply.Builder reply) {
@@ -167,13 +173,16 @@
     private final boolean digestOnly;
     private final boolean acceptsCompressed;
     private final boolean followsStore;
+    private final long receivedAt;
     private final CompletableFuture<Frame> result = new CompletableFuture<>();
 
-    PendingCall(ConfigCall call, Map<ObjectKey, Long> applied, boolean digestOnly) {
+    PendingCall(
+        ConfigCall call, Map<ObjectKey, Long> applied, boolean digestOnly, long receivedAt) {
       this.applied = applied;
       this.digestOnly = digestOnly;
       this.acceptsCompressed = call.getAcceptsCompressed();
       this.followsStore = call.getFollowsStore();
+      this.receivedAt = receivedAt;
     }
   }
 }
--- a/net/src/test/java/org/sardinebay/net/peer/ConfigFeedTest.java
+++ b/net/src/test/java/org/sardinebay/net/peer/ConfigFeedTest.java
@@ -39,7 +39,11 @@
   private final StoreFreshness freshness = new StoreFreshness(Clock.system());
   private final ConfigFeedServer server =
       new ConfigFeedServer(
-          source, timer, key -> !key.kind().equals(SLOW_KIND), Optional.of(freshness));
+          source,
+          timer,
+          key -> !key.kind().equals(SLOW_KIND),
+          Clock.system(),
+          Optional.of(freshness));
 
   @AfterEach
   void stop() {
@@ -116,7 +120,7 @@
   @Nested
   class CallsThatFollowTheStore {
     @Test
-    void should_be_answered_with_the_age_when_the_store_has_answered() {
+    void should_be_answered_with_its_time_when_the_store_has_answered() {
       source.merge(record("a", 1));
       freshness.onStoreAnswer();
       CompletableFuture<Frame> reply = server.handle(following(digestOnly(source.digest())));
@@ -125,7 +129,7 @@
       freshness.onStoreAnswer();
       server.storeAnswered();
 
-      assertThat(reply.join().getConfigReply().hasStoreAgeMillis()).isTrue();
+      assertThat(reply.join().getConfigReply().hasStoreAnsweredMillis()).isTrue();
     }
 
     @Test
@@ -136,11 +140,11 @@
 
       assertThat(reply.orTimeout(LONG_MILLIS / 2, TimeUnit.MILLISECONDS).join().getConfigReply())
           .returns(true, ConfigReply::getStale)
-          .returns(false, ConfigReply::hasStoreAgeMillis);
+          .returns(false, ConfigReply::hasStoreAnsweredMillis);
     }
 
     @Test
-    void should_get_no_age_while_records_are_only_announced() {
+    void should_get_no_time_while_records_are_only_announced() {
       source.merge(record("a", 1));
       freshness.onStoreAnswer();
       CompletableFuture<Frame> reply = server.handle(following(digestOnly(source.digest())));
@@ -150,7 +154,7 @@
       assertThat(reply.join().getConfigReply())
           .returns(0, ConfigReply::getRecordsCount)
           .returns(false, ConfigReply::getStale)
-          .returns(false, ConfigReply::hasStoreAgeMillis);
+          .returns(false, ConfigReply::hasStoreAnsweredMillis);
     }
 
     private static ConfigCall following(ConfigCall call) {
--- a/proxy/src/main/java/org/sardinebay/proxy/internal/process/ProxyProcess.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/internal/process/ProxyProcess.java
@@ -86,7 +86,8 @@
             idGenerator);
     this.dump = new ProxyDump(runtime, databaseRegistry, store, transactions, requests);
     this.feedServer =
-        new ConfigFeedServer(storeAdapter, runtime.timer(), key -> true, Optional.empty());
+        new ConfigFeedServer(
+            storeAdapter, runtime.timer(), key -> true, runtime.clock(), Optional.empty());
     this.feedClient =
         new ConfigFeedClient(
             settings.identity().host().value(),
