--- a/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
+++ b/net/src/main/java/org/sardinebay/net/http/JsonHttpClient.java
@@ -36,6 +36,12 @@
   private static final Duration READ_WRITE_TIMEOUT = Duration.ofSeconds(65);
   private static final Duration KEEP_ALIVE = Duration.ofSeconds(20);
 
+  /**
+   * How long an idle connection is kept for calls that wait. A call after a longer pause opens a
+   * new one, because the old one may have gone silent meanwhile.
+   */
+  private static final Duration WAITING_KEEP_ALIVE = Duration.ofSeconds(1);
+
   private final List<Eventloop> loops;
   private final List<HttpClient> clients;
   private final List<HttpHeader> readHeaders;
@@ -95,7 +101,11 @@
    */
   public static JsonHttpClient probingOnEventLoop(Eventloop loop, Duration readWriteTimeout) {
     return on(
-        loop, builder(loop, readWriteTimeout).withSocketInspector(new KeepAliveProbes()).build());
+        loop,
+        builder(loop, readWriteTimeout)
+            .withKeepAliveTimeout(WAITING_KEEP_ALIVE)
+            .withSocketInspector(new KeepAliveProbes())
+            .build());
   }
 
   private static JsonHttpClient on(Eventloop loop, HttpClient client) {
--- a/standins/src/test/java/org/sardinebay/standins/impeller/GatewayFleet.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/GatewayFleet.java
@@ -30,6 +30,12 @@
   }
 
   RunningProcess start(Address listen, String host, String failureDomain) throws IOException {
+    return start(listen, host, failureDomain, platform);
+  }
+
+  /** Starts a gateway that reaches the store at an address of its own. */
+  RunningProcess start(Address listen, String host, String failureDomain, Address store)
+      throws IOException {
     Address peers = FreePorts.next();
     ObjectNode settings =
         Json.newObject()
@@ -40,7 +46,7 @@
             .put("callers", listen.toString())
             .put("readiness", FreePorts.next().toString())
             .put("peers", peers.toString())
-            .put("store", platform.toString())
+            .put("store", store.toString())
             .put("promotions", platform.toString())
             .put("balancerNoticesMillis", 100)
             .put("shutdownSeconds", 3);
