--- a/net/src/main/java/org/sardinebay/net/platform/HttpPlatformClient.java
+++ b/net/src/main/java/org/sardinebay/net/platform/HttpPlatformClient.java
@@ -31,6 +31,7 @@
  * }</pre>
  */
 public final class HttpPlatformClient implements PlatformClient {
+  /** How long the answer to a watch may take to begin after its wait is over, in milliseconds. */
   private static final long WATCH_TIMEOUT_MARGIN_MILLIS = 2_000;
 
   private final JsonHttpClient http;
@@ -79,7 +80,7 @@
         kinds.stream().map(HttpPlatformClient::urlEncode).collect(Collectors.joining(","));
     String path =
         "/v1/watch?kinds=" + names + "&after=" + afterRevision + "&waitMillis=" + waitMillis;
-    return call(HttpMethod.GET, path, Optional.empty(), waitMillis + WATCH_TIMEOUT_MARGIN_MILLIS)
+    return http.fetch(address, path, waitMillis + WATCH_TIMEOUT_MARGIN_MILLIS)
         .thenApply(result -> decode(result, HttpPlatformClient::listing))
         .thenApply(HttpPlatformClient::absentToBadCall);
   }
@@ -91,7 +92,7 @@
 
   @Override
   public CompletableFuture<PlatformResult> hosts(long timeoutMillis) {
-    return call(HttpMethod.GET, "/v1/hosts", Optional.empty(), timeoutMillis)
+    return http.fetch(address, "/v1/hosts", timeoutMillis)
         .thenApply(result -> decode(result, HttpPlatformClient::hostList))
         .thenApply(HttpPlatformClient::absentToBadCall);
   }
--- a/standins/src/test/java/org/sardinebay/standins/impeller/SlowLinkTest.java
+++ b/standins/src/test/java/org/sardinebay/standins/impeller/SlowLinkTest.java
@@ -20,8 +20,10 @@
 import org.sardinebay.Clock;
 import org.sardinebay.impeller.MetadataStoreClient;
 import org.sardinebay.internal.process.StoreEra;
+import org.sardinebay.net.AddressTranslation;
 import org.sardinebay.net.http.Json;
 import org.sardinebay.net.http.JsonHttpClient;
+import org.sardinebay.net.platform.HttpPlatformClient;
 import org.sardinebay.platform.ObjectVersion;
 import org.sardinebay.platform.PlatformClient;
 import org.sardinebay.platform.PlatformResult;
@@ -69,6 +71,20 @@
         .isInstanceOf(PlatformResult.Listing.class);
   }
 
+  @Test
+  void should_receive_records_of_the_own_platform_that_take_longer_than_the_time_out()
+      throws Exception {
+    ObjectNode record =
+        Json.newObject().put("kind", "databases").put("name", "a").put("version", REVISION);
+    record.set("body", config());
+    answerSlowly(Json.newObject().put("revision", REVISION), "objects", record);
+    Address address = new Address("127.0.0.1", server.getLocalPort());
+    PlatformClient platform = new HttpPlatformClient(http, address, AddressTranslation.none());
+
+    assertThat(platform.watch(List.of("databases"), 0, 0).join())
+        .isInstanceOf(PlatformResult.Listing.class);
+  }
+
   private static ObjectNode config() {
     ObjectNode object = Json.newObject();
     object.putObject("meta").put("name", "main").put("revision", REVISION);
