--- a/net/src/test/java/org/sardinebay/net/peer/ConfigFeedTest.java
+++ b/net/src/test/java/org/sardinebay/net/peer/ConfigFeedTest.java
@@ -164,32 +164,57 @@
 
   @Nested
   class Client {
-    @Test
-    void should_not_fetch_what_another_feed_brought_before_the_delay_was_over() throws Exception {
-      PeerClient peers =
-          PeerClient.start(AddressTranslation.none(), Clock.system(), new SimpleMeterRegistry());
-      Address announcing = FreePorts.next();
-      List<ConfigCall> calls = new CopyOnWriteArrayList<>();
-      PeerServer transport =
+    private final PeerClient peers =
+        PeerClient.start(AddressTranslation.none(), Clock.system(), new SimpleMeterRegistry());
+    private final Address live = FreePorts.next();
+    private final Address silent = FreePorts.next();
+    private final List<ConfigCall> calls = new CopyOnWriteArrayList<>();
+    private final InMemoryConfigFeedStore store = new InMemoryConfigFeedStore();
+    private PeerServer transport;
+    private ConfigFeedClient client;
+
+    private void start(List<Address> preferred, List<Address> fallbacks, long fetchDelayMillis)
+        throws Exception {
+      source.merge(record("a", 1));
+      transport =
           PeerServer.start(
-              announcing,
+              live,
               call -> {
                 calls.add(call.getConfigCall());
                 return server.handle(call.getConfigCall());
               });
-      InMemoryConfigFeedStore store = new InMemoryConfigFeedStore();
-      ConfigFeedClient client =
+      client =
           new ConfigFeedClient(
               "waco-1",
               peers,
               store,
-              new ConfigFeedClient.Sources(() -> List.of(announcing), List::of, FETCH_DELAY_MILLIS),
+              new ConfigFeedClient.Sources(() -> preferred, () -> fallbacks, fetchDelayMillis),
               Clock.system(),
               timer,
               Optional.empty());
-      source.merge(record("a", 1));
       client.start();
-      PeerTransportTest.await(() -> calls.stream().anyMatch(ConfigFeedTest::waitsForDigest));
+    }
+
+    @AfterEach
+    void stop() {
+      client.stop();
+      peers.stop();
+      transport.stop();
+    }
+
+    private void awaitCallThatWaits() throws Exception {
+      PeerTransportTest.await(
+          () -> calls.stream().anyMatch(c -> c.getAppliedCount() == 0 && c.getDigest() != 0));
+    }
+
+    private void awaitAllRecords() throws Exception {
+      PeerTransportTest.await(() -> store.versions().equals(source.versions()));
+    }
+
+    @Test
+    void should_not_fetch_what_another_feed_brought_before_the_delay_was_over() throws Exception {
+      start(List.of(live), List.of(), FETCH_DELAY_MILLIS);
+      awaitCallThatWaits();
       int callsBefore = calls.size();
 
       source.merge(largeRecord());
@@ -197,85 +222,31 @@
 
       PeerTransportTest.await(() -> calls.size() > callsBefore);
       assertThat(calls.get(callsBefore).getAppliedCount()).isZero();
-      client.stop();
-      peers.stop();
-      transport.stop();
     }
 
     @Test
     void should_fetch_a_large_record_from_the_source_that_announces_it_late() throws Exception {
-      PeerClient peers =
-          PeerClient.start(AddressTranslation.none(), Clock.system(), new SimpleMeterRegistry());
-      Address announcing = FreePorts.next();
-      List<ConfigCall> calls = new CopyOnWriteArrayList<>();
-      PeerServer transport =
-          PeerServer.start(
-              announcing,
-              call -> {
-                calls.add(call.getConfigCall());
-                return server.handle(call.getConfigCall());
-              });
-      Address silent = FreePorts.next();
-      InMemoryConfigFeedStore store = new InMemoryConfigFeedStore();
-      ConfigFeedClient client =
-          new ConfigFeedClient(
-              "waco-1",
-              peers,
-              store,
-              new ConfigFeedClient.Sources(() -> List.of(announcing, silent), List::of, 0),
-              Clock.system(),
-              timer,
-              Optional.empty());
-      source.merge(record("a", 1));
       try (ServerSocket unused =
           new ServerSocket(silent.port(), 1, InetAddress.getByName(silent.host()))) {
-        client.start();
-        PeerTransportTest.await(() -> calls.stream().anyMatch(ConfigFeedTest::waitsForDigest));
+        start(List.of(live, silent), List.of(), 0);
+        awaitCallThatWaits();
         Thread.sleep(FeedTiming.WAIT_MILLIS * 2 / 3);
 
-        source.merge(
-            new PlatformObject(
-                new ObjectKey("databases", "large"),
-                1,
-                false,
-                Json.newObject().put("text", "-".repeat(LARGE_BYTES))));
+        source.merge(largeRecord());
 
         long announcedAt = Clock.system().millis();
-        PeerTransportTest.await(() -> store.versions().equals(source.versions()));
+        awaitAllRecords();
         assertThat(Clock.system().millis() - announcedAt).isLessThan(FeedTiming.WAIT_MILLIS);
       }
-      client.stop();
-      peers.stop();
-      transport.stop();
     }
 
     @Test
     void should_fetch_records_from_a_fallback_when_no_preferred_source_replies() throws Exception {
-      PeerClient peers =
-          PeerClient.start(AddressTranslation.none(), Clock.system(), new SimpleMeterRegistry());
-      Address dead = FreePorts.next();
-      Address live = FreePorts.next();
-      PeerServer transport = PeerServer.start(live, call -> server.handle(call.getConfigCall()));
-      InMemoryConfigFeedStore store = new InMemoryConfigFeedStore();
-      ConfigFeedClient client =
-          new ConfigFeedClient(
-              "waco-1",
-              peers,
-              store,
-              new ConfigFeedClient.Sources(() -> List.of(dead), () -> List.of(live), 0),
-              Clock.system(),
-              timer,
-              Optional.empty());
-      source.merge(record("a", 1));
+      start(List.of(silent), List.of(live), 0);
 
-      client.start();
-
-      PeerTransportTest.await(() -> store.versions().equals(source.versions()));
+      awaitAllRecords();
       source.merge(record("a", 2));
-      PeerTransportTest.await(() -> store.versions().equals(source.versions()));
-      client.stop();
-      peers.stop();
-      transport.stop();
+      awaitAllRecords();
     }
   }
 
@@ -287,10 +258,6 @@
         Json.newObject().put("text", "-".repeat(LARGE_BYTES)));
   }
 
-  private static boolean waitsForDigest(ConfigCall call) {
-    return call.getAppliedCount() == 0 && call.getDigest() != 0;
-  }
-
   private static PlatformObject record(String name, long version) {
     return record(new ObjectKey("databases", name), version);
   }
