--- a/review/src-2/Case6.java
+++ b/review/src-2/Case6.java
@@ -16,7 +16,7 @@
 
   public static void main(String[] args) throws Exception {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    Members members = new Members("ledger-1", 21, 300);
+    Members members = new Members("ledger-1", 21, 600);
     int exit = 2;
     try (World world = new World(Path.of(args[0]), Path.of(args[1]), members)) {
       members.add("i-north1", "north-hall", false);
--- a/review/src-2/Members.java
+++ b/review/src-2/Members.java
@@ -231,6 +231,10 @@
         () -> {
           World.sleep(promoteMillis);
           synchronized (this) {
+            if (!target.running) {
+              event("promotion of " + id + " is void, the member has ended");
+              return;
+            }
             long newest = 0;
             for (Member m : members.values()) {
               newest = Math.max(newest, m.term);
@@ -423,7 +427,9 @@
     private void record(String id, String text, String outcome, long term, long number) {
       synchronized (runs) {
         runs.add(
-            new Run(System.currentTimeMillis(), member.id, who, id, text, outcome, term, number));
+            new Run(
+                System.currentTimeMillis(), member.id, who, id, World.brief(text), outcome, term,
+                number));
       }
     }
 
@@ -594,7 +600,8 @@
 
     private Entry append(String id, String item, String data) {
       long now = System.currentTimeMillis();
-      Entry entry = new Entry(member.term, member.log.size() + 1, id, item, data, now);
+      Entry entry =
+          new Entry(member.term, member.log.size() + 1, id, item, World.brief(data), now);
       member.log.add(entry);
       member.visibleAt.add(now);
       return entry;
--- a/review/src-2/World.java
+++ b/review/src-2/World.java
@@ -81,6 +81,11 @@
     }
   }
 
+  /** Shortens a text for the record. */
+  static String brief(String text) {
+    return text.length() > 120 ? text.substring(0, 100) + "... " + text.length() : text;
+  }
+
   static int freePort() throws IOException {
     try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
       return socket.getLocalPort();
@@ -309,7 +314,7 @@
       }
       Attempt attempt =
           new Attempt(
-              name, gateway, id, text, sentAt, System.currentTimeMillis(), outcome, row);
+              name, gateway, id, brief(text), sentAt, System.currentTimeMillis(), outcome, row);
       synchronized (attempts) {
         attempts.add(attempt);
       }
@@ -413,18 +418,16 @@
       out.println("== sent and answered (sent ms, answered ms, gateway, client, id, text, outcome, row)");
       synchronized (attempts) {
         for (Attempt a : attempts) {
-          String text = a.text().length() > 120 ? a.text().substring(0, 120) + "..." : a.text();
           out.println(
               (a.sentAt() - startedAt) + " " + (a.endedAt() - startedAt) + " " + a.gateway() + " "
-                  + a.client() + " " + a.id() + " [" + text + "] " + a.outcome() + " " + a.row());
+                  + a.client() + " " + a.id() + " [" + a.text() + "] " + a.outcome() + " " + a.row());
         }
       }
       out.println("== run by members (ms, member, gateway, id, text, outcome, log position)");
       synchronized (members.runs) {
         for (Members.Run r : members.runs) {
-          String text = r.text().length() > 120 ? r.text().substring(0, 120) + "..." : r.text();
           out.println(
-              (r.at() - startedAt) + " " + r.member() + " " + r.who() + " " + r.id() + " [" + text
+              (r.at() - startedAt) + " " + r.member() + " " + r.who() + " " + r.id() + " [" + r.text()
                   + "] " + r.outcome() + " " + r.term() + "." + r.number());
         }
       }
