--- a/review/src-2/Case9.java
+++ b/review/src-2/Case9.java
@@ -37,19 +37,54 @@
 
   private static int run(World world, boolean trouble) throws Exception {
     AtomicLong shapes = new AtomicLong();
-    String filler = "q".repeat(SHAPE_BYTES);
-    long end = System.currentTimeMillis() + LOAD_MILLIS;
     AtomicLong failures = new AtomicLong();
+    long end = System.currentTimeMillis() + LOAD_MILLIS;
+    int probes = 0;
+    int answered = 1;
+    while (System.currentTimeMillis() < end && answered > 0) {
+      load(world, trouble, shapes, failures, end);
+      World.sleep(2_000);
+      long until = System.currentTimeMillis() + PROBE_MILLIS;
+      probes = 0;
+      answered = 0;
+      while (System.currentTimeMillis() < until) {
+        try (World.Client client = world.new Client("probe" + probes, "gw1", "db-primary")) {
+          probes++;
+          answered += client.run("READ k1").outcome().equals("DONE") ? 1 : 0;
+        }
+        World.sleep(300);
+      }
+      world.event(shapes + " shapes, then " + answered + " of " + probes + " probes answered");
+    }
+    List<String> verdict = new ArrayList<>();
+    verdict.add("statements prepared " + shapes + ", failed " + failures);
+    verdict.add(
+        "after the callers had left: " + probes + " sessions with a small read, " + answered
+            + " answered; process alive " + world.gateways.get("gw1").isAlive());
+    world.writeRecord(verdict);
+    verdict.forEach(System.out::println);
+    if (shapes.get() < 1_000) {
+      return 2;
+    }
+    return answered == 0 ? 1 : 0;
+  }
+
+  /** Runs the callers until statements stay without success, or the time is over. */
+  private static void load(
+      World world, boolean trouble, AtomicLong shapes, AtomicLong failures, long end)
+      throws InterruptedException {
+    String filler = "q".repeat(SHAPE_BYTES);
+    long enough = failures.get() + 20;
     List<Thread> clients = new ArrayList<>();
     for (int i = 0; i < SESSIONS; i++) {
       int number = i;
       clients.add(
           World.daemon(
               () -> {
-                while (System.currentTimeMillis() < end && failures.get() < 20) {
+                while (System.currentTimeMillis() < end && failures.get() < enough) {
                   try (World.Client client =
                       world.new Client("c" + number, "gw1", "db-primary")) {
-                    for (int k = 0; k < 50 && failures.get() < 20; k++) {
+                    for (int k = 0; k < 50 && failures.get() < enough; k++) {
                       long shape = shapes.incrementAndGet();
                       long name = trouble ? shape : shape % DISTINCT_SHAPES_CALM;
                       client.run("PREPARE s1 READ " + name + "." + filler);
@@ -64,30 +99,7 @@
     }
     clients.forEach(Thread::start);
     for (Thread client : clients) {
-      client.join(90_000);
+      client.join(30_000);
     }
-    world.event("callers gone after " + shapes + " shapes");
-    World.sleep(2_000);
-    long until = System.currentTimeMillis() + PROBE_MILLIS;
-    int probes = 0;
-    int answered = 0;
-    while (System.currentTimeMillis() < until) {
-      try (World.Client client = world.new Client("probe" + probes, "gw1", "db-primary")) {
-        probes++;
-        answered += client.run("READ k1").outcome().equals("DONE") ? 1 : 0;
-      }
-      World.sleep(300);
-    }
-    List<String> verdict = new ArrayList<>();
-    verdict.add("statements prepared " + shapes + ", failed " + failures);
-    verdict.add(
-        "after the callers had left: " + probes + " sessions with a small read, " + answered
-            + " answered; process alive " + world.gateways.get("gw1").isAlive());
-    world.writeRecord(verdict);
-    verdict.forEach(System.out::println);
-    if (shapes.get() < 1_000) {
-      return 2;
-    }
-    return answered == 0 ? 1 : 0;
   }
 }
