--- a/core/src/main/java/org/sardinebay/internal/process/StoreFreshness.java
+++ b/core/src/main/java/org/sardinebay/internal/process/StoreFreshness.java
@@ -31,6 +31,7 @@
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final Clock clock;
+  private final long maxAgeMillis;
   private final AtomicLong answeredAt = new AtomicLong(NEVER);
   private final AtomicLong knownAt;
 
@@ -40,15 +41,39 @@
    * @param clock the clock
    */
   public StoreFreshness(Clock clock) {
+    this(clock, MAX_AGE_MILLIS, clock.millis());
+  }
+
+  private StoreFreshness(Clock clock, long maxAgeMillis, long knownAt) {
     this.clock = clock;
-    this.knownAt = new AtomicLong(clock.millis());
+    this.maxAgeMillis = maxAgeMillis;
+    this.knownAt = new AtomicLong(knownAt);
+  }
+
+  /**
+   * Creates the state of a host that knows nothing of the store yet.
+   *
+   * @param clock the clock
+   * @param maxAgeMillis the age up to which this host's knowledge counts as recent, in milliseconds
+   * @return the state
+   */
+  public static StoreFreshness unknown(Clock clock, long maxAgeMillis) {
+    return new StoreFreshness(clock, maxAgeMillis, NEVER);
   }
 
   /** Records that the store answered this host, and that the answer is applied. */
   public void onStoreAnswer() {
-    long now = clock.millis();
-    answeredAt.set(now);
-    raise(now);
+    onStoreAnswer(clock.millis());
+  }
+
+  /**
+   * Records that the store answered this host, and that the answer is applied.
+   *
+   * @param asOf a time at which the answer was still to come, by this host's clock
+   */
+  public void onStoreAnswer(long asOf) {
+    answeredAt.accumulateAndGet(asOf, Math::max);
+    raise(asOf);
   }
 
   /**
@@ -70,7 +95,7 @@
    * @return false if it has to ask the store
    */
   public boolean fresh() {
-    return ageMillis() <= MAX_AGE_MILLIS;
+    return ageMillis() <= maxAgeMillis;
   }
 
   /**
@@ -82,6 +107,15 @@
     return clock.millis() - knownAt.get();
   }
 
+  /**
+   * Returns as of when this host has all changes of the store.
+   *
+   * @return the time by this host's clock
+   */
+  public long knownAt() {
+    return knownAt.get();
+  }
+
   /**
    * Returns when the store itself answered this host. What other hosts said does not count, because
    * two hosts would otherwise confirm each other for ever.
@@ -90,6 +124,6 @@
    */
   public OptionalLong storeAnsweredAt() {
     long time = answeredAt.get();
-    return clock.millis() - time <= MAX_AGE_MILLIS ? OptionalLong.of(time) : OptionalLong.empty();
+    return clock.millis() - time <= maxAgeMillis ? OptionalLong.of(time) : OptionalLong.empty();
   }
 }
--- a/core/src/main/java/org/sardinebay/internal/version/FencedMembers.java
+++ b/core/src/main/java/org/sardinebay/internal/version/FencedMembers.java
@@ -1,10 +1,12 @@
 package org.sardinebay.internal.version;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.sardinebay.MemberId;
@@ -60,6 +62,29 @@
     return statuses.isEmpty();
   }
 
+  /**
+   * Returns whether all the given members are fenced; the old primary is not fenced but replaced.
+   */
+  boolean containsAll(Collection<MemberId> members) {
+    return members.stream().allMatch(id -> id.equals(oldPrimary) || statuses.containsKey(id));
+  }
+
+  /**
+   * Returns from when on no host has confirmations of every member: the member to promote is
+   * fenced, and all hosts know it. Without such a member, when the last fence was confirmed.
+   */
+  long coveringSince(ServiceView view) {
+    return mostAdvanced(view)
+        .flatMap(view::member)
+        .map(m -> Math.max(fencedAt.get(m.id()), m.knownToAllAt()))
+        .orElseGet(() -> lastFencedAt().orElseThrow());
+  }
+
+  /** Returns when the last fence was confirmed, in milliseconds, empty if no member is fenced. */
+  OptionalLong lastFencedAt() {
+    return statuses.keySet().stream().mapToLong(fencedAt::get).max();
+  }
+
   /** Returns the position that a member had received when it was fenced. */
   Optional<Position> received(MemberId member) {
     return Optional.ofNullable(statuses.get(member)).map(MemberStatus::received);
--- /dev/null
+++ b/core/src/main/java/org/sardinebay/internal/version/LeaseWait.java
@@ -0,0 +1,42 @@
+package org.sardinebay.internal.version;
+
+import java.util.OptionalLong;
+
+/**
+ * How long the driver of a change of primary waits until no host has a lease on the old primary any
+ * more. It counts from the announcement of the change and from fences, never from the silence of a
+ * member.
+ *
+ * <pre>{@code
+ * wait.onAnnounced(now);
+ * if (now >= wait.endsAt(fenced, view, now)) { order the promotion }
+ * }</pre>
+ */
+final class LeaseWait {
+  private OptionalLong announcedAt = OptionalLong.empty();
+
+  /** Records that the store has confirmed the announcement. */
+  void onAnnounced(long now) {
+    if (announcedAt.isEmpty()) {
+      announcedAt = OptionalLong.of(now);
+    }
+  }
+
+  boolean announced() {
+    return announcedAt.isPresent();
+  }
+
+  /** Returns the end of the wait, far in the future before the announcement and the first fence. */
+  long endsAt(FencedMembers fenced, ServiceView view, long now) {
+    if (announcedAt.isEmpty() || fenced.isEmpty()) {
+      return Long.MAX_VALUE / 2;
+    }
+    long announced = announcedAt.getAsLong();
+    long end = Math.max(fenced.coveringSince(view), announced) + PrimaryLease.COVERAGE_MILLIS;
+    if (view.lease().possibleMembers(now).filter(fenced::containsAll).isPresent()) {
+      long lastFenced = fenced.lastFencedAt().orElseThrow();
+      end = Math.min(end, Math.max(lastFenced, announced) + PrimaryLease.DURATION_MILLIS);
+    }
+    return end + PrimaryLease.DRIVER_MARGIN_MILLIS;
+  }
+}
--- a/core/src/main/java/org/sardinebay/internal/version/MemberView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/MemberView.java
@@ -16,6 +16,7 @@
    */
   private static final long LAGGING_MILLIS = 150;
 
+  private final long knownSince;
   private MemberEntry entry;
   private Optional<MemberStatus> status = Optional.empty();
   private OptionalLong statusRequestedAt = OptionalLong.empty();
@@ -25,8 +26,19 @@
   private boolean refusing;
   private OptionalLong laggedAt = OptionalLong.empty();
 
-  MemberView(MemberEntry entry) {
+  MemberView(MemberEntry entry, long now) {
     this.entry = entry;
+    this.knownSince = now;
+  }
+
+  /** Returns whether every driver that lists the members during its change knows this member. */
+  boolean knownToDrivers(long now) {
+    return now - knownSince >= PrimaryLease.JOINED_MILLIS;
+  }
+
+  /** Returns since when every host that follows the registry knows this member. */
+  long knownToAllAt() {
+    return knownSince + PrimaryLease.MEMBERS_KNOWN_MILLIS;
   }
 
   void update(MemberEntry newer) {
@@ -132,8 +144,8 @@
   }
 
   /**
-   * Returns whether the member's address refuses connections, which means that its process isn't
-   * running.
+   * Returns whether the member's address refuses connections. Its process has probably ended, but a
+   * partition may refuse connections as well, so other hosts may still reach it.
    *
    * @return true if the last attempt was refused
    */
@@ -141,16 +153,6 @@
     return unreachable && refusing;
   }
 
-  /**
-   * Returns whether the member may take part in a change of primary without this host seeing it:
-   * the member is unreachable, but there is no evidence that its process has ended.
-   *
-   * @return false if it is reachable, refuses connections, or its registry entry has expired
-   */
-  public boolean possiblyRunning() {
-    return unreachable && !refusing && !entry.expired();
-  }
-
   /**
    * Returns how long the member has been unreachable.
    *
--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryChange.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryChange.java
@@ -13,15 +13,22 @@
 
 /**
  * State machine for one change of a service's primary, run by its driver while it holds the driver
- * lease. It fences every other member at the next term, waits until the leases of all hosts on the
- * old primary have expired, orders the promotion of the member that has received the most entries,
- * and checks that this member becomes primary. A change orders one member only: an accepted order
- * lifts the fences, so the promotion of another member takes a new change. A fence names no driver,
- * so a driver whose lease has ended may not lift one either: it may belong to its successor. The
- * change has no timers or connections; its owner calls {@link #next} on each tick.
+ * lease. It announces the change in the store and fences the other members at the next term, waits
+ * until the leases of all hosts on the old primary have expired, orders the promotion of the member
+ * that has received the most entries, and checks that this member becomes primary.
+ *
+ * <p>The wait is {@link PrimaryLease#DURATION_MILLIS} if every member is fenced that could confirm
+ * a lease. No member is taken as ended because this driver can't reach it: if one is not fenced,
+ * the wait is {@link PrimaryLease#COVERAGE_MILLIS} from the announcement and the fence of the
+ * member to promote.
+ *
+ * <p>A change orders one member only: an accepted order lifts the fences, so the promotion of
+ * another member takes a new change. A fence names no driver, so a driver whose lease has ended may
+ * not lift one either: it may belong to its successor. The change has no timers or connections; its
+ * owner calls {@link #next} on each tick.
  *
  * <pre>{@code
- * for (PrimaryChange.Step step : change.next(view, now)) { ... }
+ * for (ChangeStep step : change.next(view, now)) { ... }
  * change.onFenced(member, status, now);
  * }</pre>
  */
@@ -31,17 +38,10 @@
 
   /**
    * How long fencing may take, in milliseconds, before the change is handed over to a driver on
-   * another host, because this host may be the only one that can't reach a member. It is longer
-   * than the time until the registry entry of a terminated member expires.
+   * another host, because this host may be the only one that can't reach the other members.
    */
   private static final long FENCE_TIMEOUT_MILLIS = 5_500;
 
-  /**
-   * How long a promotion ordered by an earlier driver may still take effect, in milliseconds. It is
-   * longer than the longest known promotion, which took one second.
-   */
-  private static final long EARLIER_ORDER_VALID_MILLIS = 2_500;
-
   /**
    * The time that the last commits of a demoted primary need to reach the replicas, in
    * milliseconds.
@@ -59,47 +59,6 @@
    */
   private static final long TAKEOVER_TIMEOUT_MILLIS = 4_000;
 
-  /** An action that the driver has to perform. */
-  public sealed interface Step {
-    /**
-     * Demotes the leaving primary to a replica, so that it acknowledges no further writes.
-     *
-     * @param member the primary
-     * @param term the next term
-     */
-    record Demote(MemberId member, long term) implements Step {}
-
-    /**
-     * Fences a replica, so that it stops receiving entries.
-     *
-     * @param member the replica
-     * @param term the next term
-     */
-    record Fence(MemberId member, long term) implements Step {}
-
-    /**
-     * Unfences a replica, so that it receives entries again: the change was abandoned or has
-     * completed.
-     *
-     * @param member the replica
-     */
-    record Unfence(MemberId member) implements Step {}
-
-    /**
-     * Orders the promotion of a member.
-     *
-     * @param member the member
-     */
-    record Promote(MemberId member) implements Step {}
-
-    /**
-     * Requests the status of a member.
-     *
-     * @param member the member
-     */
-    record QueryStatus(MemberId member) implements Step {}
-  }
-
   /** The phase of the change. */
   public enum Phase {
     /** The leaving primary is being demoted to a replica. */
@@ -129,13 +88,15 @@
   private final long token;
   private final MemberId oldPrimary;
   private final boolean planned;
+  private final long newestTerm;
   private final long nextTerm;
   private final FencedMembers fenced;
   private final Map<MemberId, Long> lastSentAt = new HashMap<>();
-  private final boolean membersAlreadyFenced;
-  private final long startedAt;
+  private final Optional<EarlierOrder> earlierOrder;
   private Phase phase;
   private long phaseSince;
+  private final LeaseWait wait = new LeaseWait();
+  private long announcementSentAt = Long.MIN_VALUE / 2;
   private Optional<MemberId> target = Optional.empty();
   private boolean orderPending;
 
@@ -145,16 +106,19 @@
    * @param lease the driver lease
    * @param oldPrimary the primary to replace; an id that no member has if none is known
    * @param planned whether the old primary is leaving and reachable
-   * @param membersAlreadyFenced whether members were already fenced by an earlier driver, which may
+   * @param begunEarlier whether an earlier driver has fenced members or announced a change; it may
    *     also have ordered a promotion
-   * @param nextTerm the term of the new primary
+   * @param newestTerm the newest term that a member has reported
+   * @param nextTerm a term that no member has been promoted to, above all that were announced; the
+   *     new primary may lead an earlier one
    * @param now the current time in milliseconds
    */
   public PrimaryChange(
       DriverLease lease,
       MemberId oldPrimary,
       boolean planned,
-      boolean membersAlreadyFenced,
+      boolean begunEarlier,
+      long newestTerm,
       long nextTerm,
       long now) {
     this.lease = lease;
@@ -162,9 +126,10 @@
     this.oldPrimary = oldPrimary;
     this.planned = planned;
     this.fenced = new FencedMembers(oldPrimary, planned, nextTerm);
-    this.membersAlreadyFenced = membersAlreadyFenced;
+    this.earlierOrder =
+        begunEarlier ? Optional.of(new EarlierOrder(newestTerm, now)) : Optional.empty();
+    this.newestTerm = newestTerm;
     this.nextTerm = nextTerm;
-    this.startedAt = now;
     this.phase = planned ? Phase.DEMOTING : Phase.FENCING;
     this.phaseSince = now;
   }
@@ -181,14 +146,15 @@
   /**
    * Returns the time until the promotion can be ordered.
    *
+   * @param view this host's view of the service
    * @param now the current time in milliseconds
    * @return milliseconds, 0 if it is due; {@code Long.MAX_VALUE} before the wait for leases has
    *     begun
    */
-  public long promotionDueInMillis(long now) {
+  public long promotionDueInMillis(ServiceView view, long now) {
     return switch (phase) {
       case DEMOTING, FENCING -> Long.MAX_VALUE;
-      case WAITING -> Math.max(0, phaseSince + leaseWaitMillis() - now);
+      case WAITING -> Math.max(0, wait.endsAt(fenced, view, now) - now);
       default -> 0;
     };
   }
@@ -203,7 +169,7 @@
   }
 
   /**
-   * Returns the term of the new primary.
+   * Returns the term at which members are fenced.
    *
    * @return the term
    */
@@ -219,8 +185,8 @@
    * @return the actions to perform; empty while less than {@link #STEP_LEASE_MILLIS} is left of the
    *     driver lease, except for the status requests that watch an ordered promotion
    */
-  public List<Step> next(ServiceView view, long now) {
-    List<Step> steps = new ArrayList<>();
+  public List<ChangeStep> next(ServiceView view, long now) {
+    List<ChangeStep> steps = new ArrayList<>();
     if (superseded(view)) {
       enter(Phase.SUPERSEDED, now);
     } else if (phase == Phase.TAKING_OVER) {
@@ -231,7 +197,8 @@
     return steps;
   }
 
-  private void advance(ServiceView view, long now, List<Step> steps) {
+  private void advance(ServiceView view, long now, List<ChangeStep> steps) {
+    announce(now, steps);
     if (phase == Phase.DEMOTING) {
       demote(view, now, steps);
     }
@@ -240,7 +207,7 @@
         || (phase == Phase.ORDERING && !orderPending)) {
       fenceMembers(view, now, steps);
     }
-    if (phase == Phase.WAITING && now - phaseSince >= leaseWaitMillis()) {
+    if (phase == Phase.WAITING && now >= wait.endsAt(fenced, view, now)) {
       enter(Phase.ORDERING, now);
     }
     if (phase == Phase.ORDERING && !orderPending) {
@@ -263,7 +230,7 @@
   public boolean oldPrimaryBack(ServiceView view) {
     return !planned
         && (phase == Phase.FENCING || phase == Phase.WAITING)
-        && view.term() < nextTerm
+        && view.term() <= newestTerm
         && view.primary()
             .filter(m -> !m.unreachable() && (!m.entry().draining() || fenced.mayLackCommits(view)))
             .isPresent();
@@ -287,17 +254,41 @@
    */
   private boolean superseded(ServiceView view) {
     if (phase == Phase.TAKING_OVER) {
-      return view.term() >= nextTerm
+      return view.term() > newestTerm
           && view.primary().filter(m -> target.equals(Optional.of(m.id()))).isEmpty();
     }
-    return !ended() && !orderPending && (lease.token() != token || view.newestTerm() >= nextTerm);
+    return !ended() && !orderPending && (lease.token() != token || view.newestTerm() > newestTerm);
+  }
+
+  private void announce(long now, List<ChangeStep> steps) {
+    if (!wait.announced() && now - announcementSentAt >= RETRY_INTERVAL_MILLIS) {
+      announcementSentAt = now;
+      steps.add(new ChangeStep.Announce(nextTerm));
+    }
+  }
+
+  /**
+   * Applies the store's confirmation that the change is announced.
+   *
+   * @param now the current time in milliseconds
+   */
+  public void onAnnounced(long now) {
+    wait.onAnnounced(now);
   }
 
-  private static long leaseWaitMillis() {
-    return PrimaryLease.DURATION_MILLIS + PrimaryLease.DRIVER_MARGIN_MILLIS;
+  /**
+   * Ends the change because another driver has announced one to the same or a later term: its order
+   * may have taken effect there.
+   *
+   * @param now the current time in milliseconds
+   */
+  public void onOtherAnnouncement(long now) {
+    if (!ended() && phase != Phase.TAKING_OVER) {
+      enter(Phase.SUPERSEDED, now);
+    }
   }
 
-  private void demote(ServiceView view, long now, List<Step> steps) {
+  private void demote(ServiceView view, long now, List<ChangeStep> steps) {
     boolean unreachable = view.member(oldPrimary).filter(m -> !m.unreachable()).isEmpty();
     boolean demoted =
         view.member(oldPrimary)
@@ -308,29 +299,29 @@
       enter(Phase.FENCING, now);
     } else if (!demoted && markSentIfDue(oldPrimary, now)) {
       phaseSince = now;
-      steps.add(new Step.Demote(oldPrimary, nextTerm));
+      steps.add(new ChangeStep.Demote(oldPrimary, nextTerm));
     }
   }
 
-  private void fenceMembers(ServiceView view, long now, List<Step> steps) {
-    boolean complete = true;
+  private void fenceMembers(ServiceView view, long now, List<ChangeStep> steps) {
+    boolean reachableFenced = true;
     for (MemberView member : view.members()) {
       MemberId id = member.id();
       fenced.removeIfRestarted(member);
       if (id.equals(oldPrimary) || fenced.contains(id)) {
         continue;
       }
-      if (member.unreachable() && !member.possiblyRunning()) {
-        continue;
-      }
-      complete = false;
+      reachableFenced &= member.unreachable();
       if (markSentIfDue(id, now)) {
-        steps.add(new Step.Fence(id, nextTerm));
+        // A member that was replaced in an older term, but not told so, can't be fenced as primary.
+        boolean replaced = member.reportsPrimaryRole() && !member.unreachable();
+        steps.add(
+            replaced ? new ChangeStep.Demote(id, nextTerm) : new ChangeStep.Fence(id, nextTerm));
       }
     }
-    if (!complete && phase != Phase.FENCING) {
+    if (!reachableFenced && phase != Phase.FENCING) {
       enter(Phase.FENCING, now);
-    } else if (complete
+    } else if (reachableFenced
         && !fenced.isEmpty()
         && !fenced.mayLackCommits(view)
         && phase == Phase.FENCING) {
@@ -339,9 +330,8 @@
   }
 
   /**
-   * Returns whether fencing is blocked by a member that this host can't reach although there is no
-   * evidence that its process has ended. Other hosts may reach it and keep their leases through its
-   * confirmations.
+   * Returns whether fencing is blocked by members that this host can't reach. Other hosts may reach
+   * them.
    *
    * @param view this host's view of the service
    * @param now the current time in milliseconds
@@ -351,7 +341,7 @@
     return phase == Phase.FENCING
         && mayAct(now)
         && now - phaseSince >= FENCE_TIMEOUT_MILLIS
-        && view.members().stream().anyMatch(m -> !m.id().equals(oldPrimary) && m.possiblyRunning());
+        && view.members().stream().anyMatch(m -> !m.id().equals(oldPrimary) && m.unreachable());
   }
 
   /**
@@ -367,7 +357,7 @@
         && fenced.mayLackCommits(view);
   }
 
-  private void orderPromotion(ServiceView view, long now, List<Step> steps) {
+  private void orderPromotion(ServiceView view, long now, List<ChangeStep> steps) {
     if (fenced.mayLackCommits(view)) {
       fenced.retryMembersNotRunning();
       return;
@@ -377,20 +367,27 @@
       steps.addAll(giveUp(view, now));
       return;
     }
+    if (now < wait.endsAt(fenced, view, now)) {
+      enter(Phase.WAITING, now);
+      return;
+    }
     if (markSentIfDue(target.get(), now)) {
       orderPending = true;
-      steps.add(new Step.Promote(target.get()));
+      steps.add(new ChangeStep.Promote(target.get()));
     }
   }
 
-  private void watchTakeover(ServiceView view, long now, List<Step> steps) {
+  private void watchTakeover(ServiceView view, long now, List<ChangeStep> steps) {
     MemberId id = target.orElseThrow();
-    if (view.primary().filter(m -> m.id().equals(id)).isPresent() && view.term() >= nextTerm) {
+    if (view.primary().filter(m -> m.id().equals(id)).isPresent() && view.term() > newestTerm) {
       enter(Phase.DONE, now);
+      if (view.term() < nextTerm && mayAct(now)) {
+        steps.add(new ChangeStep.Withdraw(view.term()));
+      }
     } else if (now - phaseSince >= TAKEOVER_TIMEOUT_MILLIS) {
       enter(Phase.UNCONFIRMED, now);
     } else if (markSentIfDue(id, now)) {
-      steps.add(new Step.QueryStatus(id));
+      steps.add(new ChangeStep.QueryStatus(id));
     }
   }
 
@@ -431,24 +428,51 @@
 
   /**
    * Abandons the change if no promotion order can take effect, and returns the members to unfence:
-   * those fenced by this change and those that an earlier driver left fenced.
+   * those fenced by this change and those that an earlier driver left fenced. An order of an
+   * earlier driver can't take effect any more once it is overdue and every member was seen not to
+   * have followed it.
    *
    * @param view this host's view of the service
    * @param now the current time in milliseconds
-   * @return one step for each fenced member; empty, without abandoning the change, while an order
-   *     may still take effect or this host may not act
+   * @return one step for each fenced member, and one that withdraws the announcement. While an
+   *     order may still take effect or this host may not act, the change is not abandoned, and the
+   *     steps only request the status of members
    */
-  public List<Step> giveUp(ServiceView view, long now) {
-    boolean earlierOrder = membersAlreadyFenced && now - startedAt < EARLIER_ORDER_VALID_MILLIS;
+  public List<ChangeStep> giveUp(ServiceView view, long now) {
     boolean ordered = orderPending || phase == Phase.TAKING_OVER;
-    if (ended() || ordered || earlierOrder || !mayAct(now)) {
+    if (ended() || ordered || !mayAct(now)) {
       return List.of();
     }
+    if (earlierOrder.isPresent() && !earlierOrder.get().hadNoEffect(view, now)) {
+      return earlierOrder.get().membersToAsk(view, now).stream()
+          .filter(id -> markSentIfDue(id, now))
+          .<ChangeStep>map(ChangeStep.QueryStatus::new)
+          .toList();
+    }
     enter(Phase.GIVEN_UP, now);
-    return view.members().stream()
+    List<ChangeStep> steps = new ArrayList<>();
+    steps.add(new ChangeStep.Withdraw(view.term()));
+    view.members().stream()
         .filter(m -> fenced.contains(m.id()) || fencedAbove(m, view.term()))
-        .<Step>map(m -> new Step.Unfence(m.id()))
-        .toList();
+        .<ChangeStep>map(m -> new ChangeStep.Unfence(m.id()))
+        .forEach(steps::add);
+    return steps;
+  }
+
+  /**
+   * Ends the change so that another host can take it over. Unlike {@link #giveUp}, it leaves fences
+   * and the announcement if an order of an earlier driver may have taken effect.
+   *
+   * @param view this host's view of the service
+   * @param now the current time in milliseconds
+   * @return the steps that remain to be performed
+   */
+  public List<ChangeStep> handOver(ServiceView view, long now) {
+    List<ChangeStep> steps = giveUp(view, now);
+    if (!ended()) {
+      enter(Phase.GIVEN_UP, now);
+    }
+    return steps;
   }
 
   private static boolean fencedAbove(MemberView member, long term) {
--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryChangeNeed.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryChangeNeed.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.stream.Stream;
 import org.sardinebay.MemberId;
 import org.sardinebay.session.MemberRole;
 
@@ -54,7 +53,9 @@
     SILENT,
     /** Every member that replies reports the replica role. */
     UNKNOWN,
-    /** Members are fenced for a change of primary that no driver completes. */
+    /**
+     * Members are fenced for a change of primary, or it is announced, but no driver completes it.
+     */
     ABANDONED
   }
 
@@ -70,7 +71,7 @@
   public static Optional<Cause> of(ServiceView view, long now) {
     Optional<MemberView> primary = view.primary();
     if (view.members().size() < 2) {
-      return Optional.empty();
+      return view.lease().primaryAlone() ? causeOfAbandonedChange(view, now) : Optional.empty();
     }
     if (primary.isEmpty() || view.newestTerm() > view.term()) {
       return view.members().stream().allMatch(m -> ruledOutAsPrimary(view, m, now))
@@ -88,9 +89,14 @@
     if (unreachableMillis >= SILENT_MILLIS) {
       return Optional.of(Cause.SILENT);
     }
-    boolean abandoned =
-        view.fencedAbove(view.term()) && view.millisWithoutPrimary(now) >= ABANDONED_MILLIS;
-    return abandoned ? Optional.of(Cause.ABANDONED) : Optional.empty();
+    return causeOfAbandonedChange(view, now);
+  }
+
+  private static Optional<Cause> causeOfAbandonedChange(ServiceView view, long now) {
+    boolean begun = view.fencedAbove(view.term()) || view.lease().changeAnnounced();
+    return begun && view.millisWithoutPrimary(now) >= ABANDONED_MILLIS
+        ? Optional.of(Cause.ABANDONED)
+        : Optional.empty();
   }
 
   /**
@@ -128,21 +134,14 @@
   }
 
   /**
-   * Returns the members that this host can't reach although they may be running. A change of
-   * primary has to fence each of them, or may replace one that is in use: it must not start while
-   * other hosts reach such a member.
+   * Returns the members that this host can't reach. Whatever the reason, other hosts may reach
+   * them, and a change of primary must not start while they do.
    *
    * @param view this host's view of the service
-   * @return the known primary and other members without evidence that their processes have ended
+   * @return the ids
    */
   public static List<MemberId> unseenMembers(ServiceView view) {
-    Optional<MemberView> silentPrimary =
-        view.primary().filter(m -> m.unreachable() && !m.refusing());
-    return Stream.concat(
-            silentPrimary.stream(), view.members().stream().filter(MemberView::possiblyRunning))
-        .map(MemberView::id)
-        .distinct()
-        .toList();
+    return view.members().stream().filter(MemberView::unreachable).map(MemberView::id).toList();
   }
 
   /**
--- a/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
@@ -1,11 +1,9 @@
 package org.sardinebay.internal.version;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -30,15 +28,15 @@
  */
 public final class ServiceView {
   /**
-   * How long, in milliseconds, a member is considered a possible primary after its entry has
-   * disappeared, and how long other members are considered possible while only one is registered.
-   * During an outage, entries expire and are registered again within some seconds.
+   * How long a primary has to be usable, in milliseconds, before the log of a replica whose entry
+   * has disappeared is no longer waited for. During an outage, entries expire and are registered
+   * again within some seconds.
    */
-  public static final long MISSING_GRACE_MILLIS = 10_000;
+  public static final long DEPARTED_LOG_MILLIS = 10_000;
 
   private final String service;
   private final Map<MemberId, MemberView> members = new LinkedHashMap<>();
-  private final PrimaryLease lease = new PrimaryLease();
+  private final ServiceLease lease = new ServiceLease(this);
 
   /** Positions observed on the primary while its lease was valid; they bound the age of reads. */
   private final PrimaryPositions leasedPositions = new PrimaryPositions();
@@ -49,13 +47,10 @@
    */
   private final PrimaryPositions observedPositions = new PrimaryPositions();
 
-  private final Map<MemberId, Long> missingSince = new HashMap<>();
-
   /** Replicas without an entry, which may hold commits that no registered replica has. */
   private final Map<MemberId, Departure> departures = new HashMap<>();
 
   private int synchronousReplicas;
-  private long singleMemberSince;
   private Optional<MemberId> primary = Optional.empty();
   private long term;
   private long newestTerm;
@@ -72,7 +67,6 @@
   public ServiceView(String service, long now) {
     this.service = service;
     this.withoutPrimarySince = OptionalLong.of(now);
-    this.singleMemberSince = now;
   }
 
   /**
@@ -110,12 +104,8 @@
    */
   public void setMembers(Collection<MemberEntry> entries, long now) {
     Set<MemberId> ids = entries.stream().map(MemberEntry::id).collect(Collectors.toSet());
+    lease.onMembers(members.values().stream().map(MemberView::entry).toList(), entries, now);
     for (MemberView known : members.values()) {
-      boolean replaced =
-          entries.stream().anyMatch(entry -> entry.address().equals(known.entry().address()));
-      if (!ids.contains(known.id()) && !known.entry().draining() && !replaced) {
-        missingSince.put(known.id(), now);
-      }
       if (!ids.contains(known.id()) && !primary.equals(Optional.of(known.id()))) {
         departures.put(known.id(), new Departure(known.entry().address(), now));
       }
@@ -123,15 +113,11 @@
     departures.keySet().removeAll(ids);
     // The log of a member that has left is transferred to the next member at its address.
     entries.forEach(e -> departures.values().removeIf(d -> d.address().equals(e.address())));
-    missingSince.keySet().removeAll(ids);
-    if (ids.size() != 1) {
-      singleMemberSince = now;
-    }
     members.keySet().retainAll(ids);
     for (MemberEntry entry : entries) {
       MemberView known = members.get(entry.id());
       if (known == null || !known.entry().sameIncarnation(entry)) {
-        members.put(entry.id(), new MemberView(entry));
+        members.put(entry.id(), new MemberView(entry, now));
       } else {
         known.update(entry);
       }
@@ -139,6 +125,7 @@
     if (primary.isPresent() && !members.containsKey(primary.get())) {
       primary = Optional.empty();
     }
+    lease.coverMembers(now);
   }
 
   /**
@@ -162,7 +149,7 @@
 
   /**
    * Returns the replicas whose entries have disappeared and whose logs no other member is known to
-   * have: no primary has been usable for {@link #MISSING_GRACE_MILLIS} since.
+   * have: no primary has been usable for {@link #DEPARTED_LOG_MILLIS} since.
    *
    * @return the ids
    */
@@ -194,8 +181,8 @@
     if (status.fenceTerm() > term) {
       lease.revoke();
     } else if (status.term() <= term && newestTerm == term) {
-      lease.confirm(id, sentAt, now);
-      establishLease(now);
+      lease.confirm(member, sentAt, now);
+      lease.establish(now);
     }
     if (primary.equals(Optional.of(id))) {
       primary = Optional.empty();
@@ -206,7 +193,11 @@
   }
 
   private boolean onPrimary(MemberId id, long primaryTerm, OptionalLong followedAt, long now) {
-    if (primaryTerm < term || (primaryTerm == term && primary.equals(Optional.of(id)))) {
+    if (primaryTerm == term && primary.equals(Optional.of(id))) {
+      lease.establish(now);
+      return false;
+    }
+    if (primaryTerm < term) {
       return false;
     }
     if (primaryTerm > term) {
@@ -217,7 +208,7 @@
       observedPositions.clear();
     }
     primary = Optional.of(id);
-    establishLease(now);
+    lease.establish(now);
     return true;
   }
 
@@ -241,7 +232,7 @@
       return;
     }
     if (!primary.equals(Optional.of(id))) {
-      confirmByReplication(id, position, now);
+      confirmByReplication(member, position, now);
       return;
     }
     observedPositions.observe(sentAt, position);
@@ -254,7 +245,7 @@
    * A replica that has applied an entry written by the primary after a given time was not fenced at
    * that time. Its position therefore confirms the lease without a status request.
    */
-  private void confirmByReplication(MemberId replica, Position position, long now) {
+  private void confirmByReplication(MemberView replica, Position position, long now) {
     if (newestTerm == term && lease.valid(now)) {
       observedPositions.lastBelow(position).ifPresent(at -> lease.confirm(replica, at, now));
     }
@@ -273,42 +264,13 @@
       return;
     }
     member.failed(refused, now);
-    if (refused) {
-      lease.observeNotRunning(id, now);
-    }
-    establishLease(now);
-  }
-
-  /**
-   * Starts or extends the lease if all other members that may be primary were observed unfenced or
-   * not running. A leaving member that is unreachable is never promoted and therefore doesn't have
-   * to be observed, unless commits wait for replicas. A member whose entry has just disappeared may
-   * still be primary.
-   */
-  private void establishLease(long now) {
-    boolean mayNotBeAlone = members.size() == 1 && now - singleMemberSince < MISSING_GRACE_MILLIS;
-    if (primary.isEmpty() || newestTerm != term || mayNotBeAlone) {
-      return;
-    }
-    missingSince.values().removeIf(at -> now - at >= MISSING_GRACE_MILLIS);
-    List<MemberId> others = new ArrayList<>(missingSince.keySet());
-    others.addAll(promotableOthers());
-    lease.establish(others, now);
-  }
-
-  private List<MemberId> promotableOthers() {
-    return members.values().stream()
-        .filter(m -> !primary.equals(Optional.of(m.id())))
-        .filter(m -> synchronousReplicas > 0 || !(m.entry().draining() && m.unreachable()))
-        .filter(m -> !replacedAtSameAddress(m))
-        .map(MemberView::id)
-        .toList();
+    lease.establish(now);
   }
 
   /**
    * Whether a member has restarted under another id, which has replied at the same address since.
    */
-  private boolean replacedAtSameAddress(MemberView member) {
+  boolean replacedAtSameAddress(MemberView member) {
     long lastStatusAt = member.statusRequestedAt().orElse(Long.MIN_VALUE);
     return members.values().stream()
         .filter(other -> !other.id().equals(member.id()) && !other.unreachable())
@@ -362,6 +324,15 @@
     return newestTerm == term && lease.valid(now) ? primary() : Optional.empty();
   }
 
+  /**
+   * Returns the lease on the primary and what it rests on.
+   *
+   * @return the lease
+   */
+  public ServiceLease lease() {
+    return lease;
+  }
+
   /**
    * Returns whether a reply that has just arrived from a member is valid as a reply of the primary.
    *
@@ -417,9 +388,10 @@
    * @param now the current time in milliseconds
    */
   public void tick(long now) {
+    lease.tick(now);
     if (leasedPrimary(now).filter(m -> !m.unreachable()).isPresent()) {
       withoutPrimarySince = OptionalLong.empty();
-      departures.values().removeIf(d -> now - d.at() >= MISSING_GRACE_MILLIS);
+      departures.values().removeIf(d -> now - d.at() >= DEPARTED_LOG_MILLIS);
     } else if (withoutPrimarySince.isEmpty()) {
       withoutPrimarySince = OptionalLong.of(now);
     }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -26,6 +26,7 @@
 import org.sardinebay.gateway.internal.request.StatementLog;
 import org.sardinebay.gateway.internal.request.StatementRunContext;
 import org.sardinebay.gateway.internal.request.StatementRunner;
+import org.sardinebay.gateway.internal.version.ChangeAnnouncements;
 import org.sardinebay.gateway.internal.version.CountedPlatformClient;
 import org.sardinebay.gateway.internal.version.Homes;
 import org.sardinebay.gateway.internal.version.Overflow;
@@ -45,9 +46,11 @@
 import org.sardinebay.internal.process.ShutdownPlan;
 import org.sardinebay.internal.process.StoreEra;
 import org.sardinebay.internal.process.StoreFreshness;
+import org.sardinebay.internal.process.StoreKnowledge;
 import org.sardinebay.internal.request.AdmissionControl;
 import org.sardinebay.internal.request.ReadHedging;
 import org.sardinebay.internal.version.ConfigStore;
+import org.sardinebay.internal.version.PrimaryLease;
 import org.sardinebay.net.AdminRoutes;
 import org.sardinebay.net.RunningProcess;
 import org.sardinebay.net.http.HttpServerResponse;
@@ -97,10 +100,11 @@
   private final Set<ForwardedStatements> forwarded = new HashSet<>();
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private ChangeAnnouncements announcements;
   private PromotionCoordinator promotions;
   private final LoopLag lag;
   private final StoreEra storeEra;
-  private final StoreFreshness freshness;
+  private final StoreKnowledge knowledge;
   private final ConfigurationConfirmation confirmation = new ConfigurationConfirmation();
   private final AdmissionControl admission = new AdmissionControl();
   private volatile long tickedAt;
@@ -114,7 +118,10 @@
     this.clock = clock;
     this.lag = new LoopLag(TICK_MILLIS, clock.millis());
     this.storeEra = new StoreEra(clock);
-    this.freshness = new StoreFreshness(clock);
+    this.knowledge =
+        new StoreKnowledge(
+            new StoreFreshness(clock),
+            StoreFreshness.unknown(clock, PrimaryLease.MEMBERS_KNOWN_MILLIS));
     MemberProtocol memberProtocol = new LineMemberProtocol();
     this.services =
         new Services(
@@ -168,7 +175,7 @@
         this::answerReach,
         this::answerQuota,
         () -> loop.execute(confirmation::onPeerReply),
-        freshness,
+        knowledge,
         clock,
         registry);
   }
@@ -275,14 +282,26 @@
     JsonHttpClient http = JsonHttpClient.onEventLoop(loop, STORE_SILENCE);
     PlatformClient store = storeClient(http);
     PlatformClient watched = storeClient(StoreWatches.client(loop));
-    new StoreWatches(
-            settings.host(), feeds, freshness, peers::storeAnswered, watched, loop, clock, registry)
-        .start();
+    StoreWatches watches =
+        new StoreWatches(
+            settings.host(),
+            feeds,
+            knowledge,
+            peers::storeAnswered,
+            watched,
+            loop,
+            clock,
+            registry);
+    watches.start();
     new HostRegistration(settings, store, storeEra, feeds.listener(StoreFeeds.HOSTS), loop).start();
+    announcements =
+        new ChangeAnnouncements(services, store, storeEra, settings.host(), loop, clock);
     promotions =
         new PromotionCoordinator(
             services,
             reachability,
+            announcements,
+            watches::refreshMembers,
             store,
             storeEra,
             new HttpPromotionClient(http, settings.promotions()),
@@ -352,6 +371,7 @@
     admission.onTick(lag.onTick(now));
     tickedAt = now;
     TickPart.run("members", () -> feeds.tick(now));
+    TickPart.run("members", () -> services.onMembersKnown(knowledge.members().knownAt()));
     TickPart.run("homes", () -> homes.assignAll(services, now));
     for (ServiceRuntime service : List.copyOf(services.all())) {
       TickPart.run("service", () -> service.tick(now));
@@ -361,6 +381,7 @@
     TickPart.run("overflow", () -> overflow.tick(now));
     TickPart.run("forwarded", () -> tickForwarded(now));
     TickPart.run("sessions", () -> sessions.tick(now));
+    TickPart.run("announcements", () -> announcements.tick(now));
     TickPart.run("promotions", () -> promotions.tick(now));
   }
 
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/Peers.java
@@ -18,7 +18,7 @@
 import org.sardinebay.gateway.internal.request.ForwardedStatements;
 import org.sardinebay.gateway.internal.version.StoreFeeds;
 import org.sardinebay.internal.process.FeedTiming;
-import org.sardinebay.internal.process.StoreFreshness;
+import org.sardinebay.internal.process.StoreKnowledge;
 import org.sardinebay.internal.process.StoreWatchers;
 import org.sardinebay.internal.process.StoreWatchers.Nearness;
 import org.sardinebay.net.AddressTranslation;
@@ -48,7 +48,7 @@
   private final Function<ReachCall, CompletableFuture<Frame>> reachHandler;
   private final Function<QuotaCall, Frame> quotaHandler;
   private final Runnable onFeedReply;
-  private final StoreFreshness freshness;
+  private final StoreKnowledge knowledge;
   private final Clock clock;
   private final MeterRegistry registry;
   private final ScheduledExecutorService timer =
@@ -80,7 +80,7 @@
       Function<ReachCall, CompletableFuture<Frame>> reachHandler,
       Function<QuotaCall, Frame> quotaHandler,
       Runnable onFeedReply,
-      StoreFreshness freshness,
+      StoreKnowledge knowledge,
       Clock clock,
       MeterRegistry registry) {
     this.settings = settings;
@@ -91,7 +91,7 @@
     this.reachHandler = reachHandler;
     this.quotaHandler = quotaHandler;
     this.onFeedReply = onFeedReply;
-    this.freshness = freshness;
+    this.knowledge = knowledge;
     this.clock = clock;
     this.registry = registry;
     // Hosts list each other from the store anyway; the feed only helps those that it refuses.
@@ -101,7 +101,7 @@
             timer,
             key -> !key.kind().equals(StoreFeeds.HOSTS),
             clock,
-            Optional.of(freshness));
+            Optional.of(knowledge));
   }
 
   /** Tells the hosts that follow the store through this one that the store has answered. */
@@ -126,7 +126,7 @@
                   () -> watchers(nearness), this::otherPeers, fetchDelayMillis(nearness)),
               clock,
               timer,
-              Optional.of(freshness));
+              Optional.of(knowledge));
       feedClient.onReply(onFeedReply);
       feedClient.start();
     }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/StoreWatches.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/StoreWatches.java
@@ -7,12 +7,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import org.sardinebay.Clock;
 import org.sardinebay.HostId;
 import org.sardinebay.gateway.internal.version.ObjectWatch;
 import org.sardinebay.gateway.internal.version.StoreFeeds;
 import org.sardinebay.impeller.PlatformKeys;
 import org.sardinebay.internal.process.StoreFreshness;
+import org.sardinebay.internal.process.StoreKnowledge;
 import org.sardinebay.internal.process.StoreWatchers;
 import org.sardinebay.net.http.JsonHttpClient;
 import org.sardinebay.platform.PlatformClient;
@@ -69,24 +71,29 @@
    */
   private static final long CLOSE_MEMBERS_PAUSE_MILLIS = 400;
 
+  /** Interval at which the driver of a change of primary lists the members, in milliseconds. */
+  private static final long MEMBERS_REFRESH_MILLIS = 1_000;
+
   /** The same delay on the other hosts, which the former tell of the change. */
   private static final long MEMBERS_PAUSE_MILLIS = 2_500;
 
   private final HostId self;
   private final StoreFeeds feeds;
   private final StoreFreshness freshness;
+  private final StoreFreshness membersFreshness;
   private final Runnable onConfigurationAnswered;
   private final PlatformClient store;
   private final Eventloop loop;
   private final Clock clock;
   private final MeterRegistry registry;
   private final List<ObjectWatch> watches = new ArrayList<>();
+  private ObjectWatch members;
   private boolean stale;
 
   StoreWatches(
       HostId self,
       StoreFeeds feeds,
-      StoreFreshness freshness,
+      StoreKnowledge knowledge,
       Runnable onConfigurationAnswered,
       PlatformClient store,
       Eventloop loop,
@@ -94,7 +101,8 @@
       MeterRegistry registry) {
     this.self = self;
     this.feeds = feeds;
-    this.freshness = freshness;
+    this.freshness = knowledge.configuration();
+    this.membersFreshness = knowledge.members();
     this.onConfigurationAnswered = onConfigurationAnswered;
     this.store = store;
     this.loop = loop;
@@ -116,16 +124,22 @@
             this::maxRetryMillis,
             this::asksStore,
             StoreFreshness.MAX_AGE_MILLIS),
-        configurationListener());
-    watch(
-        PlatformKeys.MEMBER_KIND,
-        new ObjectWatch.Timing(
-            () -> asksStore() ? CLOSE_MEMBERS_WAIT_MILLIS : WAIT_MILLIS,
-            this::membersPauseMillis,
-            this::maxRetryMillis,
-            () -> true,
-            Long.MAX_VALUE),
-        feeds.listener(PlatformKeys.MEMBER_KIND));
+        notifying(
+            PlatformKeys.CONFIGURATION.kind(),
+            asOf -> {
+              freshness.onStoreAnswer();
+              onConfigurationAnswered.run();
+            }));
+    members =
+        watch(
+            PlatformKeys.MEMBER_KIND,
+            new ObjectWatch.Timing(
+                () -> asksStore() ? CLOSE_MEMBERS_WAIT_MILLIS : WAIT_MILLIS,
+                this::membersPauseMillis,
+                this::maxRetryMillis,
+                () -> true,
+                Long.MAX_VALUE),
+            notifying(PlatformKeys.MEMBER_KIND, membersFreshness::onStoreAnswer));
     TimeGauge.builder(
             "sardinebay_store_knowledge_age",
             freshness,
@@ -135,7 +149,7 @@
     check();
   }
 
-  private void watch(String kind, ObjectWatch.Timing timing, ObjectWatch.Listener listener) {
+  private ObjectWatch watch(String kind, ObjectWatch.Timing timing, ObjectWatch.Listener listener) {
     ObjectWatch watch = new ObjectWatch(store, kind, timing, listener, loop, clock);
     TimeGauge.builder(
             "sardinebay_store_watch_silence",
@@ -146,10 +160,11 @@
         .register(registry);
     watches.add(watch);
     watch.start();
+    return watch;
   }
 
-  private ObjectWatch.Listener configurationListener() {
-    ObjectWatch.Listener applying = feeds.listener(PlatformKeys.CONFIGURATION.kind());
+  private ObjectWatch.Listener notifying(String kind, LongConsumer onAnswered) {
+    ObjectWatch.Listener applying = feeds.listener(kind);
     return new ObjectWatch.Listener() {
       @Override
       public void onListing(long revision, List<PlatformObject> objects) {
@@ -162,13 +177,20 @@
       }
 
       @Override
-      public void onAnswered() {
-        freshness.onStoreAnswer();
-        onConfigurationAnswered.run();
+      public void onAnswered(long asOf) {
+        onAnswered.accept(asOf);
       }
     };
   }
 
+  /**
+   * Lists the members at once unless they were listed a moment ago; the driver of a change of
+   * primary has to know those that have just joined.
+   */
+  void refreshMembers() {
+    members.refresh(MEMBERS_REFRESH_MILLIS);
+  }
+
   private void check() {
     loop.delay(CHECK_MILLIS, this::check);
     if (stale == freshness.fresh()) {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ObjectWatch.java
@@ -69,8 +69,13 @@
      */
     void onChanges(List<PlatformObject> objects);
 
-    /** Called after each answer of the store, once its objects are applied. */
-    default void onAnswered() {}
+    /**
+     * Called after each answer of the store, once its objects are applied.
+     *
+     * @param asOf when the store had not yet answered, in milliseconds; all changes until then are
+     *     applied
+     */
+    default void onAnswered(long asOf) {}
   }
 
   private final PlatformClient store;
@@ -143,6 +148,18 @@
     }
   }
 
+  /**
+   * Asks the store for changes at once if the last call is older than the given time. The result of
+   * a call in progress is ignored.
+   *
+   * @param intervalMillis the time in milliseconds
+   */
+  public void refresh(long intervalMillis) {
+    if (clock.millis() - calledAt >= intervalMillis) {
+      call(0);
+    }
+  }
+
   private void call(long waitMillis) {
     resting = false;
     if (clock.millis() - answeredAt > timing.maxRevisionAgeMillis()) {
@@ -230,7 +247,7 @@
       return;
     }
     revision = changed && mostlySuperseded(page.objects()) ? 0 : page.revision();
-    listener.onAnswered();
+    listener.onAnswered(changed || listing ? calledAt : waitedUntil());
     if (changed) {
       callLater(timing.pauseMillis().getAsLong(), this::start);
     } else {
@@ -238,6 +255,11 @@
     }
   }
 
+  /** The store answers a call without changes only when its wait is over. */
+  private long waitedUntil() {
+    return Math.min(calledAt + calledWaitMillis, clock.millis());
+  }
+
   /**
    * Returns whether a listing is the better next call: objects change faster than their changes
    * arrive, and the next changes would again hold versions that are out of date.
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PeerReachability.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PeerReachability.java
@@ -65,8 +65,8 @@
   }
 
   /**
-   * Queries whether the other homes reach the members that this host has not reached for {@link
-   * ReachabilityReports#QUERY_AFTER_MILLIS}.
+   * Queries whether the other homes reach the members that refuse this host's connections, or have
+   * not replied to it for {@link ReachabilityReports#QUERY_AFTER_MILLIS}.
    *
    * @param service the service
    * @param now the current time by this host's clock, in milliseconds
@@ -76,15 +76,19 @@
     List<MemberId> unseen = PrimaryChangeNeed.unseenMembers(service.view());
     serviceReports.retain(unseen);
     for (MemberId id : unseen) {
-      long unreachableMillis =
-          service.view().member(id).map(m -> m.unreachableMillis(now)).orElse(0L);
-      if (unreachableMillis >= ReachabilityReports.QUERY_AFTER_MILLIS
+      if (service.view().member(id).filter(m -> suspected(m, now)).isPresent()
           && serviceReports.queryDue(id, now)) {
         query(service, id, serviceReports);
       }
     }
   }
 
+  /** A change after a refused connection begins early, so the others are queried at once. */
+  private static boolean suspected(MemberView member, long now) {
+    return member.refusing()
+        || member.unreachableMillis(now) >= ReachabilityReports.QUERY_AFTER_MILLIS;
+  }
+
   private void query(ServiceRuntime service, MemberId id, ReachabilityReports serviceReports) {
     ReachCall call =
         ReachCall.newBuilder().setService(service.view().service()).setMember(id.value()).build();
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionCoordinator.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionCoordinator.java
@@ -15,6 +15,7 @@
 import org.sardinebay.MemberId;
 import org.sardinebay.gateway.internal.connection.MemberPool;
 import org.sardinebay.internal.process.StoreEra;
+import org.sardinebay.internal.version.ChangeStep;
 import org.sardinebay.internal.version.MemberView;
 import org.sardinebay.internal.version.PrimaryChange;
 import org.sardinebay.internal.version.PrimaryChangeNeed;
@@ -65,6 +66,8 @@
 
   private final Services services;
   private final PeerReachability reachability;
+  private final ChangeAnnouncements announcements;
+  private final Runnable refreshMembers;
   private final PromotionLease lease;
   private final PromotionClient orders;
   private final MemberProtocol protocol;
@@ -85,6 +88,8 @@
    *
    * @param services the services
    * @param reachability what other hosts report of members that this host can't reach
+   * @param announcements announces the changes to all hosts
+   * @param refreshMembers lists the members in the store, called on each tick during a change
    * @param store the store that holds the lease record
    * @param storeEra the store's era
    * @param orders sends promotion orders to the platform
@@ -98,6 +103,8 @@
   public PromotionCoordinator(
       Services services,
       PeerReachability reachability,
+      ChangeAnnouncements announcements,
+      Runnable refreshMembers,
       PlatformClient store,
       StoreEra storeEra,
       PromotionClient orders,
@@ -109,6 +116,8 @@
       MeterRegistry registry) {
     this.services = services;
     this.reachability = reachability;
+    this.announcements = announcements;
+    this.refreshMembers = refreshMembers;
     this.orders = orders;
     this.protocol = protocol;
     this.self = self;
@@ -128,6 +137,9 @@
   public void tick(long now) {
     changes.keySet().removeIf(name -> services.service(name).isEmpty());
     loggedPhases.keySet().retainAll(changes.keySet());
+    if (!changes.isEmpty()) {
+      refreshMembers.run();
+    }
     for (ServiceRuntime service : services.all()) {
       PrimaryChange change = changes.get(service.view().service());
       if (change == null && service.home()) {
@@ -193,10 +205,16 @@
         cause.get() == PrimaryChangeNeed.Cause.LEAVING
             && view.primary().filter(m -> !m.unreachable()).isPresent();
     MemberId oldPrimary = view.primary().map(MemberView::id).orElse(new MemberId("none"));
-    boolean inherited = view.fencedAbove(view.term());
+    boolean begunEarlier = view.fencedAbove(view.term()) || view.lease().changeAnnounced();
     PrimaryChange change =
         new PrimaryChange(
-            lease.claim(), oldPrimary, planned, inherited, view.newestTerm() + 1, now);
+            lease.claim(),
+            oldPrimary,
+            planned,
+            begunEarlier,
+            view.newestTerm(),
+            view.lease().nextTerm(),
+            now);
     changes.put(view.service(), change);
     log("primary_change_started", view)
         .addKeyValue("cause", cause.get())
@@ -231,7 +249,7 @@
 
   private void advance(ServiceRuntime service, PrimaryChange change, long now) {
     ServiceView view = service.view();
-    boolean promotionDueSoon = change.promotionDueInMillis(now) <= RENEWAL_LEAD_MILLIS;
+    boolean promotionDueSoon = change.promotionDueInMillis(view, now) <= RENEWAL_LEAD_MILLIS;
     boolean unused =
         lease.ensureHeldFor(
             promotionDueSoon ? ORDER_LEASE_MILLIS : PrimaryChange.STEP_LEASE_MILLIS);
@@ -240,7 +258,7 @@
     } else if (change.stuck(view, now)) {
       log("primary_change_stuck", view).addKeyValue("statuses", statuses(view)).log();
       backoffUntil.put(view.service(), now + BACKOFF_MILLIS);
-      perform(service, change, change.giveUp(view, now));
+      perform(service, change, change.handOver(view, now));
     }
     perform(service, change, change.next(view, now));
     logPhase(view, change);
@@ -276,24 +294,47 @@
     }
   }
 
-  private void perform(
-      ServiceRuntime service, PrimaryChange change, List<PrimaryChange.Step> steps) {
-    for (PrimaryChange.Step step : steps) {
-      if (step instanceof PrimaryChange.Step.Promote promote) {
+  private void perform(ServiceRuntime service, PrimaryChange change, List<ChangeStep> steps) {
+    for (ChangeStep step : steps) {
+      if (step instanceof ChangeStep.Promote promote) {
         sendOrder(service, change, promote.member());
-      } else if (step instanceof PrimaryChange.Step.Fence fence) {
+      } else if (step instanceof ChangeStep.Fence fence) {
         fence(service, change, fence);
-      } else if (step instanceof PrimaryChange.Step.Demote demote) {
+      } else if (step instanceof ChangeStep.Demote demote) {
         sendControl(service, demote.member(), protocol.demoteText(demote.term()));
-      } else if (step instanceof PrimaryChange.Step.Unfence unfence) {
+      } else if (step instanceof ChangeStep.Unfence unfence) {
         sendControl(service, unfence.member(), protocol.unfenceText());
-      } else if (step instanceof PrimaryChange.Step.QueryStatus query) {
+      } else if (step instanceof ChangeStep.QueryStatus query) {
         sendControl(service, query.member(), protocol.statusText());
+      } else if (step instanceof ChangeStep.Announce announce) {
+        long token = lease.claim().token();
+        announcements.announce(
+            service.view().service(),
+            announce.term(),
+            token,
+            () -> holdsLease(token),
+            announced -> onAnnounced(change, announced));
+      } else if (step instanceof ChangeStep.Withdraw withdraw) {
+        long token = lease.claim().token();
+        announcements.withdraw(
+            service.view().service(), withdraw.term(), token, () -> holdsLease(token));
       }
     }
   }
 
-  private void fence(ServiceRuntime service, PrimaryChange change, PrimaryChange.Step.Fence step) {
+  private void onAnnounced(PrimaryChange change, boolean announced) {
+    if (announced) {
+      change.onAnnounced(clock.millis());
+    } else {
+      change.onOtherAnnouncement(clock.millis());
+    }
+  }
+
+  private boolean holdsLease(long token) {
+    return lease.claim().token() == token && lease.claim().remainingMillis(clock.millis()) > 0;
+  }
+
+  private void fence(ServiceRuntime service, PrimaryChange change, ChangeStep.Fence step) {
     Optional<MemberPool> pool = service.pool(step.member());
     if (pool.isEmpty()) {
       return;
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ServiceRuntime.java
@@ -65,6 +65,7 @@
   private Set<FailureDomain> failureDomains = Set.of();
   private ServiceSpec spec;
   private boolean home;
+  private boolean leased;
   private int homeCount = 1;
   private long servedAsHomeAt = Long.MIN_VALUE / 2;
 
@@ -325,6 +326,7 @@
    */
   public void tick(long now) {
     view.tick(now);
+    logLease(now);
     logReachableAgain(now);
     for (MemberPool pool : new ArrayList<>(pools.values())) {
       pool.quota().hosts(homeCount);
@@ -340,6 +342,23 @@
     placer.tick(now);
   }
 
+  private void logLease(long now) {
+    boolean leasedNow = home && view.leasedPrimary(now).isPresent();
+    if (leased != leasedNow) {
+      leased = leasedNow;
+      LOG.atInfo()
+          .setMessage(leased ? "primary_lease_started" : "primary_lease_ended")
+          .addKeyValue("service", spec.name())
+          .addKeyValue("primary", view.primary().map(m -> m.id().value()).orElse("-"))
+          .addKeyValue("term", view.term())
+          .addKeyValue("newest_term", view.newestTerm())
+          .addKeyValue("covered_millis", Math.max(0, view.lease().coverageRemainingMillis(now)))
+          .addKeyValue("change_announced", view.lease().changeAnnounced())
+          .addKeyValue("members", view.members().size())
+          .log();
+    }
+  }
+
   private void logReachableAgain(long now) {
     unreachableSince.keySet().removeIf(id -> view.member(id).isEmpty());
     for (MemberView member : view.members()) {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/Services.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/Services.java
@@ -114,6 +114,15 @@
     distributeMembers();
   }
 
+  /**
+   * Records as of when the registered members are known.
+   *
+   * @param knownAt the time by this host's clock, in milliseconds
+   */
+  public void onMembersKnown(long knownAt) {
+    runtimes.values().forEach(runtime -> runtime.view().lease().onMembersKnown(knownAt));
+  }
+
   private void distributeMembers() {
     runtimes.forEach(
         (name, runtime) -> {
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatusPoller.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StatusPoller.java
@@ -16,6 +16,7 @@
 import org.sardinebay.gateway.internal.connection.MemberPool;
 import org.sardinebay.internal.connection.AnswerKind;
 import org.sardinebay.internal.version.MemberView;
+import org.sardinebay.internal.version.PrimaryLease;
 import org.sardinebay.internal.version.ServiceView;
 import org.sardinebay.session.MemberProtocol;
 import org.sardinebay.session.MemberStatus;
@@ -55,6 +56,15 @@
    */
   private static final long LEASE_CRITICAL_MILLIS = 400;
 
+  /**
+   * When a replica's last confirmation covers the lease for less than this, in milliseconds, it is
+   * polled: there is time for an answer that is lost and for a second poll.
+   */
+  private static final long COVERAGE_RENEWAL_MILLIS = 1_000;
+
+  /** The same while confirmations cover the lease for no longer than they extend it. */
+  private static final long SHORT_COVERAGE_RENEWAL_MILLIS = LEASE_RENEWAL_MILLIS;
+
   /**
    * Timeout of a status query, in milliseconds: on the member, the query may wait for a slot behind
    * other statements.
@@ -110,7 +120,10 @@
         .isPresent();
   }
 
-  /** The answer of one replica renews the lease, so only one is polled while there is time. */
+  /**
+   * The answer of one replica extends the lease, so only one is polled while there is time. The
+   * others are polled less often, to cover it.
+   */
   private boolean renewsLease(MemberPool pool, long now) {
     MemberId member = pool.entry().id();
     if (view.primary().filter(m -> m.id().equals(member)).isPresent()) {
@@ -118,9 +131,19 @@
     }
     long remainingMillis = view.leaseMillis(now);
     return remainingMillis < LEASE_CRITICAL_MILLIS
+        || coverageEnds(member, now)
         || (remainingMillis < LEASE_RENEWAL_MILLIS && nearestReplica().equals(Optional.of(member)));
   }
 
+  private boolean coverageEnds(MemberId member, long now) {
+    long leadMillis =
+        view.lease().coverageMillis(now) > PrimaryLease.DURATION_MILLIS
+            ? COVERAGE_RENEWAL_MILLIS
+            : SHORT_COVERAGE_RENEWAL_MILLIS;
+    return view.lease().coverageRemainingMillis(now) < leadMillis
+        && view.lease().coverageMillis(member, now) < leadMillis;
+  }
+
   private Optional<MemberId> nearestReplica() {
     return view.members().stream()
         .filter(m -> !m.unreachable() && !view.primary().equals(Optional.of(m)))
--- a/net/src/main/java/org/sardinebay/net/peer/ConfigFeedClient.java
+++ b/net/src/main/java/org/sardinebay/net/peer/ConfigFeedClient.java
@@ -11,7 +11,7 @@
 import org.sardinebay.Clock;
 import org.sardinebay.internal.process.ConfigSourceSelector;
 import org.sardinebay.internal.process.FeedTiming;
-import org.sardinebay.internal.process.StoreFreshness;
+import org.sardinebay.internal.process.StoreKnowledge;
 import org.sardinebay.net.peer.generated.ConfigCall;
 import org.sardinebay.net.peer.generated.ConfigRecord;
 import org.sardinebay.net.peer.generated.ConfigReply;
@@ -47,7 +47,7 @@
   private final Sources sources;
   private final Clock clock;
   private final ScheduledExecutorService timer;
-  private final Optional<StoreFreshness> freshness;
+  private final Optional<StoreKnowledge> knowledge;
   private final ConfigSourceSelector sourceSelector = new ConfigSourceSelector();
   private final Object lock = new Object();
   private boolean sendVersions = true;
@@ -78,7 +78,7 @@
    * @param sources the processes to poll
    * @param clock the clock
    * @param timer schedules the calls
-   * @param freshness told how recent the sources' knowledge of the platform's store is; empty if
+   * @param knowledge told how recent the sources' knowledge of the platform's store is; empty if
    *     this process doesn't rely on them for that
    */
   public ConfigFeedClient(
@@ -88,14 +88,14 @@
       Sources sources,
       Clock clock,
       ScheduledExecutorService timer,
-      Optional<StoreFreshness> freshness) {
+      Optional<StoreKnowledge> knowledge) {
     this.process = process;
     this.peers = peers;
     this.store = store;
     this.sources = sources;
     this.clock = clock;
     this.timer = timer;
-    this.freshness = freshness;
+    this.knowledge = knowledge;
   }
 
   /**
@@ -173,7 +173,7 @@
             .setProcess(process)
             .setDigest(digest)
             .setAcceptsCompressed(true)
-            .setFollowsStore(freshness.isPresent())
+            .setFollowsStore(knowledge.isPresent())
             // The first reply comes at once, since the process may wait for it before it serves.
             .setWaitMillis(replied ? FeedTiming.WAIT_MILLIS : 0);
     if (sendVersions && !brought) {
@@ -197,7 +197,12 @@
             .log();
       }
       if (body.hasStoreAnsweredMillis()) {
-        freshness.ifPresent(known -> known.onSourceReply(sentAt + body.getStoreAnsweredMillis()));
+        knowledge.ifPresent(
+            k -> k.configuration().onSourceReply(sentAt + body.getStoreAnsweredMillis()));
+      }
+      if (body.hasMembersAnsweredMillis()) {
+        knowledge.ifPresent(
+            k -> k.members().onSourceReply(sentAt + body.getMembersAnsweredMillis()));
       }
       synchronized (lock) {
         replied = true;
--- a/net/src/main/java/org/sardinebay/net/peer/ConfigFeedServer.java
+++ b/net/src/main/java/org/sardinebay/net/peer/ConfigFeedServer.java
@@ -10,10 +10,12 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.sardinebay.Clock;
 import org.sardinebay.internal.process.FeedTiming;
 import org.sardinebay.internal.process.StoreFreshness;
+import org.sardinebay.internal.process.StoreKnowledge;
 import org.sardinebay.net.peer.generated.ConfigCall;
 import org.sardinebay.net.peer.generated.ConfigRecord;
 import org.sardinebay.net.peer.generated.ConfigReply;
@@ -50,7 +52,7 @@
   private final ScheduledExecutorService timer;
   private final Predicate<ObjectKey> urgent;
   private final Clock clock;
-  private final Optional<StoreFreshness> freshness;
+  private final Optional<StoreKnowledge> knowledge;
   private final RecordEncoder encoder = new RecordEncoder();
   private final Set<PendingCall> pendingCalls = ConcurrentHashMap.newKeySet();
 
@@ -61,8 +63,8 @@
    * @param timer expires pending calls
    * @param urgent whether a change of a record is sent at once; the others are sent together with
    *     the next urgent one or when the call's wait expires, so that many changes cost one reply
-   * @param clock the clock of the freshness
-   * @param freshness as of when this process knows all changes of the platform's store; empty if
+   * @param clock the clock of the knowledge
+   * @param knowledge as of when this process knows all changes of the platform's store; empty if
    *     other processes don't rely on it for that
    */
   public ConfigFeedServer(
@@ -70,12 +72,12 @@
       ScheduledExecutorService timer,
       Predicate<ObjectKey> urgent,
       Clock clock,
-      Optional<StoreFreshness> freshness) {
+      Optional<StoreKnowledge> knowledge) {
     this.store = store;
     this.timer = timer;
     this.urgent = urgent;
     this.clock = clock;
-    this.freshness = freshness;
+    this.knowledge = knowledge;
     // Encoding a large record must not hold up the thread that changed the store.
     store.onChange(() -> timer.execute(() -> pendingCalls.forEach(this::completeIfChanged)));
   }
@@ -109,7 +111,18 @@
   }
 
   private OptionalLong storeAnsweredAt() {
-    return freshness.map(StoreFreshness::storeAnsweredAt).orElse(OptionalLong.empty());
+    return answeredAt(StoreKnowledge::configuration);
+  }
+
+  private OptionalLong answeredAt(Function<StoreKnowledge, StoreFreshness> part) {
+    return knowledge.map(part).map(StoreFreshness::storeAnsweredAt).orElse(OptionalLong.empty());
+  }
+
+  /** When the store answered this process, read before the records that a reply contains. */
+  private record AnsweredAt(OptionalLong store, OptionalLong members) {}
+
+  private AnsweredAt answeredAt() {
+    return new AnsweredAt(storeAnsweredAt(), answeredAt(StoreKnowledge::members));
   }
 
   /**
@@ -127,7 +140,7 @@
   }
 
   private void completeIfChanged(PendingCall pending) {
-    OptionalLong answeredAt = storeAnsweredAt();
+    AnsweredAt answeredAt = answeredAt();
     List<PlatformObject> changed = store.changedSince(pending.applied);
     if (changed.stream().anyMatch(record -> urgent.test(record.key()))) {
       complete(pending, answeredAt, changed);
@@ -136,19 +149,18 @@
 
   private void expire(PendingCall pending) {
     // Read before the records, which are then at least as recent.
-    OptionalLong answeredAt = storeAnsweredAt();
+    AnsweredAt answeredAt = answeredAt();
     complete(pending, answeredAt, store.changedSince(pending.applied));
   }
 
-  private void complete(
-      PendingCall pending, OptionalLong answeredAt, List<PlatformObject> records) {
+  private void complete(PendingCall pending, AnsweredAt answeredAt, List<PlatformObject> records) {
     pendingCalls.remove(pending);
     boolean announce = pending.digestOnly && records.stream().anyMatch(encoder::large);
     pending.result.complete(
         announce ? frame(ConfigReply.newBuilder()) : reply(pending, answeredAt, records));
   }
 
-  private Frame reply(PendingCall pending, OptionalLong answeredAt, List<PlatformObject> records) {
+  private Frame reply(PendingCall pending, AnsweredAt answeredAt, List<PlatformObject> records) {
     ConfigReply.Builder reply = ConfigReply.newBuilder();
     int bytes = 0;
     for (PlatformObject record : records) {
@@ -159,8 +171,11 @@
       }
       reply.addRecords(message);
     }
-    answeredAt.ifPresent(time -> reply.setStoreAnsweredMillis(time - pending.receivedAt));
-    return frame(reply.setStale(answeredAt.isEmpty() && freshness.isPresent()));
+    answeredAt.store().ifPresent(time -> reply.setStoreAnsweredMillis(time - pending.receivedAt));
+    answeredAt
+        .members()
+        .ifPresent(time -> reply.setMembersAnsweredMillis(time - pending.receivedAt));
+    return frame(reply.setStale(answeredAt.store().isEmpty() && knowledge.isPresent()));
   }
 
   private static Frame frame(ConfigReply.Builder reply) {
