--- a/controller/src/main/java/org/sardinebay/controller/ControllerMain.java
+++ b/controller/src/main/java/org/sardinebay/controller/ControllerMain.java
@@ -1,6 +1,7 @@
 package org.sardinebay.controller;
 
 import org.sardinebay.controller.internal.process.ControllerProgram;
+import org.sardinebay.net.HangupSignal;
 import org.sardinebay.net.ProgramRunner;
 
 /**
@@ -19,6 +20,7 @@
    * @param args the command-line arguments; {@code --help} lists them
    */
   public static void main(String[] args) {
+    HangupSignal.ignore();
     System.exit(ProgramRunner.run(new ControllerProgram(), args));
   }
 }
--- a/gateway/src/main/java/org/sardinebay/gateway/GatewayMain.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/GatewayMain.java
@@ -1,6 +1,7 @@
 package org.sardinebay.gateway;
 
 import org.sardinebay.gateway.internal.process.GatewayProgram;
+import org.sardinebay.net.HangupSignal;
 import org.sardinebay.net.ProgramRunner;
 
 /**
@@ -19,6 +20,7 @@
    * @param args the command line; see {@code --help}
    */
   public static void main(String[] args) {
+    HangupSignal.ignore();
     System.exit(ProgramRunner.run(new GatewayProgram(), args));
   }
 }
--- a/net/src/main/java/org/sardinebay/net/ProgramRunner.java
+++ b/net/src/main/java/org/sardinebay/net/ProgramRunner.java
@@ -1,22 +1,18 @@
 package org.sardinebay.net;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CountDownLatch;
-import java.util.function.Supplier;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
-import org.sardinebay.net.http.Json;
-import org.sardinebay.record.FieldProblem;
-import org.sardinebay.record.FieldReader;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -40,6 +36,12 @@
   /** The version that {@code --version} prints. */
   public static final String VERSION = "0.1.0";
 
+  /** Interval at which the settings file is checked for changes, in milliseconds. */
+  private static final long FILE_CHECK_MILLIS = 1_000;
+
+  /** How long a shutdown waits for a start in progress, in milliseconds: shorter than a grace. */
+  private static final long START_MILLIS = 2_000;
+
   private static final Logger LOG = LoggerFactory.getLogger(ProgramRunner.class);
 
   private ProgramRunner() {}
@@ -81,7 +83,11 @@
       err.println(program.name() + ": --settings FILE is missing; see --help");
       return EXIT_USAGE;
     }
-    Optional<S> settings = load(program, Path.of(options.valueOf(file)), err);
+    SettingsFile<S> settingsFile = new SettingsFile<>(program, Path.of(options.valueOf(file)), err);
+    SettingsReload<S> reload = new SettingsReload<>(program, settingsFile);
+    // Before the file is read: a later signal may announce newer settings.
+    boolean handled = options.has(check) || HangupSignal.handle(reload::request);
+    Optional<S> settings = settingsFile.read();
     if (settings.isEmpty()) {
       return EXIT_USAGE;
     }
@@ -89,69 +95,52 @@
       out.println("settings ok");
       return EXIT_OK;
     }
-    return serve(program, settings.get(), () -> load(program, Path.of(options.valueOf(file)), err));
-  }
-
-  private static <S> Optional<S> load(Program<S> program, Path file, PrintStream err) {
-    JsonNode tree;
-    try {
-      tree = Json.parseWithComments(Files.readString(file));
-    } catch (JsonProcessingException e) {
-      err.println(
-          program.name()
-              + ": settings file "
-              + file
-              + " is not JSON at line "
-              + e.getLocation().getLineNr()
-              + ", column "
-              + e.getLocation().getColumnNr());
-      return Optional.empty();
-    } catch (IOException e) {
-      err.println(program.name() + ": settings file " + file + " can't be read");
-      return Optional.empty();
+    if (!handled) {
+      LOG.atWarn().setMessage("hangup_not_handled").log();
     }
-    FieldReader reader = FieldReader.of(tree);
-    S settings = program.settings(reader);
-    reader.rejectUnknownFields();
-    List<FieldProblem> problems = reader.problems();
-    problems.forEach(problem -> err.println(program.name() + ": " + file + ": " + problem));
-    return problems.isEmpty() ? Optional.of(settings) : Optional.empty();
+    return serve(program, settings.get(), reload);
   }
 
-  private static <S> int serve(
-      Program<S> program, S settings, Supplier<Optional<S>> reloadSettings) {
-    RunningProcess process;
+  private static <S> int serve(Program<S> program, S settings, SettingsReload<S> reload) {
+    CompletableFuture<RunningProcess> running = new CompletableFuture<>();
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> shutdown(running), "shutdown"));
     try {
-      process = program.start(settings);
+      running.complete(program.start(settings));
     } catch (IOException e) {
+      running.completeExceptionally(e);
       LOG.atError()
           .setMessage("start_failed")
           .addKeyValue("program", program.name())
           .addKeyValue("cause", e.getMessage())
           .log();
       return EXIT_FAILURE;
+    } finally {
+      // An unchecked exception ends the process, which must not wait for a start any more.
+      running.cancel(false);
     }
     LOG.atInfo().setMessage("started").addKeyValue("program", program.name()).log();
-    HangupSignal.handle(() -> reload(program, reloadSettings));
-    Runtime.getRuntime().addShutdownHook(new Thread(process::shutdown, "shutdown"));
-    awaitForever();
+    reload.onStarted();
+    checkFileForever(reload);
     return EXIT_OK;
   }
 
-  private static <S> void reload(Program<S> program, Supplier<Optional<S>> reloadSettings) {
-    Optional<S> settings = reloadSettings.get();
-    LOG.atInfo()
-        .setMessage("reload_requested")
-        .addKeyValue("program", program.name())
-        .addKeyValue(
-            "settings", settings.isPresent() ? "read" : "invalid, keeping the previous ones")
-        .log();
-    settings.ifPresent(program::reload);
+  /** Callers may be served before the start has ended, so a process that starts is awaited. */
+  private static void shutdown(CompletableFuture<RunningProcess> running) {
+    try {
+      running.get(START_MILLIS, TimeUnit.MILLISECONDS).shutdown();
+    } catch (ExecutionException | CancellationException | TimeoutException e) {
+      LOG.atInfo().setMessage("stopped_before_start").log();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
-  private static void awaitForever() {
+  private static void checkFileForever(SettingsReload<?> reload) {
     try {
-      new CountDownLatch(1).await();
+      while (true) {
+        Thread.sleep(FILE_CHECK_MILLIS);
+        reload.checkFile();
+      }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/proxy/src/main/java/org/sardinebay/proxy/ProxyMain.java
+++ b/proxy/src/main/java/org/sardinebay/proxy/ProxyMain.java
@@ -1,5 +1,6 @@
 package org.sardinebay.proxy;
 
+import org.sardinebay.net.HangupSignal;
 import org.sardinebay.net.ProgramRunner;
 import org.sardinebay.proxy.internal.process.ProxyProgram;
 
@@ -19,6 +20,7 @@
    * @param args the command-line arguments; {@code --help} lists them
    */
   public static void main(String[] args) {
+    HangupSignal.ignore();
     System.exit(ProgramRunner.run(new ProxyProgram(), args));
   }
 }
