A new host's leases rest on the store until it knows all members

A host that had just started took the registered members for all: one that had been promoted and whose entry had lapsed before was not among them, so a lease on the old primary could start.

Change: the members cover a lease only once the host has followed them for 15 s and the store has shown since that no change is announced. While one is announced, no departed member is forgotten. A withdrawal that meets an announcement in flight, or fails, is written again unless another change is announced meanwhile; it was dropped, and hosts relied on no primary by the store until a change.

Tests: ServiceLeaseTest.NewHost.

--- a/core/src/main/java/org/sardinebay/internal/version/DepartedMembers.java
+++ b/core/src/main/java/org/sardinebay/internal/version/DepartedMembers.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.sardinebay.Address;
 import org.sardinebay.MemberId;
 import org.sardinebay.session.MemberEntry;
@@ -34,6 +35,11 @@
     }
   }
 
+  /** Returns all members that have disappeared and were not discarded. */
+  Set<MemberId> all() {
+    return departures.keySet();
+  }
+
   /** Returns the members that have disappeared within the given time. */
   List<MemberId> within(long millis, long now) {
     return departures.entrySet().stream()
--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryLease.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryLease.java
@@ -73,6 +73,7 @@
 
   private final Map<MemberId, Long> confirmedAt = new HashMap<>();
   private Collection<MemberId> others = List.of();
+  private boolean membersComplete;
   private long membersKnownAt = NEVER;
   private long unannouncedAt = NEVER;
   private long takenOverAfter = NEVER;
@@ -90,6 +91,16 @@
     membersKnownAt = knownAt;
   }
 
+  /**
+   * Records that this host knows every member that may be promoted: it has followed the members for
+   * longer than a driver uses one whose entry has disappeared, and no change was announced since.
+   * Before that, the members can't cover the lease, since a member that this host has never known
+   * may lead a newer term.
+   */
+  public void onMembersComplete() {
+    membersComplete = true;
+  }
+
   /**
    * Records that a replica was not fenced, without extending the lease: a driver may not know the
    * replica yet.
@@ -134,7 +145,7 @@
    * @param now the current time in milliseconds
    */
   public void establish(Collection<MemberId> required, long now) {
-    boolean complete = !others.isEmpty() && required.containsAll(others);
+    boolean complete = membersComplete && !others.isEmpty() && required.containsAll(others);
     long evidence = required.isEmpty() ? now : oldestConfirmation(required);
     if (!complete) {
       evidence = Math.min(evidence, unannouncedAt);
@@ -189,7 +200,8 @@
   }
 
   private long coveredUntil(long now) {
-    long evidence = Math.max(oldestConfirmation(others), Math.max(unannouncedAt, takenOverAfter));
+    long byMembers = membersComplete ? oldestConfirmation(others) : NEVER;
+    long evidence = Math.max(byMembers, Math.max(unannouncedAt, takenOverAfter));
     return evidence + coverageMillis(now);
   }
 
--- a/core/src/main/java/org/sardinebay/internal/version/ServiceLease.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceLease.java
@@ -27,7 +27,8 @@
   /**
    * How long a member whose entry has disappeared has to be covered by a lease, in milliseconds. It
    * is longer than a member that crashed, or was cut off for a moment, takes to return. One that
-   * returns later counts as a new member (docs/ASSUMPTIONS.md).
+   * returns later counts as a new member (docs/ASSUMPTIONS.md). While a change is announced, none
+   * is forgotten: it may lead the new term.
    */
   public static final long REMEMBERED_MILLIS = 60_000;
 
@@ -80,6 +81,11 @@
     }
     announcedTerm = newTerm;
     announcementsKnownAt = askedAt;
+    boolean followed =
+        membersSince.isPresent() && askedAt - membersSince.getAsLong() >= RECENTLY_DEPARTED_MILLIS;
+    if (followed && !changeAnnounced()) {
+      lease.onMembersComplete();
+    }
     establish(now);
   }
 
@@ -113,7 +119,7 @@
 
   /** Starts or extends the lease if the evidence suffices. */
   void establish(long now) {
-    coverMembers(now);
+    coverMembers();
     if (view.primary().isEmpty() || view.newestTerm() != view.term()) {
       return;
     }
@@ -123,8 +129,8 @@
     lease.establish(otherMembers().filter(m -> !mayBeLeftOut(m)).map(MemberView::id).toList(), now);
   }
 
-  void coverMembers(long now) {
-    List<MemberId> others = new ArrayList<>(departed.within(REMEMBERED_MILLIS, now));
+  void coverMembers() {
+    List<MemberId> others = new ArrayList<>(departed.all());
     otherMembers().map(MemberView::id).forEach(others::add);
     lease.cover(others, membersKnownAt);
   }
@@ -155,8 +161,10 @@
   }
 
   void tick(long now) {
-    departed.discardOlderThan(REMEMBERED_MILLIS, now);
-    coverMembers(now);
+    if (!changeAnnounced()) {
+      departed.discardOlderThan(REMEMBERED_MILLIS, now);
+    }
+    coverMembers();
   }
 
   boolean valid(long now) {
--- a/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
@@ -125,7 +125,7 @@
     if (primary.isPresent() && !members.containsKey(primary.get())) {
       primary = Optional.empty();
     }
-    lease.coverMembers(now);
+    lease.coverMembers();
   }
 
   /**
--- a/core/src/test/java/org/sardinebay/internal/version/ServiceLeaseTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/ServiceLeaseTest.java
@@ -24,6 +24,7 @@
         List.of(entry(PRIMARY, false), entry(REPLICA_1, false), entry(REPLICA_2, false)),
         ServiceViewTest.REGISTERED_AT);
     view.lease().onMembersKnown(0);
+    view.lease().onAnnouncedTerm(0, ServiceViewTest.FOLLOWED_AT, ServiceViewTest.FOLLOWED_AT);
   }
 
   /**
@@ -121,6 +122,50 @@
     }
   }
 
+  /**
+   * Guards against two primaries in use: a host that had just started did not know a promoted
+   * member whose entry had disappeared, and took the others for all.
+   */
+  @Nested
+  class NewHost {
+    private final ServiceView started = new ServiceView("orders", 0);
+
+    @BeforeEach
+    void followMembers() {
+      started.setMembers(
+          List.of(entry(PRIMARY, false), entry(REPLICA_1, false), entry(REPLICA_2, false)), 0);
+      started.lease().onMembersKnown(0);
+    }
+
+    private void confirmByAll(long now) {
+      started.lease().onMembersKnown(now);
+      started.onStatus(PRIMARY, primary(1, 5), now, now);
+      started.onStatus(REPLICA_1, replica(1, 5, 0), now, now);
+      started.onStatus(REPLICA_2, replica(1, 5, 0), now, now);
+    }
+
+    @Test
+    void should_not_use_a_primary_by_its_members_alone() {
+      confirmByAll(100);
+      assertThat(started.leasedPrimary(110)).isEmpty();
+
+      started.lease().onAnnouncedTerm(1, 110, 120);
+      assertThat(started.leasedPrimary(120)).isPresent();
+    }
+
+    @Test
+    void should_use_it_by_its_members_once_it_has_followed_them_without_an_announced_change() {
+      long followed = ServiceLease.RECENTLY_DEPARTED_MILLIS;
+      started.lease().onAnnouncedTerm(1, followed - 1, followed);
+      confirmByAll(60_000);
+      assertThat(started.leasedPrimary(60_010)).isEmpty();
+
+      started.lease().onAnnouncedTerm(1, followed, 60_020);
+      confirmByAll(70_000);
+      assertThat(started.leasedPrimary(70_010)).isPresent();
+    }
+  }
+
   /** Guards against a service that is never served again after it has lost all members but one. */
   @Nested
   class SingleMember {
--- a/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/ServiceViewTest.java
@@ -24,6 +24,9 @@
   /** When the members of a test were registered, in milliseconds: all hosts know them by now. */
   static final long REGISTERED_AT = -60_000;
 
+  /** When the store showed that no change was announced since this host knows the members. */
+  static final long FOLLOWED_AT = REGISTERED_AT + ServiceLease.RECENTLY_DEPARTED_MILLIS;
+
   private final ServiceView view = new ServiceView("orders", 0);
 
   static MemberEntry entry(MemberId id, boolean draining) {
@@ -57,6 +60,7 @@
         List.of(entry(PRIMARY, false), entry(REPLICA_1, false), entry(REPLICA_2, false)),
         REGISTERED_AT);
     view.lease().onMembersKnown(0);
+    view.lease().onAnnouncedTerm(0, FOLLOWED_AT, FOLLOWED_AT);
   }
 
   @Nested
@@ -173,6 +177,7 @@
       long later = 99 + ServiceLease.REMEMBERED_MILLIS;
       view.onStatus(REPLICA_1, replica(1, 5, 0), later, later);
       assertThat(view.leasedPrimary(later)).isEmpty();
+      view.tick(later + 1);
       view.onStatus(REPLICA_1, replica(1, 5, 0), later + 1, later + 1);
       assertThat(view.leasedPrimary(later + 1)).isPresent();
     }
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ChangeAnnouncements.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ChangeAnnouncements.java
@@ -70,6 +70,11 @@
    */
   private static final int MAX_UNANSWERED = 3;
 
+  /**
+   * Delay before a withdrawal is written again that met another call or failed, in milliseconds.
+   */
+  private static final long WITHDRAWAL_RETRY_MILLIS = 200;
+
   private final Services services;
   private final PlatformClient store;
   private final StoreEra era;
@@ -79,6 +84,10 @@
   private final AdaptiveTimeout writeTimeout = new AdaptiveTimeout();
   private final Map<String, Announcement> announced = new HashMap<>();
   private final Set<String> writing = new HashSet<>();
+
+  /** How often the changes of each service have asked for an announcement. */
+  private final Map<String, Integer> requests = new HashMap<>();
+
   private long revision;
   private long askedAt = Long.MIN_VALUE / 2;
   private int unanswered;
@@ -212,11 +221,13 @@
    */
   public void announce(
       String service, long term, long token, BooleanSupplier mayWrite, Consumer<Boolean> onResult) {
+    requests.merge(service, 1, Integer::sum);
     write(new Writing(service, term, token, mayWrite, true, onResult));
   }
 
   /**
-   * Withdraws the announcement of a change for which no order can take effect any more.
+   * Withdraws the announcement of a change for which no order can take effect any more, unless
+   * another one is announced meanwhile.
    *
    * @param service the service
    * @param term the term of the primary in use
@@ -224,11 +235,16 @@
    * @param mayWrite whether this host still holds the driver lease
    */
   public void withdraw(String service, long term, long token, BooleanSupplier mayWrite) {
-    write(new Writing(service, term, token, mayWrite, false, written -> {}));
+    int known = requests.getOrDefault(service, 0);
+    BooleanSupplier stillLast =
+        () -> mayWrite.getAsBoolean() && requests.getOrDefault(service, 0) == known;
+    write(new Writing(service, term, token, stillLast, false, written -> {}));
   }
 
   private void write(Writing call) {
-    if (writing.add(call.service())) {
+    if (!writing.add(call.service())) {
+      queueWithdrawal(call);
+    } else {
       CompletableFuture<Void> unused =
           store
               .read(call.key(), writeTimeout.timeoutMillis())
@@ -236,6 +252,19 @@
     }
   }
 
+  /** An announcement is repeated by its change until it is confirmed, a withdrawal is not. */
+  private void queueWithdrawal(Writing call) {
+    if (!call.announces()) {
+      loop.delay(WITHDRAWAL_RETRY_MILLIS, () -> retryWithdrawal(call));
+    }
+  }
+
+  private void retryWithdrawal(Writing call) {
+    if (call.mayWrite().getAsBoolean()) {
+      write(call);
+    }
+  }
+
   /**
    * The condition of the write is a version read while this host held the driver lease. A later
    * driver writes its own announcement first, so a write that takes effect late fails.
@@ -290,6 +319,7 @@
     } else {
       writeTimeout.onReply();
     }
+    queueWithdrawal(call);
     LOG.atInfo()
         .setMessage("change_not_announced")
         .addKeyValue("service", call.service())
--- a/net/src/test/java/org/sardinebay/net/SettingsReloadTest.java
+++ b/net/src/test/java/org/sardinebay/net/SettingsReloadTest.java
@@ -21,7 +21,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 class SettingsReloadTest {
-  @TempDir Path folder;
+  @TempDir private Path folder;
   private Path path;
 
   @BeforeEach
