--- a/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/process/GatewayProcess.java
@@ -300,10 +300,8 @@
         new PromotionCoordinator(
             services,
             reachability,
-            announcements,
-            watches::refreshMembers,
-            store,
-            storeEra,
+            new PromotionCoordinator.StoreAccess(
+                store, storeEra, announcements, watches::refreshMembers),
             new HttpPromotionClient(http, settings.promotions()),
             new LineMemberProtocol(),
             settings.host(),
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionCoordinator.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/PromotionCoordinator.java
@@ -83,15 +83,26 @@
   private final Set<String> deferredServices = new HashSet<>();
   private final Set<String> waitingServices = new HashSet<>();
 
+  /**
+   * What a change of primary needs of the store.
+   *
+   * @param client the store that holds the record of the promotion lease
+   * @param era the store's era
+   * @param announcements announces the changes to all hosts
+   * @param refreshMembers lists the members in the store, called on each tick during a change
+   */
+  public record StoreAccess(
+      PlatformClient client,
+      StoreEra era,
+      ChangeAnnouncements announcements,
+      Runnable refreshMembers) {}
+
   /**
    * Creates a coordinator that does not hold the lease.
    *
    * @param services the services
    * @param reachability what other hosts report of members that this host can't reach
-   * @param announcements announces the changes to all hosts
-   * @param refreshMembers lists the members in the store, called on each tick during a change
-   * @param store the store that holds the lease record
-   * @param storeEra the store's era
+   * @param store what a change needs of the store
    * @param orders sends promotion orders to the platform
    * @param protocol the members' protocol
    * @param self this host
@@ -103,10 +114,7 @@
   public PromotionCoordinator(
       Services services,
       PeerReachability reachability,
-      ChangeAnnouncements announcements,
-      Runnable refreshMembers,
-      PlatformClient store,
-      StoreEra storeEra,
+      StoreAccess store,
       PromotionClient orders,
       MemberProtocol protocol,
       HostId self,
@@ -116,17 +124,16 @@
       MeterRegistry registry) {
     this.services = services;
     this.reachability = reachability;
-    this.announcements = announcements;
-    this.refreshMembers = refreshMembers;
+    this.announcements = store.announcements();
+    this.refreshMembers = store.refreshMembers();
     this.orders = orders;
     this.protocol = protocol;
     this.self = self;
     this.loop = loop;
     this.clock = clock;
     this.registry = registry;
-    this.lease =
-        new PromotionLease(
-            store, new PromotionLeaseClaim(self.value(), incarnation, storeEra), loop, clock);
+    PromotionLeaseClaim claim = new PromotionLeaseClaim(self.value(), incarnation, store.era());
+    this.lease = new PromotionLease(store.client(), claim, loop, clock);
   }
 
   /**
