The store is asked in time while members don't extend a lease

Cause, found by reading: members known for less than 3 s don't extend a lease, and those of a host that has just started don't cover it, so the lease lasts for 1.2 s from an answer of the store, while the store was asked only when the coverage of 2.5 s ran out. A host of one service had no primary for half a second in each 1.7 s of its first 3 s; one of several had gaps of a round trip.

Change: the store is asked as well when less than 0.4 s is left of a lease.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/ChangeAnnouncements.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/ChangeAnnouncements.java
@@ -56,8 +56,15 @@
   private static final long LEAD_MILLIS = 800;
 
   /**
-   * The same if it concerns several services, in milliseconds: one call of the store covers all of
-   * them, before the members of each are asked.
+   * When less than this is left of a lease, in milliseconds, the store is asked as well: members
+   * that have just been registered don't extend a lease, and those of a host that has just started
+   * don't cover it.
+   */
+  private static final long EXPIRY_LEAD_MILLIS = 400;
+
+  /**
+   * The lead for the coverage of several services, in milliseconds: one call of the store covers
+   * all of them, before the members of each are asked.
    */
   private static final long SHARED_LEAD_MILLIS = 1_300;
 
@@ -133,7 +140,8 @@
       ServiceView view = service.view();
       if (service.home() && view.primary().isPresent()) {
         long remainingMillis = view.lease().coverageRemainingMillis(now);
-        uncovered += remainingMillis < LEAD_MILLIS ? 1 : 0;
+        boolean expires = view.leaseMillis(now) < EXPIRY_LEAD_MILLIS;
+        uncovered += expires || remainingMillis < LEAD_MILLIS ? 1 : 0;
         uncoveredSoon += remainingMillis < SHARED_LEAD_MILLIS ? 1 : 0;
         alone |= view.lease().primaryAlone();
       }
