--- a/net/src/test/java/org/sardinebay/net/SettingsReloadTest.java
+++ b/net/src/test/java/org/sardinebay/net/SettingsReloadTest.java
@@ -16,8 +16,6 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.condition.DisabledOnOs;
-import org.junit.jupiter.api.condition.OS;
 import org.junit.jupiter.api.io.TempDir;
 
 class SettingsReloadTest {
@@ -100,7 +98,6 @@
    * start.
    */
   @Nested
-  @DisabledOnOs(OS.WINDOWS)
   class SignalsDuringTheStart {
     private static final int SIGNALS = 20;
 
