The members that arrived are applied before the time that they are known from

A tick could take over as of when the members are known from a listing whose refresh was still scheduled, since the time is set on another path than the members. What a driver decides by it (ServiceLease.possibleMembers) then rested on the list before. Found by reading; no case of it was seen, and it has no test of its own.

Change: StoreFeeds.tick applies a scheduled refresh first.

--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
@@ -279,6 +279,9 @@
    * @param now the current time by this host's clock, in milliseconds
    */
   public void tick(long now) {
+    if (refreshScheduled.get()) {
+      refresh();
+    }
     services.replaceMembers(directory.members(now));
   }
 }
