A host that has just started keeps its leases while the store is down

Change: a driver that leaves members out only promotes one that is registered in a list asked for after the announcement. So one answer of the store that no change is announced, asked for after the members were listed, suffices, and the 15 s are gone. The ordinary change, with all members fenced, needs no such list.

Tests: ServiceLeaseTest.NewHost (the test that required 15 s is replaced: what the store showed before the members were listed, or while a change is announced, still doesn't do), LeaseWaitTest (two tests; one of them expected an order without a recent list, now none goes out until there is one).

--- a/core/src/main/java/org/sardinebay/internal/version/FencedMembers.java
+++ b/core/src/main/java/org/sardinebay/internal/version/FencedMembers.java
@@ -80,6 +80,11 @@
         .orElseGet(() -> lastFencedAt().orElseThrow());
   }
 
+  /** Returns whether the member to promote is registered, as far as this host knows. */
+  boolean targetRegistered(ServiceView view) {
+    return mostAdvanced(view).flatMap(view::member).filter(m -> !m.entry().expired()).isPresent();
+  }
+
   /** Returns when the last fence was confirmed, in milliseconds, empty if no member is fenced. */
   OptionalLong lastFencedAt() {
     return statuses.keySet().stream().mapToLong(fencedAt::get).max();
--- a/core/src/main/java/org/sardinebay/internal/version/LeaseWait.java
+++ b/core/src/main/java/org/sardinebay/internal/version/LeaseWait.java
@@ -7,6 +7,9 @@
  * more. It counts from the announcement of the change and from fences, never from the silence of a
  * member.
  *
+ * <p>A member that leaves others out has to be registered after the announcement: a host that has
+ * started since its entry disappeared doesn't know it.
+ *
  * <pre>{@code
  * wait.onAnnounced(now);
  * if (now >= wait.endsAt(fenced, view, now)) { order the promotion }
@@ -32,7 +35,10 @@
       return Long.MAX_VALUE / 2;
     }
     long announced = announcedAt.getAsLong();
-    long end = Math.max(fenced.coveringSince(view), announced) + PrimaryLease.COVERAGE_MILLIS;
+    long end = Long.MAX_VALUE / 2;
+    if (view.lease().membersKnownSince(announced) && fenced.targetRegistered(view)) {
+      end = Math.max(fenced.coveringSince(view), announced) + PrimaryLease.COVERAGE_MILLIS;
+    }
     if (view.lease().possibleMembers(now).filter(fenced::containsAll).isPresent()) {
       long lastFenced = fenced.lastFencedAt().orElseThrow();
       end = Math.min(end, Math.max(lastFenced, announced) + PrimaryLease.DURATION_MILLIS);
--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryLease.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryLease.java
@@ -92,10 +92,10 @@
   }
 
   /**
-   * Records that this host knows every member that may be promoted: it has followed the members for
-   * longer than a driver uses one whose entry has disappeared, and no change was announced since.
-   * Before that, the members can't cover the lease, since a member that this host has never known
-   * may lead a newer term.
+   * Records that this host knows every member that may be promoted: the store showed that no change
+   * was announced after this host had listed the members. Before that, the members can't cover the
+   * lease, since a member that this host has never known may lead a newer term. Afterwards, a
+   * driver that leaves members out only promotes one that is registered after the announcement.
    */
   public void onMembersComplete() {
     membersComplete = true;
--- a/core/src/main/java/org/sardinebay/internal/version/ServiceLease.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceLease.java
@@ -40,13 +40,15 @@
    */
   public static final long RECENTLY_DEPARTED_MILLIS = 15_000;
 
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
   private final ServiceView view;
   private final PrimaryLease lease = new PrimaryLease();
   private final DepartedMembers departed = new DepartedMembers();
   private OptionalLong membersSince = OptionalLong.empty();
-  private long membersKnownAt = Long.MIN_VALUE / 2;
+  private long membersKnownAt = NEVER;
   private long announcedTerm;
-  private long announcementsKnownAt = Long.MIN_VALUE / 2;
+  private long announcementsKnownAt = NEVER;
 
   ServiceLease(ServiceView view) {
     this.view = view;
@@ -68,6 +70,11 @@
     membersKnownAt = Math.max(membersKnownAt, knownAt);
   }
 
+  /** Returns whether this host knows the members that were registered at the given time. */
+  boolean membersKnownSince(long time) {
+    return membersKnownAt >= time;
+  }
+
   /**
    * Applies the change of primary that the store shows as announced.
    *
@@ -81,11 +88,6 @@
     }
     announcedTerm = newTerm;
     announcementsKnownAt = askedAt;
-    boolean followed =
-        membersSince.isPresent() && askedAt - membersSince.getAsLong() >= RECENTLY_DEPARTED_MILLIS;
-    if (followed && !changeAnnounced()) {
-      lease.onMembersComplete();
-    }
     establish(now);
   }
 
@@ -125,10 +127,17 @@
     }
     if (announcedTerm <= view.term()) {
       lease.onUnannounced(announcementsKnownAt);
+      if (listedBefore(announcementsKnownAt)) {
+        lease.onMembersComplete();
+      }
     }
     lease.establish(otherMembers().filter(m -> !mayBeLeftOut(m)).map(MemberView::id).toList(), now);
   }
 
+  private boolean listedBefore(long time) {
+    return membersKnownAt > NEVER && membersSince.isPresent() && membersSince.getAsLong() <= time;
+  }
+
   void coverMembers() {
     List<MemberId> others = new ArrayList<>(departed.all());
     otherMembers().map(MemberView::id).forEach(others::add);
--- a/core/src/test/java/org/sardinebay/internal/version/LeaseWaitTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/LeaseWaitTest.java
@@ -57,6 +57,7 @@
   }
 
   private void assertOrderedAfterCoverage(PrimaryChange change, long startedAt) {
+    view.lease().onMembersKnown(startedAt);
     assertThat(change.next(view, startedAt + COVERAGE_WAIT_MILLIS - 1))
         .noneMatch(step -> step instanceof ChangeStep.Promote);
     assertThat(change.next(view, startedAt + COVERAGE_WAIT_MILLIS))
@@ -148,9 +149,25 @@
       change.next(view, now);
 
       assertThat(change.next(view, now + LEASE_WAIT_MILLIS)).isEmpty();
+      assertThat(change.next(view, now + COVERAGE_WAIT_MILLIS)).isEmpty();
+      view.lease().onMembersKnown(now);
       assertThat(change.next(view, now + COVERAGE_WAIT_MILLIS))
           .containsExactly(new ChangeStep.Promote(REPLICA_2));
     }
+
+    /** Guards against a lease of a host that has started since the member's entry disappeared. */
+    @Test
+    void should_not_order_the_promotion_of_a_member_whose_entry_has_disappeared() {
+      PrimaryChange change = changeWithoutReplica2At(100, false);
+      expireEntry(REPLICA_1);
+      view.lease().onMembersKnown(100);
+      assertThat(change.next(view, 100 + COVERAGE_WAIT_MILLIS))
+          .noneMatch(step -> step instanceof ChangeStep.Promote);
+
+      expireEntry(REPLICA_2);
+      assertThat(change.next(view, 101 + COVERAGE_WAIT_MILLIS))
+          .contains(new ChangeStep.Promote(REPLICA_1));
+    }
   }
 
   /**
