A lease doesn't start again on a host that doesn't know the new primary

A promotion lifts the fences of all members. A host that didn't know the new primary then saw all members that it knew unfenced, some of them still in the old term, and its lease on the old primary started again, although the store had shown it the announced change.

Change: - While a change is announced, a lease starts by all other members only if they were listed within 1.2 s.

Tests that order promotions now say when the members were listed.

--- a/core/src/main/java/org/sardinebay/internal/version/LeaseWait.java
+++ b/core/src/main/java/org/sardinebay/internal/version/LeaseWait.java
@@ -7,8 +7,8 @@
  * more. It counts from the announcement of the change and from fences, never from the silence of a
  * member.
  *
- * <p>A member that leaves others out has to be registered after the announcement: a host that has
- * started since its entry disappeared doesn't know it.
+ * <p>The member to promote has to be registered after the announcement: a host that has started
+ * since its entry disappeared doesn't know it.
  *
  * <pre>{@code
  * wait.onAnnounced(now);
@@ -16,6 +16,8 @@
  * }</pre>
  */
 final class LeaseWait {
+  private static final long NEVER = Long.MAX_VALUE / 2;
+
   private OptionalLong announcedAt = OptionalLong.empty();
 
   /** Records that the store has confirmed the announcement. */
@@ -29,16 +31,19 @@
     return announcedAt.isPresent();
   }
 
-  /** Returns the end of the wait, far in the future before the announcement and the first fence. */
+  /**
+   * Returns the end of the wait, far in the future before the announcement and the first fence, and
+   * until the member to promote is known to be registered since the announcement.
+   */
   long endsAt(FencedMembers fenced, ServiceView view, long now) {
     if (announcedAt.isEmpty() || fenced.isEmpty()) {
-      return Long.MAX_VALUE / 2;
+      return NEVER;
     }
     long announced = announcedAt.getAsLong();
-    long end = Long.MAX_VALUE / 2;
-    if (view.lease().membersKnownSince(announced) && fenced.targetRegistered(view)) {
-      end = Math.max(fenced.coveringSince(view), announced) + PrimaryLease.COVERAGE_MILLIS;
+    if (!view.lease().membersKnownSince(announced) || !fenced.targetRegistered(view)) {
+      return NEVER;
     }
+    long end = Math.max(fenced.coveringSince(view), announced) + PrimaryLease.COVERAGE_MILLIS;
     if (view.lease().possibleMembers(now).filter(fenced::containsAll).isPresent()) {
       long lastFenced = fenced.lastFencedAt().orElseThrow();
       end = Math.min(end, Math.max(lastFenced, announced) + PrimaryLease.DURATION_MILLIS);
--- a/core/src/main/java/org/sardinebay/internal/version/MemberView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/MemberView.java
@@ -17,6 +17,7 @@
   private static final long LAGGING_MILLIS = 150;
 
   private final long knownSince;
+  private long registeredSince;
   private MemberEntry entry;
   private Optional<MemberStatus> status = Optional.empty();
   private OptionalLong statusRequestedAt = OptionalLong.empty();
@@ -29,6 +30,7 @@
   MemberView(MemberEntry entry, long now) {
     this.entry = entry;
     this.knownSince = now;
+    this.registeredSince = now;
   }
 
   /** Returns whether every driver that lists the members during its change knows this member. */
@@ -36,12 +38,18 @@
     return now - knownSince >= PrimaryLease.JOINED_MILLIS;
   }
 
-  /** Returns since when every host that follows the registry knows this member. */
+  /**
+   * Returns since when every host that follows the registry knows this member. One that has started
+   * while the entry was gone has not known it before.
+   */
   long knownToAllAt() {
-    return knownSince + PrimaryLease.MEMBERS_KNOWN_MILLIS;
+    return registeredSince + PrimaryLease.MEMBERS_KNOWN_MILLIS;
   }
 
-  void update(MemberEntry newer) {
+  void update(MemberEntry newer, long now) {
+    if (entry.expired() && !newer.expired()) {
+      registeredSince = now;
+    }
     entry = newer;
   }
 
--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryLease.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryLease.java
@@ -94,8 +94,8 @@
   /**
    * Records that this host knows every member that may be promoted: the store showed that no change
    * was announced after this host had listed the members. Before that, the members can't cover the
-   * lease, since a member that this host has never known may lead a newer term. Afterwards, a
-   * driver that leaves members out only promotes one that is registered after the announcement.
+   * lease, since a member that this host has never known may lead a newer term. Afterwards, drivers
+   * only promote a member that is registered after their announcement.
    */
   public void onMembersComplete() {
     membersComplete = true;
--- a/core/src/main/java/org/sardinebay/internal/version/ServiceLease.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceLease.java
@@ -119,13 +119,21 @@
     }
   }
 
-  /** Starts or extends the lease if the evidence suffices. */
+  /**
+   * Starts or extends the lease if the evidence suffices. While a change is announced, the members
+   * have to be listed within a lease duration: a promotion lifts the fences of the members that
+   * this host knows, and the new primary may have joined since.
+   */
   void establish(long now) {
     coverMembers();
     if (view.primary().isEmpty() || view.newestTerm() != view.term()) {
       return;
     }
-    if (announcedTerm <= view.term()) {
+    if (changeAnnounced()) {
+      if (!membersKnownSince(now - PrimaryLease.DURATION_MILLIS)) {
+        return;
+      }
+    } else {
       lease.onUnannounced(announcementsKnownAt);
       if (listedBefore(announcementsKnownAt)) {
         lease.onMembersComplete();
--- a/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceView.java
@@ -119,7 +119,7 @@
       if (known == null || !known.entry().sameIncarnation(entry)) {
         members.put(entry.id(), new MemberView(entry, now));
       } else {
-        known.update(entry);
+        known.update(entry, now);
       }
     }
     if (primary.isPresent() && !members.containsKey(primary.get())) {
--- a/core/src/test/java/org/sardinebay/internal/version/LeaseWaitTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/LeaseWaitTest.java
@@ -37,12 +37,18 @@
   }
 
   private PrimaryChange changeFencedAt(long now) {
+    PrimaryChange change = changeAnnouncedAt(now);
+    view.lease().onMembersKnown(now);
+    change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), now);
+    change.onFenced(REPLICA_2, ServiceViewTest.replica(1, 8, 2), now);
+    return change;
+  }
+
+  private PrimaryChange changeAnnouncedAt(long now) {
     view.onUnreachable(PRIMARY, true, 0);
     PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 1, 2, now);
     change.next(view, now);
     change.onAnnounced(now);
-    change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), now);
-    change.onFenced(REPLICA_2, ServiceViewTest.replica(1, 8, 2), now);
     return change;
   }
 
@@ -50,6 +56,7 @@
     PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 1, 2, now);
     change.next(view, now);
     change.onAnnounced(now);
+    view.lease().onMembersKnown(now);
     change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), now);
     view.onUnreachable(REPLICA_2, refused, now);
     change.next(view, now);
@@ -105,6 +112,7 @@
       PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 1, 2, 100);
       change.next(view, 100);
       change.onAnnounced(100);
+      view.lease().onMembersKnown(100);
       change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 100);
       change.next(view, 100);
 
@@ -136,6 +144,7 @@
       PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 1, 2, 2_000);
       change.next(view, 2_000);
       change.onAnnounced(2_000);
+      view.lease().onMembersKnown(2_000);
       change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 2_000);
       change.next(view, 2_000);
 
@@ -144,17 +153,31 @@
 
     @Test
     void should_delay_the_order_while_the_members_have_not_been_listed_lately() {
-      long now = PrimaryLease.JOINED_MILLIS;
-      PrimaryChange change = changeFencedAt(now);
-      change.next(view, now);
-
-      assertThat(change.next(view, now + LEASE_WAIT_MILLIS)).isEmpty();
-      assertThat(change.next(view, now + COVERAGE_WAIT_MILLIS)).isEmpty();
-      view.lease().onMembersKnown(now);
-      assertThat(change.next(view, now + COVERAGE_WAIT_MILLIS))
+      PrimaryChange change = changeAnnouncedAt(100);
+      view.lease().onMembersKnown(100);
+      long fencedAt = 100 + PrimaryLease.JOINED_MILLIS;
+      change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), fencedAt);
+      change.onFenced(REPLICA_2, ServiceViewTest.replica(1, 8, 2), fencedAt);
+      change.next(view, fencedAt);
+
+      assertThat(change.next(view, fencedAt + COVERAGE_WAIT_MILLIS - 1)).isEmpty();
+      assertThat(change.next(view, fencedAt + COVERAGE_WAIT_MILLIS))
           .containsExactly(new ChangeStep.Promote(REPLICA_2));
     }
 
+    @Test
+    void should_not_order_before_the_members_were_listed_after_the_announcement() {
+      PrimaryChange change = changeAnnouncedAt(100);
+      view.lease().onMembersKnown(99);
+      change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 100);
+      change.onFenced(REPLICA_2, ServiceViewTest.replica(1, 8, 2), 100);
+      change.next(view, 100);
+
+      assertThat(change.next(view, 5_000)).isEmpty();
+      view.lease().onMembersKnown(5_000);
+      assertThat(change.next(view, 5_010)).containsExactly(new ChangeStep.Promote(REPLICA_2));
+    }
+
     /** Guards against a lease of a host that has started since the member's entry disappeared. */
     @Test
     void should_not_order_the_promotion_of_a_member_whose_entry_has_disappeared() {
@@ -165,8 +188,9 @@
           .noneMatch(step -> step instanceof ChangeStep.Promote);
 
       expireEntry(REPLICA_2);
-      assertThat(change.next(view, 101 + COVERAGE_WAIT_MILLIS))
-          .contains(new ChangeStep.Promote(REPLICA_1));
+      assertThat(change.next(view, 149 + PrimaryLease.MEMBERS_KNOWN_MILLIS))
+          .noneMatch(step -> step instanceof ChangeStep.Promote);
+      assertOrderedAfterCoverage(change, 150 + PrimaryLease.MEMBERS_KNOWN_MILLIS);
     }
   }
 
@@ -197,6 +221,7 @@
       PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 1, 5, 100);
       change.next(view, 100);
       change.onAnnounced(100);
+      view.lease().onMembersKnown(100);
       change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 5), 100);
       change.onFenced(REPLICA_2, ServiceViewTest.replica(1, 8, 5), 100);
       view.onUnreachable(PRIMARY, true, 100);
--- a/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/PrimaryChangeTest.java
@@ -36,6 +36,7 @@
     PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 1, 2, now);
     change.next(view, now);
     change.onAnnounced(now);
+    view.lease().onMembersKnown(now);
     change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), now);
     change.onFenced(REPLICA_2, ServiceViewTest.replica(1, 8, 2), now);
     return change;
@@ -58,6 +59,7 @@
     void should_fence_a_member_that_replies_again_before_the_order() {
       PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 1, 2, 100);
       change.onAnnounced(100);
+      view.lease().onMembersKnown(100);
       change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 100);
       view.onUnreachable(REPLICA_2, true, 100);
       change.next(view, 200);
@@ -352,6 +354,7 @@
       view.lease().onMembersKnown(10_000);
       next.next(view, 10_000);
       next.onAnnounced(10_000);
+      view.lease().onMembersKnown(10_000);
       next.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 10_000);
       next.onFenced(REPLICA_2, ServiceViewTest.replica(1, 8, 2), 10_000);
       next.next(view, 10_000);
@@ -427,6 +430,7 @@
       PrimaryChange change = new PrimaryChange(lease, PRIMARY, true, false, 1, 2, 100);
       change.next(view, 100);
       change.onAnnounced(105);
+      view.lease().onMembersKnown(105);
       view.onStatus(PRIMARY, ServiceViewTest.replica(1, 9, 0), 110, 110);
 
       assertThat(change.next(view, 120)).isEmpty();
--- a/core/src/test/java/org/sardinebay/internal/version/PrimaryInUseTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/PrimaryInUseTest.java
@@ -9,7 +9,9 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sardinebay.internal.version.SimulatedService.Link;
@@ -35,7 +37,20 @@
   void should_have_one_term_across_partitions_crashes_pauses_and_restarts(int firstSeed) {
     List<String> faults = new ArrayList<>();
     for (int seed = firstSeed; seed < firstSeed + SEEDS; seed++) {
-      new Day(seed).fault().ifPresent(faults::add);
+      new Day(seed).fault(Day::planDisturbances).ifPresent(faults::add);
+    }
+    assertThat(faults).isEmpty();
+  }
+
+  /**
+   * Guards against a lease of a host that has started since a member's entry disappeared, while a
+   * driver that still knows the member promotes it.
+   */
+  @Test
+  void should_have_one_term_when_a_host_starts_while_a_member_is_not_registered() {
+    List<String> faults = new ArrayList<>();
+    for (int seed = 400_000; seed < 400_000 + SEEDS; seed++) {
+      new Day(seed).fault(Day::planStartWithoutMember).ifPresent(faults::add);
     }
     assertThat(faults).isEmpty();
   }
@@ -54,11 +69,8 @@
       this.service = new SimulatedService(2 + random.nextInt(4), 2 + random.nextInt(4), random);
     }
 
-    private Optional<String> fault() {
-      int disturbances = 1 + random.nextInt(6);
-      for (int i = 0; i < disturbances; i++) {
-        service.at(SETTLED_MILLIS + random.nextInt(16_000), this::disturb);
-      }
+    private Optional<String> fault(Consumer<Day> plan) {
+      plan.accept(this);
       service.at(HEALED_MILLIS, this::recover);
       service.runUntil(HEALED_MILLIS + SERVED_AGAIN_MILLIS, this::check);
       if (fault.isEmpty()) {
@@ -67,6 +79,47 @@
       return fault.map(text -> "seed " + seed + ": " + text);
     }
 
+    private void planDisturbances() {
+      int disturbances = 1 + random.nextInt(6);
+      for (int i = 0; i < disturbances; i++) {
+        service.at(SETTLED_MILLIS + random.nextInt(16_000), this::disturb);
+      }
+    }
+
+    /**
+     * A member loses the store, and a host starts once its entry is gone. Then a partition leaves
+     * that member to the other hosts and the others to the host that has started.
+     */
+    private void planStartWithoutMember() {
+      long lostAt = SETTLED_MILLIS + random.nextInt(4_000);
+      long startedAt = lostAt + SimulatedService.ENTRY_MILLIS + random.nextInt(1_500);
+      long dividedAt = startedAt + random.nextInt(1_500);
+      service.at(lostAt, () -> loseStoreOfReplica(startedAt, dividedAt));
+    }
+
+    private void loseStoreOfReplica(long startedAt, long dividedAt) {
+      List<Member> replicas = service.members().stream().filter(m -> !m.leads()).toList();
+      String replica = replicas.get(random.nextInt(replicas.size())).id().value();
+      SimulatedHost started = service.hosts().get(random.nextInt(service.hosts().size()));
+      cut(List.of(replica), List.of(SimulatedService.STORE), Link.CUT, HEALED_MILLIS);
+      service.at(
+          startedAt,
+          () -> {
+            started.stop();
+            started.start();
+          });
+      List<String> far =
+          Stream.concat(
+                  Stream.of(started.name()),
+                  service.members().stream()
+                      .map(m -> m.id().value())
+                      .filter(m -> !m.equals(replica)))
+              .toList();
+      List<String> near = names().stream().filter(name -> !far.contains(name)).toList();
+      Link link = random.nextBoolean() ? Link.REFUSING : Link.CUT;
+      service.at(dividedAt, () -> cut(near, far, link, HEALED_MILLIS));
+    }
+
     private void check() {
       if (fault.isEmpty()) {
         fault = service.conflict(termsUsed);
--- a/core/src/test/java/org/sardinebay/internal/version/ServiceLeaseTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/ServiceLeaseTest.java
@@ -183,6 +183,51 @@
     }
   }
 
+  /**
+   * Guards against two primaries in use: a promotion lifted the fences of all members, among them
+   * no new primary that the host knew, and its lease on the old one started again.
+   */
+  @Nested
+  class AnnouncedChange {
+    @BeforeEach
+    void endLeaseByFence() {
+      view.onStatus(PRIMARY, primary(1, 5), 100, 100);
+      view.onStatus(REPLICA_1, replica(1, 5, 0), 100, 100);
+      view.onStatus(REPLICA_2, replica(1, 5, 0), 100, 100);
+      view.lease().onAnnouncedTerm(2, 150, 160);
+      view.onStatus(REPLICA_1, replica(1, 5, 2), 200, 200);
+      view.onStatus(REPLICA_1, replica(1, 5, 0), 3_000, 3_000);
+    }
+
+    private void confirmByLastMember() {
+      view.onStatus(REPLICA_2, replica(1, 5, 0), 3_000, 3_000);
+    }
+
+    @Test
+    void should_keep_a_lease_from_starting_although_no_member_is_fenced_any_more() {
+      confirmByLastMember();
+
+      assertThat(view.leasedPrimary(3_010)).isEmpty();
+    }
+
+    @Test
+    void should_let_it_start_once_the_change_is_withdrawn() {
+      confirmByLastMember();
+      view.lease().onAnnouncedTerm(1, 3_000, 3_005);
+
+      assertThat(view.leasedPrimary(3_010)).isPresent();
+    }
+
+    /** Guards against a host that serves nobody because a driver died before its withdrawal. */
+    @Test
+    void should_let_it_start_by_all_members_that_have_just_been_listed() {
+      view.lease().onMembersKnown(2_000);
+      confirmByLastMember();
+
+      assertThat(view.leasedPrimary(3_010)).isPresent();
+    }
+  }
+
   /** Guards against a service that is never served again after it has lost all members but one. */
   @Nested
   class SingleMember {
--- a/core/src/test/java/org/sardinebay/internal/version/SimulatedService.java
+++ b/core/src/test/java/org/sardinebay/internal/version/SimulatedService.java
@@ -28,8 +28,10 @@
 final class SimulatedService {
   static final String STORE = "store";
 
-  private static final long HEARTBEAT_MILLIS = 1_200;
-  private static final long ENTRY_MILLIS = 3 * HEARTBEAT_MILLIS;
+  /** How long an entry stands without a heartbeat of its member. */
+  static final long ENTRY_MILLIS = 3_600;
+
+  private static final long HEARTBEAT_MILLIS = ENTRY_MILLIS / 3;
   private static final long DEMOTED_AFTER_MILLIS = 1_000;
   private static final long STEP_MILLIS = 10;
 
--- a/core/src/test/java/org/sardinebay/internal/version/SynchronousReplicasTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/SynchronousReplicasTest.java
@@ -28,6 +28,7 @@
     PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 1, 2, 100);
     change.next(view, 100);
     change.onAnnounced(100);
+    view.lease().onMembersKnown(100);
     change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 100);
     change.onFenced(REPLICA_2, ServiceViewTest.replica(1, 8, 2), 100);
     return change;
@@ -77,6 +78,7 @@
     PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 1, 2, 100);
     change.next(view, 100);
     change.onAnnounced(100);
+    view.lease().onMembersKnown(100);
     change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 100);
 
     assertThat(change.next(view, 60_000)).containsExactly(new ChangeStep.Fence(REPLICA_2, 2));
@@ -93,6 +95,7 @@
     PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 1, 2, 100);
     change.next(view, 100);
     change.onAnnounced(100);
+    view.lease().onMembersKnown(100);
     change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 100);
 
     change.next(view, 60_000);
