A member that registered anew is fenced again before it is promoted

All members had crashed after they were fenced and came back; the driver relied on their fences, which had gone with the old processes, and ordered the promotion at once, so the hosts' leases on the old primary started again before it took effect.

Change: FencedMembers drops the fence of a member whose registration is newer than it. The wait for a registered member holds only if there is one to promote, so a change without one ends as before.

--- a/core/src/main/java/org/sardinebay/internal/version/FencedMembers.java
+++ b/core/src/main/java/org/sardinebay/internal/version/FencedMembers.java
@@ -80,9 +80,9 @@
         .orElseGet(() -> lastFencedAt().orElseThrow());
   }
 
-  /** Returns whether the member to promote is registered, as far as this host knows. */
-  boolean targetRegistered(ServiceView view) {
-    return mostAdvanced(view).flatMap(view::member).filter(m -> !m.entry().expired()).isPresent();
+  /** Returns whether the entry of the member to promote has disappeared. */
+  boolean targetExpired(ServiceView view) {
+    return mostAdvanced(view).flatMap(view::member).filter(m -> m.entry().expired()).isPresent();
   }
 
   /** Returns when the last fence was confirmed, in milliseconds, empty if no member is fenced. */
@@ -95,14 +95,19 @@
     return Optional.ofNullable(statuses.get(member)).map(MemberStatus::received);
   }
 
-  /** Removes a member whose process was restarted, which removes its fence. */
+  /**
+   * Removes a member whose process was restarted, which removes its fence, or may have been, since
+   * it is registered anew.
+   */
   void removeIfRestarted(MemberView member) {
-    long statusRequestedAt = member.statusRequestedAt().orElse(Long.MIN_VALUE);
-    if (statusRequestedAt > fencedAt.getOrDefault(member.id(), Long.MAX_VALUE)
-        && member
-            .status()
-            .filter(s -> s.fenceTerm() < nextTerm && s.term() < nextTerm)
-            .isPresent()) {
+    long fenced = fencedAt.getOrDefault(member.id(), Long.MAX_VALUE);
+    boolean unfenced =
+        member.statusRequestedAt().orElse(Long.MIN_VALUE) > fenced
+            && member
+                .status()
+                .filter(s -> s.fenceTerm() < nextTerm && s.term() < nextTerm)
+                .isPresent();
+    if (unfenced || member.knownSince() > fenced) {
       statuses.remove(member.id());
     }
   }
--- a/core/src/main/java/org/sardinebay/internal/version/LeaseWait.java
+++ b/core/src/main/java/org/sardinebay/internal/version/LeaseWait.java
@@ -40,7 +40,7 @@
       return NEVER;
     }
     long announced = announcedAt.getAsLong();
-    if (!view.lease().membersKnownSince(announced) || !fenced.targetRegistered(view)) {
+    if (!view.lease().membersKnownSince(announced) || fenced.targetExpired(view)) {
       return NEVER;
     }
     long end = Math.max(fenced.coveringSince(view), announced) + PrimaryLease.COVERAGE_MILLIS;
--- a/core/src/main/java/org/sardinebay/internal/version/MemberView.java
+++ b/core/src/main/java/org/sardinebay/internal/version/MemberView.java
@@ -33,6 +33,11 @@
     this.registeredSince = now;
   }
 
+  /** Returns since when this host has known the member, in milliseconds. */
+  long knownSince() {
+    return knownSince;
+  }
+
   /** Returns whether every driver that lists the members during its change knows this member. */
   boolean knownToDrivers(long now) {
     return now - knownSince >= PrimaryLease.JOINED_MILLIS;
--- a/core/src/test/java/org/sardinebay/internal/version/LeaseWaitTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/LeaseWaitTest.java
@@ -178,6 +178,20 @@
       assertThat(change.next(view, 5_010)).containsExactly(new ChangeStep.Promote(REPLICA_2));
     }
 
+    /** Guards against the promotion of a member whose fence went with its old process. */
+    @Test
+    void should_not_order_the_promotion_of_a_member_that_registered_anew_before_it_is_fenced() {
+      PrimaryChange change = changeFencedAt(100);
+      change.next(view, 100);
+      view.setMembers(List.of(ServiceViewTest.entry(PRIMARY, false)), 200);
+      view.setMembers(
+          List.of(ServiceViewTest.entry(PRIMARY, false), ServiceViewTest.entry(REPLICA_1, false)),
+          20_000);
+      view.lease().onMembersKnown(20_000);
+
+      assertThat(change.next(view, 31_000)).containsExactly(new ChangeStep.Fence(REPLICA_1, 2));
+    }
+
     /** Guards against a lease of a host that has started since the member's entry disappeared. */
     @Test
     void should_not_order_the_promotion_of_a_member_whose_entry_has_disappeared() {
