--- a/core/src/main/java/org/sardinebay/internal/version/FencedMembers.java
+++ b/core/src/main/java/org/sardinebay/internal/version/FencedMembers.java
@@ -96,18 +96,18 @@
   }
 
   /**
-   * Removes a member whose process was restarted, which removes its fence, or may have been, since
-   * it is registered anew.
+   * Removes a member that has lost its fence because its process was restarted, or may have lost it
+   * because it is registered anew.
    */
-  void removeIfRestarted(MemberView member) {
-    long fenced = fencedAt.getOrDefault(member.id(), Long.MAX_VALUE);
+  void removeIfFenceMayBeLost(MemberView member) {
+    long lastFenced = fencedAt.getOrDefault(member.id(), Long.MAX_VALUE);
     boolean unfenced =
-        member.statusRequestedAt().orElse(Long.MIN_VALUE) > fenced
+        member.statusRequestedAt().orElse(Long.MIN_VALUE) > lastFenced
             && member
                 .status()
                 .filter(s -> s.fenceTerm() < nextTerm && s.term() < nextTerm)
                 .isPresent();
-    if (unfenced || member.knownSince() > fenced) {
+    if (unfenced || member.knownSince() > lastFenced) {
       statuses.remove(member.id());
     }
   }
--- a/core/src/main/java/org/sardinebay/internal/version/LeaseWait.java
+++ b/core/src/main/java/org/sardinebay/internal/version/LeaseWait.java
@@ -7,8 +7,8 @@
  * more. It counts from the announcement of the change and from fences, never from the silence of a
  * member.
  *
- * <p>The member to promote has to be registered after the announcement: a host that has started
- * since its entry disappeared doesn't know it.
+ * <p>The member to promote has to be listed in the registry after the announcement: a host that has
+ * started since the member's entry disappeared doesn't know the member.
  *
  * <pre>{@code
  * wait.onAnnounced(now);
@@ -40,7 +40,7 @@
       return NEVER;
     }
     long announced = announcedAt.getAsLong();
-    if (!view.lease().membersKnownSince(announced) || fenced.targetExpired(view)) {
+    if (!view.lease().membersListedSince(announced) || fenced.targetExpired(view)) {
       return NEVER;
     }
     long end = Math.max(fenced.coveringSince(view), announced) + PrimaryLease.COVERAGE_MILLIS;
--- a/core/src/main/java/org/sardinebay/internal/version/PrimaryChange.java
+++ b/core/src/main/java/org/sardinebay/internal/version/PrimaryChange.java
@@ -307,13 +307,13 @@
     boolean reachableFenced = true;
     for (MemberView member : view.members()) {
       MemberId id = member.id();
-      fenced.removeIfRestarted(member);
+      fenced.removeIfFenceMayBeLost(member);
       if (id.equals(oldPrimary) || fenced.contains(id)) {
         continue;
       }
       reachableFenced &= member.unreachable();
       if (markSentIfDue(id, now)) {
-        // A member that was replaced in an older term, but not told so, can't be fenced as primary.
+        // A former primary that still reports that role can't be fenced.
         boolean replaced = member.reportsPrimaryRole() && !member.unreachable();
         steps.add(
             replaced ? new ChangeStep.Demote(id, nextTerm) : new ChangeStep.Fence(id, nextTerm));
--- a/core/src/main/java/org/sardinebay/internal/version/ServiceLease.java
+++ b/core/src/main/java/org/sardinebay/internal/version/ServiceLease.java
@@ -70,8 +70,8 @@
     membersKnownAt = Math.max(membersKnownAt, knownAt);
   }
 
-  /** Returns whether this host knows the members that were registered at the given time. */
-  boolean membersKnownSince(long time) {
+  /** Returns whether the members are known from a list asked for at the given time or later. */
+  boolean membersListedSince(long time) {
     return membersKnownAt >= time;
   }
 
@@ -129,21 +129,23 @@
     if (view.primary().isEmpty() || view.newestTerm() != view.term()) {
       return;
     }
-    if (changeAnnounced()) {
-      if (!membersKnownSince(now - PrimaryLease.DURATION_MILLIS)) {
-        return;
-      }
-    } else {
-      lease.onUnannounced(announcementsKnownAt);
-      if (listedBefore(announcementsKnownAt)) {
-        lease.onMembersComplete();
-      }
+    if (!changeAnnounced()) {
+      onUnannounced();
+    } else if (!membersListedSince(now - PrimaryLease.DURATION_MILLIS)) {
+      return;
     }
     lease.establish(otherMembers().filter(m -> !mayBeLeftOut(m)).map(MemberView::id).toList(), now);
   }
 
-  private boolean listedBefore(long time) {
-    return membersKnownAt > NEVER && membersSince.isPresent() && membersSince.getAsLong() <= time;
+  private void onUnannounced() {
+    lease.onUnannounced(announcementsKnownAt);
+    boolean listedBefore =
+        membersKnownAt > NEVER
+            && membersSince.isPresent()
+            && membersSince.getAsLong() <= announcementsKnownAt;
+    if (listedBefore) {
+      lease.onMembersComplete();
+    }
   }
 
   void coverMembers() {
--- a/core/src/test/java/org/sardinebay/internal/version/LeaseWaitTest.java
+++ b/core/src/test/java/org/sardinebay/internal/version/LeaseWaitTest.java
@@ -53,9 +53,7 @@
   }
 
   private PrimaryChange changeWithoutReplica2At(long now, boolean refused) {
-    PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 1, 2, now);
-    change.next(view, now);
-    change.onAnnounced(now);
+    PrimaryChange change = changeAnnouncedAt(now);
     view.lease().onMembersKnown(now);
     change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), now);
     view.onUnreachable(REPLICA_2, refused, now);
@@ -109,9 +107,7 @@
       view.setMembers(
           List.of(ServiceViewTest.entry(PRIMARY, false), ServiceViewTest.entry(REPLICA_1, false)),
           50);
-      PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 1, 2, 100);
-      change.next(view, 100);
-      change.onAnnounced(100);
+      PrimaryChange change = changeAnnouncedAt(100);
       view.lease().onMembersKnown(100);
       change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 100);
       change.next(view, 100);
@@ -141,9 +137,7 @@
       view.setMembers(
           List.of(ServiceViewTest.entry(PRIMARY, false), ServiceViewTest.entry(REPLICA_1, false)),
           1_000);
-      PrimaryChange change = new PrimaryChange(lease, PRIMARY, false, false, 1, 2, 2_000);
-      change.next(view, 2_000);
-      change.onAnnounced(2_000);
+      PrimaryChange change = changeAnnouncedAt(2_000);
       view.lease().onMembersKnown(2_000);
       change.onFenced(REPLICA_1, ServiceViewTest.replica(1, 7, 2), 2_000);
       change.next(view, 2_000);
--- a/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
+++ b/gateway/src/main/java/org/sardinebay/gateway/internal/version/StoreFeeds.java
@@ -274,7 +274,8 @@
   }
 
   /**
-   * Removes members whose entries disappeared long enough ago.
+   * Applies changed records that wait for their refresh, and removes members whose entries
+   * disappeared long enough ago.
    *
    * @param now the current time by this host's clock, in milliseconds
    */
--- a/gateway/src/test/java/org/sardinebay/gateway/internal/version/StoreFeedsTest.java
+++ b/gateway/src/test/java/org/sardinebay/gateway/internal/version/StoreFeedsTest.java
@@ -49,6 +49,16 @@
     return feeds.hosts().stream().map(RegisteredHost::id).map(Object::toString).toList();
   }
 
+  /** Guards against a time of the last list that is newer than the members that are applied. */
+  @Test
+  void should_apply_a_scheduled_refresh_in_the_next_tick() {
+    feeds.listener(StoreFeeds.HOSTS).onChanges(List.of(host("host-1", 1, false)));
+    feeds.refreshSoon(task -> {});
+    feeds.tick(0);
+
+    assertThat(feeds.hosts()).hasSize(1);
+  }
+
   @Nested
   class PageOfChanges {
     @Test
